Start the project: build, checks, base, world, wire and net

Cause: nothing stood yet. The libraries below everything else come first: time and identities, the fleet's values, bounded cereal archives with frames, and the one event loop with links, datagrams and admin HTTP.

--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of the base library: time, identities, findings, events.
+
+#include "base/event_log.h"  // IWYU pragma: export
+#include "base/finding.h"    // IWYU pragma: export
+#include "base/ids.h"        // IWYU pragma: export
+#include "base/time.h"       // IWYU pragma: export
--- /dev/null
+++ b/src/base/finding.cc
@@ -0,0 +1,49 @@
+#include "base/finding.h"
+
+#include <glog/logging.h>
+
+#include <cstring>
+
+namespace ibisvalve {
+namespace {
+
+std::string Joined(const std::vector<Finding>& findings) {
+  std::string text;
+  for (const Finding& finding : findings) {
+    if (!text.empty()) {
+      text += '\n';
+    }
+    text += ToString(finding);
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string ToString(const Finding& finding) {
+  const Place& place = finding.place;
+  std::string text = place.file;
+  if (place.line > 0) {
+    text +=
+        ":" + std::to_string(place.line) + ":" + std::to_string(place.column);
+  }
+  text += text.empty() ? "" : ": ";
+  if (!place.path.empty()) {
+    text += place.path + ": ";
+  }
+  text += finding.problem;
+  if (!finding.advice.empty()) {
+    text += "; " + finding.advice;
+  }
+  return text;
+}
+
+InvalidInput::InvalidInput(std::vector<Finding> findings)
+    : std::runtime_error(Joined(findings)), findings_(std::move(findings)) {
+  CHECK(!findings_.empty()) << "an invalid input has at least one fault";
+}
+
+SystemError::SystemError(const std::string& what, int error)
+    : std::runtime_error(what + ": " + std::strerror(error)) {}
+
+}  // namespace ibisvalve
--- /dev/null
+++ b/src/net/admin_server.cc
@@ -0,0 +1,133 @@
+#include "net/admin_server.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "net/socket_address.h"
+
+namespace ibisvalve::net {
+namespace {
+
+constexpr ev_ssize_t kMaxAdminHeaderBytes = 16 << 10;
+constexpr ev_ssize_t kMaxAdminBodyBytes = 4 << 20;
+
+std::string MethodName(evhttp_cmd_type type) {
+  switch (type) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    default:
+      return "OTHER";
+  }
+}
+
+AdminRequest Parse(evhttp_request* request) {
+  AdminRequest parsed;
+  parsed.method = MethodName(evhttp_request_get_command(request));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  const char* path = evhttp_uri_get_path(uri);
+  parsed.path = path == nullptr ? "/" : path;
+  evkeyvalq query;
+  const char* text = evhttp_uri_get_query(uri);
+  if (text != nullptr && evhttp_parse_query_str(text, &query) == 0) {
+    for (evkeyval* pair = query.tqh_first; pair != nullptr;
+         pair = pair->next.tqe_next) {
+      parsed.query[pair->key] = pair->value;
+    }
+    evhttp_clear_headers(&query);
+  }
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  parsed.body.resize(evbuffer_get_length(body));
+  evbuffer_copyout(body, parsed.body.data(), parsed.body.size());
+  return parsed;
+}
+
+void SendResponse(evhttp_request* request, const AdminResponse& response) {
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
+  evbuffer* body = evhttp_request_get_output_buffer(request);
+  evbuffer_add(body, response.body.data(), response.body.size());
+  evhttp_send_reply(request, response.status, nullptr, nullptr);
+}
+
+}  // namespace
+
+// A request that waits for its answer; `request` is null once its connection
+// has gone, because evhttp frees the request with it.
+struct AdminServer::Pending {
+  evhttp_request* request;
+};
+
+AdminServer::AdminServer(EventLoop& loop, const world::Endpoint& local)
+    : http_(evhttp_new(loop.base())) {
+  evhttp_set_max_headers_size(http_, kMaxAdminHeaderBytes);
+  evhttp_set_max_body_size(http_, kMaxAdminBodyBytes);
+  evhttp_set_gencb(
+      http_,
+      [](evhttp_request* request, void* argument) {
+        static_cast<AdminServer*>(argument)->Dispatch(request);
+      },
+      this);
+  evhttp_bound_socket* socket =
+      evhttp_bind_socket_with_handle(http_, local.ip.c_str(), local.port);
+  if (socket == nullptr) {
+    const int error = errno;
+    evhttp_free(http_);
+    throw SystemError("cannot listen at " + world::ToString(local), error);
+  }
+  local_ = LocalEndpoint(evhttp_bound_socket_get_fd(socket));
+}
+
+AdminServer::~AdminServer() {
+  evhttp_free(http_);
+}
+
+void AdminServer::Handle(const std::string& method,
+                         const std::string& path,
+                         Handler handler) {
+  handlers_[{method, path}] = std::move(handler);
+}
+
+void AdminServer::Dispatch(evhttp_request* request) {
+  const AdminRequest parsed = Parse(request);
+  const auto found = handlers_.find({parsed.method, parsed.path});
+  if (found == handlers_.end()) {
+    SendResponse(request,
+                 AdminResponse{404, "application/json",
+                               R"({"error":"no such page or method"})"});
+    return;
+  }
+  auto pending = std::make_shared<Pending>(Pending{request});
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  evhttp_connection_set_closecb(
+      connection,
+      [](evhttp_connection*, void* argument) {
+        static_cast<Pending*>(argument)->request = nullptr;
+      },
+      pending.get());
+  // The reply keeps `pending` alive for as long as evhttp may name it: until
+  // the answer is sent, or in waiting_ when the handler drops the reply.
+  waiting_.insert(pending);
+  found->second(parsed, [this, pending](const AdminResponse& response) {
+    waiting_.erase(pending);
+    evhttp_request* waiting = std::exchange(pending->request, nullptr);
+    if (waiting != nullptr) {
+      evhttp_connection_set_closecb(evhttp_request_get_connection(waiting),
+                                    nullptr, nullptr);
+      SendResponse(waiting, response);
+    }
+  });
+}
+
+}  // namespace ibisvalve::net
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,96 @@
+#include "net/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <glog/logging.h>
+
+#include <memory>
+#include <utility>
+
+namespace ibisvalve::net {
+namespace {
+
+constexpr ev_ssize_t kMaxAnswerBytes = 64 << 20;
+
+struct Call {
+  EventLoop* loop;
+  std::function<void(const HttpResult&)> done;
+  evhttp_connection* connection;
+  std::string error = "no answer in time";
+};
+
+evhttp_cmd_type CommandFor(const std::string& method) {
+  if (method == "POST") {
+    return EVHTTP_REQ_POST;
+  }
+  if (method == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
+  return method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
+}
+
+const char* ErrorText(evhttp_request_error error) {
+  switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+      return "no answer in time";
+    case EVREQ_HTTP_EOF:
+      return "the connection closed early";
+    case EVREQ_HTTP_INVALID_HEADER:
+      return "the answer has a bad header";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return "the answer is too long";
+    default:
+      return "the connection failed";
+  }
+}
+
+void OnDone(evhttp_request* request, void* argument) {
+  std::unique_ptr<Call> call(static_cast<Call*>(argument));
+  HttpResult result;
+  if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+    result.error = call->error;
+  } else {
+    result.status = evhttp_request_get_response_code(request);
+    evbuffer* body = evhttp_request_get_input_buffer(request);
+    result.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, result.body.data(), result.body.size());
+  }
+  // The connection may not be freed from inside its own callback.
+  call->loop->Post(
+      [connection = call->connection] { evhttp_connection_free(connection); });
+  call->done(result);
+}
+
+}  // namespace
+
+void FetchHttp(EventLoop& loop,
+               const world::Endpoint& server,
+               const std::string& method,
+               const std::string& path_and_query,
+               const std::string& body,
+               Duration timeout,
+               std::function<void(const HttpResult&)> done) {
+  evhttp_connection* connection = evhttp_connection_base_new(
+      loop.base(), nullptr, server.ip.c_str(), server.port);
+  CHECK_NOTNULL(connection);
+  const timeval wait{static_cast<time_t>(timeout.count() / 1'000'000),
+                     static_cast<suseconds_t>(timeout.count() % 1'000'000)};
+  evhttp_connection_set_timeout_tv(connection, &wait);
+  evhttp_connection_set_max_body_size(connection, kMaxAnswerBytes);
+  auto* call = new Call{&loop, std::move(done), connection};
+  evhttp_request* request = evhttp_request_new(OnDone, call);
+  evhttp_request_set_error_cb(
+      request, [](evhttp_request_error error, void* argument) {
+        static_cast<Call*>(argument)->error = ErrorText(error);
+      });
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", world::ToString(server).c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+               body.size());
+  // On failure evhttp has called OnDone or will; nothing else is to be done.
+  evhttp_make_request(connection, request, CommandFor(method),
+                      path_and_query.c_str());
+}
+
+}  // namespace ibisvalve::net
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// Public header of the wire library: messages between the system's own
+/// processes, their framing and their limits.
+
+#include "wire/archive.h"         // IWYU pragma: export
+#include "wire/claim_messages.h"  // IWYU pragma: export
+#include "wire/frame.h"           // IWYU pragma: export
--- /dev/null
+++ b/src/world/member.cc
@@ -0,0 +1,43 @@
+#include "world/member.h"
+
+namespace ibisvalve::world {
+
+std::string ToString(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kUnreachable:
+      return "unreachable";
+    case MemberState::kDead:
+      return "dead";
+    case MemberState::kLeft:
+      return "left";
+  }
+  return "invalid";
+}
+
+std::string ToString(TargetState state) {
+  switch (state) {
+    case TargetState::kNone:
+      return "none";
+    case TargetState::kStarting:
+      return "starting";
+    case TargetState::kReady:
+      return "ready";
+    case TargetState::kDraining:
+      return "draining";
+    case TargetState::kDown:
+      return "down";
+  }
+  return "invalid";
+}
+
+bool IsServing(const Member& member) {
+  return (member.state == MemberState::kAlive ||
+          member.state == MemberState::kSuspect) &&
+         member.target == TargetState::kReady;
+}
+
+}  // namespace ibisvalve::world
--- /dev/null
+++ b/tests/net/net_test.cc
@@ -0,0 +1,131 @@
+#include "net/net.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace ibisvalve::net {
+namespace {
+
+const world::Endpoint kAnyPort{"127.0.0.1", 0};
+
+// Stops `loop` when the test takes too long.
+class Deadline {
+ public:
+  explicit Deadline(EventLoop& loop)
+      : timer_(loop, [&loop] {
+          ADD_FAILURE() << "nothing happened in time";
+          loop.Stop();
+        }) {
+    timer_.StartOnce(std::chrono::seconds(20));
+  }
+
+ private:
+  Timer timer_;
+};
+
+TEST(FrameLinkTest, CarriesFramesAndClosesOnForeignBytes) {
+  EventLoop loop;
+  Deadline deadline(loop);
+  std::unique_ptr<FrameLink> server;
+  std::vector<std::string> keys;
+  std::string why;
+  Listener listener(loop, kAnyPort, [&](int fd) {
+    server = FrameLink::Accept(
+        loop, fd,
+        {nullptr,
+         [&](wire::FrameType, std::string_view payload) {
+           keys.push_back(wire::Decode<wire::ClaimRequest>(payload).key.key);
+         },
+         [&](const std::string& reason) {
+           why = reason;
+           loop.Stop();
+         },
+         nullptr});
+  });
+  std::unique_ptr<FrameLink> client;
+  client = FrameLink::Connect(
+      loop, listener.local(),
+      {[&] {
+         wire::ClaimRequest request;
+         request.key.key = "one";
+         client->Send(request);
+         request.key.key = "two";
+         client->Send(request);
+         client->SendRaw("GET / HTTP/1.1\r\n\r\n");
+       },
+       [](wire::FrameType, std::string_view) {}, nullptr, nullptr});
+  loop.Run();
+  EXPECT_EQ(keys, (std::vector<std::string>{"one", "two"}));
+  EXPECT_EQ(why, "not a frame of this protocol");
+}
+
+TEST(DatagramSocketTest, CarriesDatagrams) {
+  EventLoop loop;
+  Deadline deadline(loop);
+  std::string got;
+  DatagramSocket receiver(loop, kAnyPort,
+                          [&](const world::Endpoint&, std::string_view bytes) {
+                            got = std::string(bytes);
+                            loop.Stop();
+                          });
+  DatagramSocket sender(loop, kAnyPort,
+                        [](const world::Endpoint&, std::string_view) {});
+  sender.Send(receiver.local(), "hello");
+  loop.Run();
+  EXPECT_EQ(got, "hello");
+}
+
+TEST(AdminServerTest, AnswersNowAndLater) {
+  EventLoop loop;
+  Deadline deadline(loop);
+  AdminServer server(loop, kAnyPort);
+  server.Handle("GET", "/now", [](const AdminRequest& request, auto reply) {
+    reply({200, "text/plain", request.query.at("name")});
+  });
+  server.Handle("POST", "/later", [&](const AdminRequest& request, auto reply) {
+    loop.Post([reply, body = request.body] {
+      reply({202, "text/plain", body});
+    });
+  });
+  HttpResult now, later, missing;
+  FetchHttp(loop, server.local(), "GET", "/now?name=a%20b", "",
+            std::chrono::seconds(5),
+            [&](const HttpResult& result) { now = result; });
+  FetchHttp(loop, server.local(), "POST", "/later", "text",
+            std::chrono::seconds(5), [&](const HttpResult& result) {
+              later = result;
+              FetchHttp(loop, server.local(), "GET", "/missing", "",
+                        std::chrono::seconds(5), [&](const HttpResult& other) {
+                          missing = other;
+                          loop.Stop();
+                        });
+            });
+  loop.Run();
+  EXPECT_EQ(now, (HttpResult{200, "a b", ""}));
+  EXPECT_EQ(later, (HttpResult{202, "text", ""}));
+  EXPECT_EQ(missing.status, 404);
+}
+
+TEST(HttpClientTest, SaysWhyThereIsNoAnswer) {
+  EventLoop loop;
+  Deadline deadline(loop);
+  world::Endpoint closed;
+  {
+    Listener listener(loop, kAnyPort, [](int) {});
+    closed = listener.local();
+  }
+  HttpResult result;
+  FetchHttp(loop, closed, "GET", "/", "", std::chrono::seconds(5),
+            [&](const HttpResult& answer) {
+              result = answer;
+              loop.Stop();
+            });
+  loop.Run();
+  EXPECT_EQ(result.status, 0);
+  EXPECT_FALSE(result.error.empty());
+}
+
+}  // namespace
+}  // namespace ibisvalve::net
