Fix the headers between the libraries

Cause: five parts are written side by side, so what they hand each other comes first: settings and fleet values, mesh and claim messages, membership, control, policy and the node's data plane.

--- /dev/null
+++ b/src/control/keeper.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/net.h"
+#include "world/world.h"
+
+namespace ibisvalve::control {
+
+/// Settings of a keeper.
+struct KeeperSettings {
+  NodeId id;
+  world::Endpoint control;               // where it listens (TCP)
+  std::string data;                      // folder for all files
+  std::vector<world::Endpoint> keepers;  // control endpoints of the first set
+  Duration heartbeat = std::chrono::milliseconds(100);
+  Duration election = std::chrono::milliseconds(800);  // shortest time-out
+
+  auto operator<=>(const KeeperSettings&) const = default;
+};
+
+/// A keeper: one replica of the log of applied files and claims, with the
+/// nodes that follow it.
+class Keeper {
+ public:
+  /// Checks a file before it is accepted: returns "" or all faults, a line
+  /// each.
+  using Checker = std::function<std::string(const std::string& text)>;
+
+  /// Recovers the data folder and starts. Throws SystemError, or InvalidInput
+  /// when the folder holds what cannot be read.
+  Keeper(net::EventLoop& loop, const KeeperSettings& settings, Checker checker);
+  ~Keeper();
+
+  /// Adds the operators' pages to `admin`: POST /apply, GET /history, /show,
+  /// /diff, /fleet, /keepers, POST /keepers/add, /keepers/remove.
+  void Serve(net::AdminServer& admin);
+  /// Returns where it listens.
+  world::Endpoint control() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/dataplane/dataplane.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Public header of the dataplane library: from a caller's request to the
+/// target and back.
+
+#include "dataplane/fleet_view.h"  // IWYU pragma: export
+#include "dataplane/node_plane.h"  // IWYU pragma: export
--- /dev/null
+++ b/src/dataplane/fleet_view.cc
@@ -0,0 +1,62 @@
+#include "dataplane/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ibisvalve::dataplane {
+
+void FleetView::SetFleet(std::shared_ptr<const world::Fleet> fleet,
+                         Revision revision) {
+  fleet_ = std::move(fleet);
+  revision_ = revision;
+}
+
+void FleetView::SetLease(bool held) {
+  lease_held_ = held;
+}
+
+void FleetView::SetMember(const world::Member& member) {
+  const auto known = members_.find(member.id);
+  if (known != members_.end() && known->second.service != member.service) {
+    std::erase(by_service_[known->second.service], member.id);
+  }
+  auto& ids = by_service_[member.service];
+  if (std::find(ids.begin(), ids.end(), member.id) == ids.end()) {
+    ids.push_back(member.id);
+  }
+  members_[member.id] = member;
+}
+
+bool FleetView::MayServe(world::Repeat repeat) const {
+  if (fleet_ == nullptr) {
+    return false;
+  }
+  if (lease_held_) {
+    return true;
+  }
+  return repeat == world::Repeat::kAllowed &&
+         fleet_->control.isolated == world::IsolatedPolicy::kServeReads;
+}
+
+const world::Member* FleetView::Find(const NodeId& id) const {
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+std::vector<const world::Member*> FleetView::Targets(
+    const ServiceName& service) const {
+  std::vector<const world::Member*> targets;
+  const auto found = by_service_.find(service);
+  if (found == by_service_.end()) {
+    return targets;
+  }
+  for (const NodeId& id : found->second) {
+    const world::Member& member = members_.at(id);
+    if (world::IsServing(member)) {
+      targets.push_back(&member);
+    }
+  }
+  return targets;
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/node_plane.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "dataplane/fleet_view.h"
+#include "net/net.h"
+#include "policy/policy.h"
+#include "wire/wire.h"
+#include "world/world.h"
+
+namespace ibisvalve::dataplane {
+
+/// Settings of a node's data plane.
+struct PlaneSettings {
+  NodeId id;
+  Incarnation incarnation;
+  world::Location location;
+  world::Endpoint callers;                // HTTP for callers; port 0 picks one
+  world::Endpoint mesh;                   // TCP between nodes; port 0 picks one
+  std::optional<world::Endpoint> target;  // the target beside this node
+  ServiceName service;                    // of that target
+  uint32_t slots = 0;                     // of that target
+  std::string health_path;                // may be empty
+  uint64_t body_memory = 24 << 20;        // bytes of bodies held at any time
+  uint32_t caller_connections = 2000;
+  Duration link_silence = std::chrono::milliseconds(300);
+  policy::ChoiceKind choice = policy::ChoiceKind::kWeighed;
+
+  auto operator<=>(const PlaneSettings&) const = default;
+};
+
+/// What the data plane needs of control for keyed requests.
+struct ClaimPort {
+  std::function<void(const wire::ClaimRequest& request,
+                     Duration timeout,
+                     std::function<void(const wire::ClaimReply&)> done)>
+      claim;
+  std::function<void(const wire::ClaimSettle& settle)> settle;
+};
+
+/// One request of a caller, ended; what burn reports count.
+struct RequestRecord {
+  ServiceName service;
+  NodeId gate;  // that answered, or empty
+  ZoneName gate_zone;
+  world::Outcome outcome = world::Outcome::kNotRun;
+  world::Reason reason = world::Reason::kNone;
+  uint16_t status = 0;  // HTTP status that the caller saw
+  Duration took{0};     // from the whole request to the end of the answer
+  Duration deadline{0};
+  uint32_t attempts = 0;  // hedges included
+  bool hedged = false;
+  bool hung_up = false;  // the caller left before the answer
+
+  auto operator<=>(const RequestRecord&) const = default;
+};
+
+/// What the data plane reports to the rest of the node.
+struct PlaneHandlers {
+  /// A request of a caller has ended.
+  std::function<void(const RequestRecord& record)> on_request;
+  /// The target beside this node is in a new state.
+  std::function<void(world::TargetState state, uint32_t slots)> on_target;
+  /// A peer is at a higher revision than this node.
+  std::function<void(Revision seen)> on_newer_revision;
+};
+
+/// Ingress and gate of one node: HTTP from callers, mesh links, HTTP to the
+/// target. All on the loop.
+class NodePlane {
+ public:
+  /// Binds and starts. `view` must outlive it. Throws SystemError.
+  NodePlane(net::EventLoop& loop,
+            const PlaneSettings& settings,
+            const FleetView& view,
+            ClaimPort claims,
+            PlaneHandlers handlers);
+  ~NodePlane();
+
+  /// Takes no new work for the target; work in flight goes on. Undone by
+  /// Undrain.
+  void Drain();
+  void Undrain();
+  /// Stops for good: no new work, no new callers; `done` is called when
+  /// everything in flight has ended, or `limit` has passed.
+  void Stop(Duration limit, std::function<void()> done);
+  /// Adds the operators' pages: POST /drain, /undrain, GET /quarantine,
+  /// POST /quarantine/lift, and the target's POST /announce.
+  void Serve(net::AdminServer& admin);
+  /// Returns where callers and peers connect.
+  world::Endpoint callers() const;
+  world::Endpoint mesh() const;
+  /// Returns the state of ingress and gate as a JSON object, for status pages.
+  std::string StatusJson() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/// Public header of the membership library.
+
+#include "membership/membership_service.h"  // IWYU pragma: export
--- /dev/null
+++ b/src/membership/membership_service.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "net/net.h"
+#include "world/world.h"
+
+namespace ibisvalve::membership {
+
+/// Settings of membership; the defaults suit 1,000 nodes.
+struct MembershipSettings {
+  std::vector<world::Endpoint> seeds;  // gossip endpoints of some nodes
+  Duration period = std::chrono::milliseconds(500);  // between rounds
+  uint32_t bytes_per_second = 5000;  // sent, on average, at most
+  uint32_t datagram_bytes = 1200;    // largest datagram
+
+  auto operator<=>(const MembershipSettings&) const = default;
+};
+
+/// Announces this node and learns of all others by gossip.
+class MembershipService {
+ public:
+  /// Told of each member that is new or changed, this node included.
+  using Observer = std::function<void(const world::Member& member)>;
+
+  /// Binds to self.gossip (port 0 picks one) and starts. Throws SystemError.
+  MembershipService(net::EventLoop& loop,
+                    const MembershipSettings& settings,
+                    const world::Member& self,
+                    Observer observer);
+  ~MembershipService();
+
+  /// Announces a changed target of this node.
+  void SetTarget(const ServiceName& service,
+                 world::TargetState state,
+                 uint32_t slots);
+  /// Says goodbye; the process may end once `done` is called.
+  void Leave(std::function<void()> done);
+  /// Returns every member known, this node included, by id.
+  const std::map<NodeId, world::Member>& members() const;
+  /// Returns this node as announced, with its real gossip port.
+  const world::Member& self() const;
+  /// Returns how many bytes were sent so far.
+  uint64_t sent_bytes() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace ibisvalve::membership
--- /dev/null
+++ b/src/policy/admission.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "base/base.h"
+#include "world/world.h"
+
+namespace ibisvalve::policy {
+
+/// Settings of admission at one gate.
+struct AdmissionSettings {
+  uint32_t slots = 1;                                 // declared by the target
+  Duration max_wait = std::chrono::milliseconds(20);  // in the queue
+  uint32_t max_queue = 64;                            // requests
+
+  auto operator<=>(const AdmissionSettings&) const = default;
+};
+
+/// What becomes of a request that arrives at a gate.
+enum class Admit : uint8_t { kRun, kQueue, kRefuse };
+
+/// Decides which requests run at the target beside this node, and when. Counts
+/// what is in flight exactly: each attempt that ran must be finished.
+class Admission {
+ public:
+  struct Decision {
+    Admit admit = Admit::kRefuse;
+    world::Reason reason = world::Reason::kNone;  // with kRefuse
+
+    auto operator<=>(const Decision&) const = default;
+  };
+  /// An attempt that waited, and what becomes of it now.
+  struct Release {
+    AttemptId id;
+    Decision decision;  // kRun or kRefuse
+
+    auto operator<=>(const Release&) const = default;
+  };
+
+  explicit Admission(const AdmissionSettings& settings);
+
+  /// Decides on attempt `id`, which must end by `deadline`.
+  Decision Arrive(const AttemptId& id, Time deadline, Time now);
+  /// A running attempt ended after `service_time`; `failed` when the target
+  /// refused or broke. Returns the attempts that may run now or are too late.
+  std::vector<Release> Finish(const AttemptId& id,
+                              Duration service_time,
+                              bool failed,
+                              Time now);
+  /// A waiting attempt was cancelled.
+  void Forget(const AttemptId& id);
+  /// Returns the waiting attempts that are too late by now.
+  std::vector<Release> Expire(Time now);
+  /// Replaces the settings; running attempts go on.
+  void Configure(const AdmissionSettings& settings);
+
+  uint32_t in_flight() const;
+  uint32_t queued() const;
+  /// Returns how many requests may run at once now, at most the slots.
+  uint32_t limit() const;
+  /// Returns the recent mean service time.
+  Duration service_time() const;
+  /// Returns the recent share of failed runs, 0 to 1.
+  double failure_share() const;
+
+ private:
+  struct Waiting {
+    AttemptId id;
+    Time deadline;
+    Time since;
+  };
+  void Adapt(Duration service_time, Time now);
+  std::vector<Release> Fill(Time now);
+
+  AdmissionSettings settings_;
+  std::deque<Waiting> queue_;
+  uint32_t in_flight_ = 0;
+  double limit_ = 1;
+  double service_us_ = 0;
+  double base_us_ = 0;
+  double failure_share_ = 0;
+  Time last_adapted_{};
+};
+
+}  // namespace ibisvalve::policy
--- /dev/null
+++ b/src/wire/mesh_messages.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "wire/archive.h"
+#include "wire/frame.h"
+#include "world/world.h"
+
+namespace ibisvalve::wire {
+
+/// Load of a target as its gate knows it; rides on every answer.
+struct LoadHint {
+  uint16_t in_flight = 0;       // running at the target
+  uint16_t queued = 0;          // waiting at the gate
+  uint16_t limit = 0;           // requests the gate lets run at once
+  uint32_t service_us = 0;      // recent mean service time
+  uint32_t error_permille = 0;  // recent share of failed answers
+
+  auto operator<=>(const LoadHint&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(in_flight, queued, limit, service_us, error_permille);
+  }
+};
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/// First frame each way on a mesh link.
+struct MeshHello {
+  static constexpr FrameType kType = 1;
+  NodeId node;
+  Incarnation incarnation;
+  Revision revision;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(node, incarnation, revision);
+  }
+};
+
+/// Asks the gate to run one attempt. The body follows in BodyPart frames
+/// unless `body_complete`.
+struct OpenAttempt {
+  static constexpr FrameType kType = 2;
+  AttemptId id;
+  Revision revision;
+  ServiceName service;
+  std::string method;
+  std::string uri;  // path and query
+  Headers headers;
+  uint64_t remaining_us = 0;  // until the caller's deadline
+  uint8_t depth = 0;          // calls above this one
+  bool retry = false;         // this call is a retry somewhere up the chain
+  bool may_repeat = false;
+  std::string key;     // Idempotency-Key, or empty
+  Digest fingerprint;  // of method, uri and body
+  uint64_t body_bytes = 0;
+  std::string body;  // first part
+  bool body_complete = true;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, revision, service, method, uri, headers, remaining_us, depth,
+            retry, may_repeat, key, fingerprint, body_bytes, body,
+            body_complete);
+  }
+};
+
+/// A further part of a request's body.
+struct BodyPart {
+  static constexpr FrameType kType = 3;
+  AttemptId id;
+  std::string bytes;
+  bool last = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, bytes, last);
+  }
+};
+
+/// The caller hung up or another attempt won: stop it if it can be stopped.
+struct CancelAttempt {
+  static constexpr FrameType kType = 4;
+  AttemptId id;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id);
+  }
+};
+
+/// Start of a target's answer. Small answers are complete in this frame.
+struct AnswerHead {
+  static constexpr FrameType kType = 5;
+  AttemptId id;
+  uint16_t status = 0;
+  Headers headers;
+  std::optional<uint64_t> length;  // absent: chunked
+  std::string body;                // first part
+  bool complete = false;
+  LoadHint hint;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, status, headers, length, body, complete, hint);
+  }
+};
+
+/// A further part of an answer.
+struct AnswerPart {
+  static constexpr FrameType kType = 6;
+  AttemptId id;
+  std::string bytes;
+  bool last = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, bytes, last);
+  }
+};
+
+/// The attempt ended without a whole answer. kNotRun is proof.
+struct AttemptFailed {
+  static constexpr FrameType kType = 7;
+  AttemptId id;
+  world::Outcome outcome = world::Outcome::kUnknown;
+  world::Reason reason = world::Reason::kNone;
+  Revision revision;  // in force at the gate
+  LoadHint hint;
+  std::optional<ClaimHolder> holder;  // with kKeyClaimed
+  uint16_t claimed_status = 0;        // with kKeyClaimed: of that run, if known
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, outcome, reason, revision, hint, holder, claimed_status);
+  }
+};
+
+/// Lets the sender of a body or an answer send `bytes` more.
+struct Credit {
+  static constexpr FrameType kType = 8;
+  AttemptId id;
+  uint32_t bytes = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, bytes);
+  }
+};
+
+/// Asks what became of an attempt; an attempt never seen is fenced by this.
+/// The answer is AnswerHead, AttemptFailed or AttemptRunning.
+struct QueryAttempt {
+  static constexpr FrameType kType = 9;
+  AttemptId id;
+  Incarnation gate;     // the gate's incarnation when the attempt was sent
+  bool attach = false;  // for a re-send: answer when it ends
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, gate, attach);
+  }
+};
+
+/// The attempt is running; its answer will come on this link.
+struct AttemptRunning {
+  static constexpr FrameType kType = 10;
+  AttemptId id;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id);
+  }
+};
+
+/// Heartbeat while something is in flight; echoed as Pong.
+struct Ping {
+  static constexpr FrameType kType = 11;
+  uint64_t number = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(number);
+  }
+};
+
+/// Echo of Ping; also answers a probe, so it carries the load.
+struct Pong {
+  static constexpr FrameType kType = 12;
+  uint64_t number = 0;
+  Revision revision;
+  bool draining = false;
+  LoadHint hint;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(number, revision, draining, hint);
+  }
+};
+
+}  // namespace ibisvalve::wire
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -6,3 +6,4 @@
 #include "wire/archive.h"         // IWYU pragma: export
 #include "wire/claim_messages.h"  // IWYU pragma: export
 #include "wire/frame.h"           // IWYU pragma: export
+#include "wire/mesh_messages.h"   // IWYU pragma: export
