--- a/src/base/base.h
+++ b/src/base/base.h
@@ -5,4 +5,5 @@
 #include "base/event_log.h"  // IWYU pragma: export
 #include "base/finding.h"    // IWYU pragma: export
 #include "base/ids.h"        // IWYU pragma: export
+#include "base/metric.h"     // IWYU pragma: export
 #include "base/time.h"       // IWYU pragma: export
--- a/src/control/keeper.h
+++ b/src/control/keeper.h
@@ -40,6 +40,8 @@
   void Serve(net::AdminServer& admin);
   /// Returns where it listens.
   world::Endpoint control() const;
+  /// Appends what /metrics shows of this part to `out`.
+  void Collect(std::vector<MetricSample>& out) const;
 
  private:
   class Impl;
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -58,6 +58,8 @@
   void Settle(const wire::ClaimSettle& settle);
   /// Says goodbye, so that no apply waits for this node.
   void Leave(std::function<void()> done);
+  /// Appends what /metrics shows of this part to `out`.
+  void Collect(std::vector<MetricSample>& out) const;
 
  private:
   class Impl;
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "dataplane/fleet_view.h"
 #include "net/net.h"
@@ -95,6 +96,8 @@
   world::Endpoint mesh() const;
   /// Returns the state of ingress and gate as a JSON object, for status pages.
   std::string StatusJson() const;
+  /// Appends what /metrics shows of this part to `out`.
+  void Collect(std::vector<MetricSample>& out) const;
 
  private:
   class Impl;
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -45,6 +45,8 @@
   const world::Member& self() const;
   /// Returns how many bytes were sent so far.
   uint64_t sent_bytes() const;
+  /// Appends what /metrics shows of this part to `out`.
+  void Collect(std::vector<MetricSample>& out) const;
 
  private:
   class Impl;
