--- /dev/null
+++ b/src/control/claim_ledger.cc
@@ -0,0 +1,82 @@
+#include "control/claim_ledger.h"
+
+#include <algorithm>
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr uint64_t kReleasedUs = 60'000'000;  // a released key is remembered
+
+}  // namespace
+
+size_t ClaimLedger::KeyHash::operator()(const wire::RequestKey& key) const {
+  constexpr size_t kMix = 0x9E3779B97F4A7C15ULL;
+  return std::hash<std::string>()(key.service.value) * kMix ^
+         std::hash<std::string>()(key.key);
+}
+
+wire::ClaimReply ClaimLedger::Apply(const ClaimKey& claim) {
+  Advance(claim.clock_us);
+  const auto found = records_.find(claim.key);
+  const bool held = found != records_.end() && !found->second.released;
+  if (held) {
+    const Record& record = found->second;
+    if (record.body != claim.body) {
+      return {0, wire::ClaimVerdict::kMismatch, {}, 0};
+    }
+    const bool same = record.holder == claim.holder;
+    return {0, same ? wire::ClaimVerdict::kGranted : wire::ClaimVerdict::kTaken,
+            record.holder, record.status};
+  }
+  if (found != records_.end() && found->second.holder == claim.holder) {
+    // Overtaken by its own release: the holder has given up on it.
+    return {0, wire::ClaimVerdict::kUnavailable, {}, 0};
+  }
+  Put(claim.key, Record{claim.body, claim.holder, 0, false,
+                        clock_us_ + claim.retention_us});
+  return {0, wire::ClaimVerdict::kGranted, claim.holder, 0};
+}
+
+void ClaimLedger::Apply(const SettleKey& settle) {
+  Advance(settle.clock_us);
+  const auto found = records_.find(settle.key);
+  const bool held = found != records_.end() && !found->second.released;
+  if (held && found->second.holder != settle.holder) {
+    return;
+  }
+  if (settle.status == 0) {
+    Put(settle.key,
+        Record{Digest(), settle.holder, 0, true, clock_us_ + kReleasedUs});
+  } else if (held) {
+    found->second.status = settle.status;
+  }
+}
+
+void ClaimLedger::Advance(uint64_t clock_us) {
+  clock_us_ = std::max(clock_us_, clock_us);
+  while (!expiry_.empty() && expiry_.begin()->first <= clock_us_) {
+    Erase(wire::RequestKey(*expiry_.begin()->second));
+  }
+}
+
+void ClaimLedger::Put(const wire::RequestKey& key, const Record& record) {
+  Erase(key);
+  const auto placed = records_.emplace(key, record).first;
+  expiry_.emplace(record.expires_us, &placed->first);
+}
+
+void ClaimLedger::Erase(const wire::RequestKey& key) {
+  const auto found = records_.find(key);
+  if (found == records_.end()) {
+    return;
+  }
+  const auto [first, last] = expiry_.equal_range(found->second.expires_us);
+  const auto entry = std::find_if(
+      first, last, [&](const auto& at) { return at.second == &found->first; });
+  if (entry != last) {
+    expiry_.erase(entry);
+  }
+  records_.erase(found);
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/config_ledger.cc
@@ -0,0 +1,233 @@
+#include "control/config_ledger.h"
+
+#include <utility>
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr size_t kKeptTexts = 256;        // newest revisions with their text
+constexpr size_t kKeptRecords = 100'000;  // accepted revisions
+constexpr size_t kKeptRefusals = 10'000;  // changes that were refused
+
+}  // namespace
+
+std::string ToString(ChangeResult result) {
+  switch (result) {
+    case ChangeResult::kStaged:
+      return "staged";
+    case ChangeResult::kActive:
+      return "active";
+    case ChangeResult::kWithdrawn:
+      return "withdrawn";
+    case ChangeResult::kConflict:
+      return "conflict";
+    case ChangeResult::kStale:
+      return "stale";
+    case ChangeResult::kInvalid:
+      return "invalid";
+    case ChangeResult::kUnavailable:
+      return "unavailable";
+    case ChangeResult::kUnknown:
+      return "unknown";
+  }
+  return "?";
+}
+
+std::string ToString(ConfigState state) {
+  switch (state) {
+    case ConfigState::kStaged:
+      return "staged";
+    case ConfigState::kActive:
+      return "active";
+    case ConfigState::kSuperseded:
+      return "superseded";
+    case ConfigState::kWithdrawn:
+      return "withdrawn";
+  }
+  return "?";
+}
+
+ChangeAnswer ConfigLedger::Apply(const StageConfig& stage) {
+  const Digest digest = DigestOf(stage.text);
+  if (const std::optional<Digest> first = DigestOfChange(stage.change)) {
+    return AnswerAgain(stage.change, *first == digest);
+  }
+  const ConfigRecord* base = Find(stage.base);
+  const bool was_in_force =
+      stage.base == Revision() ||
+      (base != nullptr && (base->state == ConfigState::kActive ||
+                           base->state == ConfigState::kSuperseded));
+  if (!was_in_force) {
+    return Refuse(
+        stage, ChangeResult::kInvalid, active(),
+        "revision " + std::to_string(stage.base.value) + " was never in force");
+  }
+  if (const ConfigRecord* winner = WinnerOn(stage.base)) {
+    return Refuse(stage, ChangeResult::kConflict, winner,
+                  "revision " + std::to_string(winner->revision.value) +
+                      " by change " + winner->change.value + " came first");
+  }
+  if (stage.base != active_) {
+    return Refuse(
+        stage, ChangeResult::kStale, active(),
+        "revision " + std::to_string(active_.value) + " is in force by now");
+  }
+  const Revision last =
+      records_.empty() ? Revision() : records_.back().revision;
+  staged_ = Revision(last.value + 1);
+  records_.push_back(ConfigRecord{staged_,
+                                  digest,
+                                  stage.change,
+                                  stage.base,
+                                  ConfigState::kStaged,
+                                  stage.at_us,
+                                  stage.lease_us,
+                                  stage.text,
+                                  "",
+                                  {}});
+  accepted_[stage.change] = staged_;
+  Forget();
+  return AnswerTo(stage.change);
+}
+
+void ConfigLedger::Apply(const ActivateConfig& activate) {
+  if (activate.revision != staged_ || staged_ == Revision()) {
+    return;
+  }
+  if (ConfigRecord* former = Mutable(active_)) {
+    former->state = ConfigState::kSuperseded;
+  }
+  ConfigRecord* record = Mutable(staged_);
+  record->state = ConfigState::kActive;
+  record->at_us = activate.at_us;
+  active_ = std::exchange(staged_, Revision());
+}
+
+void ConfigLedger::Apply(const WithdrawConfig& withdraw) {
+  if (withdraw.revision != staged_ || staged_ == Revision()) {
+    return;
+  }
+  ConfigRecord* record = Mutable(staged_);
+  record->state = ConfigState::kWithdrawn;
+  record->at_us = withdraw.at_us;
+  record->detail = withdraw.detail;
+  record->hosts = withdraw.hosts;
+  staged_ = Revision();
+}
+
+ChangeAnswer ConfigLedger::AnswerTo(const ChangeId& change) const {
+  const auto accepted = accepted_.find(change);
+  if (accepted != accepted_.end()) {
+    return AnswerFor(*Find(accepted->second));
+  }
+  const auto refused = refused_.find(change);
+  if (refused != refused_.end()) {
+    ChangeAnswer answer = refused->second.answer;
+    answer.active = active_;
+    return answer;
+  }
+  return ChangeAnswer{ChangeResult::kUnknown, Revision(), Digest(), active_,
+                      "no such change",       {}};
+}
+
+const ConfigRecord* ConfigLedger::Find(Revision revision) const {
+  if (records_.empty() || revision < records_.front().revision ||
+      revision > records_.back().revision) {
+    return nullptr;
+  }
+  return &records_[revision.value - records_.front().revision.value];
+}
+
+ConfigRecord* ConfigLedger::Mutable(Revision revision) {
+  return const_cast<ConfigRecord*>(Find(revision));
+}
+
+ChangeAnswer ConfigLedger::AnswerFor(const ConfigRecord& record) const {
+  ChangeAnswer answer{ChangeResult::kActive, record.revision,
+                      record.digest,         active_,
+                      record.detail,         record.hosts};
+  if (record.state == ConfigState::kStaged) {
+    answer.result = ChangeResult::kStaged;
+  } else if (record.state == ConfigState::kWithdrawn) {
+    answer.result = ChangeResult::kWithdrawn;
+  }
+  return answer;
+}
+
+// Returns the digest of the file that `change` was first used for, if it was.
+std::optional<Digest> ConfigLedger::DigestOfChange(
+    const ChangeId& change) const {
+  const auto accepted = accepted_.find(change);
+  if (accepted != accepted_.end()) {
+    return Find(accepted->second)->digest;
+  }
+  const auto refused = refused_.find(change);
+  if (refused != refused_.end()) {
+    return refused->second.digest;
+  }
+  return std::nullopt;
+}
+
+// Returns the first answer to a change that was sent before.
+ChangeAnswer ConfigLedger::AnswerAgain(const ChangeId& change,
+                                       bool same_file) const {
+  ChangeAnswer answer = AnswerTo(change);
+  if (!same_file) {
+    answer.result = ChangeResult::kConflict;
+    answer.detail = "this change id was used for another file";
+  }
+  return answer;
+}
+
+ChangeAnswer ConfigLedger::Refuse(const StageConfig& stage,
+                                  ChangeResult result,
+                                  const ConfigRecord* present,
+                                  const std::string& detail) {
+  ChangeAnswer answer{result, Revision(), Digest(), active_, detail, {}};
+  if (present != nullptr) {
+    answer.revision = present->revision;
+    answer.digest = present->digest;
+  }
+  refused_[stage.change] = Refusal{DigestOf(stage.text), answer};
+  order_.push_back(stage.change);
+  while (order_.size() > kKeptRefusals) {
+    refused_.erase(order_.front());
+    order_.pop_front();
+  }
+  return answer;
+}
+
+// Returns the change of `base` that is staged or in force, or null.
+const ConfigRecord* ConfigLedger::WinnerOn(Revision base) const {
+  for (const ConfigRecord* record : {staged(), active()}) {
+    if (record != nullptr && record->base == base) {
+      return record;
+    }
+  }
+  return nullptr;
+}
+
+// Drops what is too old: texts first, whole records much later. The file in
+// force is never dropped.
+void ConfigLedger::Forget() {
+  if (records_.size() > kKeptTexts) {
+    ConfigRecord& old = records_[records_.size() - kKeptTexts - 1];
+    if (old.revision != active_) {
+      old.text.clear();
+    }
+  }
+  while (records_.size() > kKeptRecords &&
+         records_.front().revision != active_) {
+    accepted_.erase(records_.front().change);
+    records_.pop_front();
+  }
+}
+
+void ConfigLedger::IndexChanges() {
+  accepted_.clear();
+  for (const ConfigRecord& record : records_) {
+    accepted_[record.change] = record.revision;
+  }
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/keeper.cc
@@ -0,0 +1,413 @@
+#include "control/keeper.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "control/claim_relay.h"
+#include "control/control_port.h"
+#include "control/events.h"
+#include "control/keeper_links.h"
+#include "control/keeper_pages.h"
+#include "control/leader_duties.h"
+#include "control/leader_relay.h"
+#include "control/member_plan.h"
+#include "control/node_sessions.h"
+#include "control/replica_driver.h"
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr Duration kTend = std::chrono::milliseconds(200);
+
+}  // namespace
+
+// Puts the parts of a keeper together and passes frames between them.
+class Keeper::Impl {
+ public:
+  Impl(net::EventLoop& loop, const KeeperSettings& settings, Checker checker);
+
+  void Serve(net::AdminServer& admin) { pages_.Serve(admin); }
+  world::Endpoint control() const { return port_.local(); }
+  void Collect(std::vector<MetricSample>& out) const;
+
+ private:
+  wire::KeeperHello Hello() const;
+  void SendToReplica(const ReplicaMessage& message);
+  void OnInbound(const ControlPort::Peer& peer,
+                 wire::FrameType type,
+                 std::string_view payload);
+  bool OnReplicaFrame(wire::FrameType type, std::string_view payload);
+  bool OnNodeFrame(const ControlPort::Peer& peer,
+                   wire::FrameType type,
+                   std::string_view payload);
+  void OnKeeperFrame(const ControlPort::Peer& peer,
+                     wire::FrameType type,
+                     std::string_view payload);
+  void OnLinkFrame(wire::FrameType type, std::string_view payload);
+  void OnHello(const world::Endpoint& endpoint, const wire::KeeperHello& hello);
+  void OnFound(const wire::FoundGroup& found);
+  void OnApplied();
+  void OnRole();
+  void Report(const wire::SessionReports& reports);
+  void Tend();
+  void TendMembers();
+  std::set<world::Endpoint> Wanted() const;
+
+  net::EventLoop& loop_;
+  KeeperSettings settings_;
+  std::set<world::Endpoint> dialed_;  // that an operator wants to add
+  Revision logged_staged_;
+  Revision logged_active_;
+  Revision logged_withdrawn_;
+  ReplicaDriver driver_;
+  KeeperLinks links_;
+  LeaderRelay relay_;
+  ClaimRelay claims_;
+  NodeSessions sessions_;
+  LeaderDuties duties_;
+  KeeperPages pages_;
+  ControlPort port_;
+  net::Timer tend_;
+};
+
+Keeper::Impl::Impl(net::EventLoop& loop,
+                   const KeeperSettings& settings,
+                   Checker checker)
+    : loop_(loop),
+      settings_(settings),
+      driver_(
+          loop,
+          settings.data,
+          settings.heartbeat,
+          settings.election,
+          {[this](const ReplicaMessage& message) { SendToReplica(message); },
+           [this](const wire::LogEntry*) { OnApplied(); },
+           [this] { OnRole(); }}),
+      links_(
+          loop,
+          {[this] { return Hello(); },
+           [this](const world::Endpoint& endpoint,
+                  const wire::KeeperHello& hello) { OnHello(endpoint, hello); },
+           [this](wire::FrameType type, std::string_view payload) {
+             OnLinkFrame(type, payload);
+           }}),
+      relay_(loop, driver_, links_),
+      claims_(driver_, links_, relay_),
+      sessions_(
+          loop,
+          driver_,
+          [this](const wire::SessionReports& reports) { Report(reports); }),
+      duties_(loop, driver_),
+      pages_({loop, driver_, links_, relay_, duties_},
+             std::move(checker),
+             [this](const world::Endpoint& endpoint) {
+               dialed_.insert(endpoint);
+               links_.Want(Wanted());
+             }),
+      port_(
+          loop,
+          settings.control,
+          {[this](const ControlPort::Peer& peer,
+                  wire::FrameType type,
+                  std::string_view payload) { OnInbound(peer, type, payload); },
+           [this](const ControlPort::Peer& peer) { sessions_.OnGone(peer); }}),
+      tend_(loop, [this] { Tend(); }) {
+  settings_.control = port_.local();
+  Tend();
+  tend_.StartPeriodic(kTend);
+}
+
+wire::KeeperHello Keeper::Impl::Hello() const {
+  return {driver_.replica().members().group, driver_.self(), settings_.id,
+          settings_.control};
+}
+
+void Keeper::Impl::SendToReplica(const ReplicaMessage& message) {
+  std::visit(
+      [this](const auto& typed) {
+        for (const auto& [endpoint, hello] : links_.Hellos()) {
+          if (hello.replica == typed.to) {
+            links_.Send(endpoint, typed);
+          }
+        }
+      },
+      message);
+}
+
+void Keeper::Impl::OnInbound(const ControlPort::Peer& peer,
+                             wire::FrameType type,
+                             std::string_view payload) {
+  if (OnReplicaFrame(type, payload) || sessions_.OnFrame(peer, type, payload)) {
+    return;
+  }
+  if (peer->node) {
+    if (!OnNodeFrame(peer, type, payload)) {
+      throw wire::WireError("a node sent a frame of an unknown type");
+    }
+    return;
+  }
+  OnKeeperFrame(peer, type, payload);
+}
+
+bool Keeper::Impl::OnReplicaFrame(wire::FrameType type,
+                                  std::string_view payload) {
+  switch (type) {
+    case wire::VoteRequest::kType:
+      driver_.Receive(wire::Decode<wire::VoteRequest>(payload));
+      return true;
+    case wire::VoteReply::kType:
+      driver_.Receive(wire::Decode<wire::VoteReply>(payload));
+      return true;
+    case wire::AppendRequest::kType:
+      driver_.Receive(wire::Decode<wire::AppendRequest>(payload));
+      return true;
+    case wire::AppendReply::kType:
+      driver_.Receive(wire::Decode<wire::AppendReply>(payload));
+      return true;
+    case wire::InstallSnapshot::kType:
+      driver_.Receive(wire::Decode<wire::InstallSnapshot>(payload));
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool Keeper::Impl::OnNodeFrame(const ControlPort::Peer& peer,
+                               wire::FrameType type,
+                               std::string_view payload) {
+  const std::weak_ptr<InboundPeer> weak = peer;
+  if (type == wire::ClaimRequest::kType) {
+    claims_.OnClaim(
+        wire::Decode<wire::ClaimRequest>(payload),
+        [weak](const wire::ClaimReply& reply) { SendTo(weak, reply); });
+    return true;
+  }
+  if (type == wire::ClaimSettle::kType) {
+    claims_.OnSettle(
+        wire::Decode<wire::ClaimSettle>(payload),
+        [weak](const wire::SettleReply& reply) { SendTo(weak, reply); });
+    return true;
+  }
+  return false;
+}
+
+void Keeper::Impl::OnKeeperFrame(const ControlPort::Peer& peer,
+                                 wire::FrameType type,
+                                 std::string_view payload) {
+  const std::weak_ptr<InboundPeer> weak = peer;
+  switch (type) {
+    case wire::KeeperHello::kType: {
+      const auto hello = wire::Decode<wire::KeeperHello>(payload);
+      const wire::GroupId own = driver_.replica().members().group;
+      if (hello.group.value != 0 && own.value != 0 && hello.group != own) {
+        LogEvent(kForeignGroup, {{"keeper", hello.id.value}});
+        throw wire::WireError("the keeper belongs to another group");
+      }
+      peer->link->Send(Hello());
+      return;
+    }
+    case wire::FoundGroup::kType:
+      OnFound(wire::Decode<wire::FoundGroup>(payload));
+      return;
+    case wire::ForwardRequest::kType:
+      pages_.OnForward(
+          wire::Decode<wire::ForwardRequest>(payload),
+          [weak](const wire::ForwardReply& reply) { SendTo(weak, reply); });
+      return;
+    case wire::SessionReports::kType:
+      duties_.OnReports(
+          wire::Decode<wire::SessionReports>(payload),
+          [weak](const wire::SessionGrants& grants) { SendTo(weak, grants); });
+      return;
+    case wire::ClaimRequest::kType:
+      claims_.OnForwarded(
+          wire::Decode<wire::ClaimRequest>(payload),
+          [weak](const wire::ClaimReply& reply) { SendTo(weak, reply); });
+      return;
+    case wire::ClaimSettle::kType:
+      claims_.OnForwarded(
+          wire::Decode<wire::ClaimSettle>(payload),
+          [weak](const wire::SettleReply& reply) { SendTo(weak, reply); });
+      return;
+    default:
+      throw wire::WireError("a frame of an unknown type");
+  }
+}
+
+// Answers of other keepers, on links that this keeper opened.
+void Keeper::Impl::OnLinkFrame(wire::FrameType type, std::string_view payload) {
+  switch (type) {
+    case wire::ForwardReply::kType:
+      pages_.OnForwardReply(wire::Decode<wire::ForwardReply>(payload));
+      return;
+    case wire::SessionGrants::kType:
+      sessions_.Deliver(wire::Decode<wire::SessionGrants>(payload));
+      return;
+    case wire::ClaimReply::kType:
+      claims_.OnReply(wire::Decode<wire::ClaimReply>(payload));
+      return;
+    case wire::SettleReply::kType:
+      claims_.OnReply(wire::Decode<wire::SettleReply>(payload));
+      return;
+    default:
+      throw wire::WireError("a frame of an unknown type");
+  }
+}
+
+void Keeper::Impl::OnHello(const world::Endpoint& endpoint,
+                           const wire::KeeperHello& hello) {
+  const ReplicaLog& log = driver_.replica().log();
+  const bool has_founding_entry = log.base_index() == 0 && log.last_index() > 0;
+  if (hello.group.value != 0 || !has_founding_entry) {
+    return;
+  }
+  // One that has not heard of the founding yet; any member may tell it.
+  const auto founding = wire::Decode<wire::KeeperMembers>(log.At(1).data);
+  const bool named =
+      std::any_of(founding.members.begin(), founding.members.end(),
+                  [&](const wire::KeeperMember& member) {
+                    return member.replica == hello.replica;
+                  });
+  if (named) {
+    links_.Send(endpoint, wire::FoundGroup{founding});
+  }
+}
+
+void Keeper::Impl::OnFound(const wire::FoundGroup& found) {
+  const bool named =
+      std::any_of(found.members.members.begin(), found.members.members.end(),
+                  [this](const wire::KeeperMember& member) {
+                    return member.replica == driver_.self();
+                  });
+  if (named) {
+    driver_.Found(found.members);
+  }
+}
+
+void Keeper::Impl::OnApplied() {
+  const ConfigLedger& config = driver_.state().config();
+  const ConfigRecord* staged = config.staged();
+  const ConfigRecord* active = config.active();
+  if (staged != nullptr && staged->revision > logged_staged_) {
+    logged_staged_ = staged->revision;
+    LogEvent(kConfigStaged, {{"revision", staged->revision.value},
+                             {"digest", ToHex(staged->digest)},
+                             {"change", staged->change.value}});
+  }
+  if (active != nullptr && active->revision > logged_active_) {
+    logged_active_ = active->revision;
+    LogEvent(kConfigActive, {{"revision", active->revision.value},
+                             {"digest", ToHex(active->digest)}});
+  }
+  const ConfigRecord* last =
+      config.history().empty() ? nullptr : &config.history().back();
+  if (last != nullptr && last->state == ConfigState::kWithdrawn &&
+      last->revision > logged_withdrawn_) {
+    logged_withdrawn_ = last->revision;
+    LogEvent(kConfigWithdrawn,
+             {{"revision", last->revision.value}, {"why", last->detail}});
+  }
+  if (duties_.OnApplied()) {
+    sessions_.ReportAll();
+  }
+  sessions_.OnApplied();
+}
+
+void Keeper::Impl::OnRole() {
+  duties_.OnRole();
+  sessions_.ReportAll();
+}
+
+void Keeper::Impl::Report(const wire::SessionReports& reports) {
+  if (driver_.replica().leading()) {
+    duties_.OnReports(reports, [this](const wire::SessionGrants& grants) {
+      sessions_.Deliver(grants);
+    });
+  } else if (const auto leader = relay_.Leader()) {
+    links_.Send(*leader, reports);
+  }
+}
+
+void Keeper::Impl::Tend() {
+  links_.Want(Wanted());
+  const std::set<world::Endpoint> first_set = [this] {
+    std::set<world::Endpoint> set(settings_.keepers.begin(),
+                                  settings_.keepers.end());
+    set.insert(settings_.control);
+    return set;
+  }();
+  if (driver_.replica().log().last_index() == 0) {
+    if (const auto founding =
+            FoundingMembers(Hello(), first_set, links_.Hellos())) {
+      driver_.Found(*founding);
+    }
+  }
+  TendMembers();
+}
+
+// Proposes the next change of members, one at a time.
+void Keeper::Impl::TendMembers() {
+  const Replica& replica = driver_.replica();
+  if (!replica.settled() || replica.log().members_index() > replica.commit()) {
+    return;
+  }
+  const GroupView view{replica.members(), links_.Hellos(), replica.peers(),
+                       replica.commit(), settings_.election};
+  if (const auto next = NextMembers(view, loop_.Now())) {
+    driver_.ProposeMembers(*next);
+  }
+}
+
+std::set<world::Endpoint> Keeper::Impl::Wanted() const {
+  std::set<world::Endpoint> wanted = dialed_;
+  wanted.insert(settings_.keepers.begin(), settings_.keepers.end());
+  for (const wire::KeeperMember& member : driver_.replica().members().members) {
+    wanted.insert(member.control);
+  }
+  wanted.erase(settings_.control);
+  return wanted;
+}
+
+void Keeper::Impl::Collect(std::vector<MetricSample>& out) const {
+  const Replica& replica = driver_.replica();
+  const ConfigLedger& config = driver_.state().config();
+  const auto gauge = [&out](const std::string& name, uint64_t value) {
+    out.push_back(MetricSample{name, {}, static_cast<double>(value), false});
+  };
+  const auto counter = [&out](const std::string& name, uint64_t value) {
+    out.push_back(MetricSample{name, {}, static_cast<double>(value), true});
+  };
+  gauge("ibis_keeper_leading", replica.leading() ? 1 : 0);
+  gauge("ibis_keeper_term", replica.term());
+  gauge("ibis_keeper_commit", replica.commit());
+  gauge("ibis_keeper_applied", driver_.state().applied());
+  gauge("ibis_keeper_log_bytes", driver_.store().log_bytes());
+  gauge("ibis_keeper_claims", driver_.state().claims().size());
+  gauge("ibis_keeper_nodes", sessions_.size());
+  gauge("ibis_config_active",
+        config.active() == nullptr ? 0 : config.active()->revision.value);
+  counter("ibis_keeper_syncs_total", driver_.store().syncs());
+  counter("ibis_keeper_claims_answered_total", claims_.answered());
+}
+
+Keeper::Keeper(net::EventLoop& loop,
+               const KeeperSettings& settings,
+               Checker checker)
+    : impl_(std::make_unique<Impl>(loop, settings, std::move(checker))) {}
+
+Keeper::~Keeper() = default;
+
+void Keeper::Serve(net::AdminServer& admin) {
+  impl_->Serve(admin);
+}
+
+world::Endpoint Keeper::control() const {
+  return impl_->control();
+}
+
+void Keeper::Collect(std::vector<MetricSample>& out) const {
+  impl_->Collect(out);
+}
+
+}  // namespace ibisvalve::control
--- a/src/control/keeper.h
+++ b/src/control/keeper.h
@@ -22,21 +22,31 @@
   auto operator<=>(const KeeperSettings&) const = default;
 };
 
+/// What checking a file gives.
+struct CheckedFile {
+  std::string faults;  // a line each; empty: the file is good
+  Duration lease = world::ControlRules().lease;  // that it gives to nodes
+
+  auto operator<=>(const CheckedFile&) const = default;
+};
+
 /// A keeper: one replica of the log of applied files and claims, with the
 /// nodes that follow it.
 class Keeper {
  public:
-  /// Checks a file before it is accepted: returns "" or all faults, a line
-  /// each.
-  using Checker = std::function<std::string(const std::string& text)>;
+  /// Checks a file before it is accepted.
+  using Checker = std::function<CheckedFile(const std::string& text)>;
 
   /// Recovers the data folder and starts. Throws SystemError, or InvalidInput
   /// when the folder holds what cannot be read.
   Keeper(net::EventLoop& loop, const KeeperSettings& settings, Checker checker);
   ~Keeper();
 
-  /// Adds the operators' pages to `admin`: POST /apply, GET /history, /show,
-  /// /diff, /fleet, /keepers, POST /keepers/add, /keepers/remove.
+  /// Adds the operators' pages to `admin`, which must not outlive the keeper's
+  /// loop: POST /apply?change=ID&base=N, GET /apply?change=ID, /history,
+  /// /show?revision=N, /fleet, /keepers, POST
+  /// /keepers/add?id=ID&control=IP:PORT and /keepers/remove?id=ID. Any keeper
+  /// answers; it asks the leader.
   void Serve(net::AdminServer& admin);
   /// Returns where it listens.
   world::Endpoint control() const;
--- /dev/null
+++ b/src/control/keeper_pages.cc
@@ -0,0 +1,392 @@
+#include "control/keeper_pages.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <vector>
+
+namespace ibisvalve::control {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+
+net::AdminResponse JsonResponse(int status, const Json& json) {
+  return net::AdminResponse{
+      status, "application/json",
+      json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"};
+}
+
+net::AdminResponse ErrorResponse(int status, const std::string& detail) {
+  return JsonResponse(status, {{"error", detail}});
+}
+
+int StatusOf(ChangeResult result) {
+  switch (result) {
+    case ChangeResult::kConflict:
+    case ChangeResult::kStale:
+      return kConflict;
+    case ChangeResult::kInvalid:
+      return kBadRequest;
+    case ChangeResult::kUnknown:
+      return kNotFound;
+    case ChangeResult::kUnavailable:
+      return kUnavailable;
+    default:
+      return kOk;
+  }
+}
+
+net::AdminResponse AnswerResponse(const ChangeAnswer& answer) {
+  Json hosts = Json::array();
+  for (const NodeId& host : answer.hosts) {
+    hosts.push_back(host.value);
+  }
+  return JsonResponse(StatusOf(answer.result),
+                      {{"result", ToString(answer.result)},
+                       {"revision", answer.revision.value},
+                       {"digest", ToHex(answer.digest)},
+                       {"active", answer.active.value},
+                       {"detail", answer.detail},
+                       {"hosts", hosts}});
+}
+
+std::string QueryOf(const net::AdminRequest& request, const std::string& name) {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? "" : found->second;
+}
+
+std::optional<uint64_t> NumberOf(const std::string& text) {
+  constexpr size_t kMaxDigits = 18;
+  const bool digits = !text.empty() && text.size() <= kMaxDigits &&
+                      std::all_of(text.begin(), text.end(), [](char each) {
+                        return each >= '0' && each <= '9';
+                      });
+  return digits ? std::optional<uint64_t>(std::stoull(text)) : std::nullopt;
+}
+
+std::string NameOf(const wire::KeeperMembers& members, wire::ReplicaId id) {
+  for (const wire::KeeperMember& member : members.members) {
+    if (member.replica == id) {
+      return member.id.value;
+    }
+  }
+  return "";
+}
+
+Json StatusJson(const std::string& text) {
+  Json parsed = Json::parse(text.empty() ? "{}" : text, nullptr, false);
+  return parsed.is_discarded() ? Json::object() : parsed;
+}
+
+}  // namespace
+
+KeeperPages::KeeperPages(const Parts& parts, Keeper::Checker checker, Dial dial)
+    : parts_(parts), checker_(std::move(checker)), dial_(std::move(dial)) {}
+
+void KeeperPages::Serve(net::AdminServer& admin) {
+  const auto route = [this](const net::AdminRequest& request,
+                            const net::AdminServer::Reply& reply) {
+    Route(request, reply);
+  };
+  for (const char* path : {"/apply", "/history", "/show", "/fleet"}) {
+    admin.Handle("GET", path, route);
+  }
+  for (const char* path : {"/apply", "/keepers/add", "/keepers/remove"}) {
+    admin.Handle("POST", path, route);
+  }
+  // Answered here: it must also tell what is wrong where nobody leads.
+  admin.Handle(
+      "GET", "/keepers",
+      [this](const net::AdminRequest&, const net::AdminServer::Reply& reply) {
+        reply(KeepersPage());
+      });
+}
+
+void KeeperPages::OnForward(
+    const wire::ForwardRequest& forward,
+    std::function<void(const wire::ForwardReply&)> reply) {
+  const net::AdminRequest request{forward.method,
+                                  forward.path,
+                                  {forward.query.begin(), forward.query.end()},
+                                  forward.body};
+  HandleLocal(request, [reply = std::move(reply), call = forward.call](
+                           const std::optional<net::AdminResponse>& answer) {
+    wire::ForwardReply result;
+    result.call = call;
+    if (answer) {
+      result.status = answer->status;
+      result.content_type = answer->content_type;
+      result.body = answer->body;
+    }
+    reply(result);
+  });
+}
+
+void KeeperPages::OnForwardReply(const wire::ForwardReply& reply) {
+  if (reply.status == 0) {
+    parts_.relay.Retry(reply.call);
+    return;
+  }
+  const auto found = forwarded_.find(reply.call);
+  if (found == forwarded_.end() || !parts_.relay.Finish(reply.call)) {
+    return;
+  }
+  const auto answer = std::move(found->second);
+  forwarded_.erase(found);
+  answer({reply.status, reply.content_type, reply.body});
+}
+
+void KeeperPages::Route(const net::AdminRequest& request,
+                        const net::AdminServer::Reply& reply) {
+  LeaderRelay::Call call;
+  call.local = [this, request, reply](uint64_t number) {
+    HandleLocal(request, [this, number, reply](
+                             const std::optional<net::AdminResponse>& answer) {
+      if (!answer) {
+        parts_.relay.Retry(number);
+      } else if (parts_.relay.Finish(number)) {
+        forwarded_.erase(number);
+        reply(*answer);
+      }
+    });
+  };
+  call.remote = [this, request, reply](uint64_t number,
+                                       const world::Endpoint& leader) {
+    forwarded_[number] = reply;
+    parts_.links.Send(leader, wire::ForwardRequest{
+                                  number,
+                                  request.method,
+                                  request.path,
+                                  {request.query.begin(), request.query.end()},
+                                  request.body});
+  };
+  call.unavailable = [this, reply](uint64_t number) {
+    forwarded_.erase(number);
+    reply(AnswerResponse(ChangeAnswer{
+        ChangeResult::kUnavailable,
+        Revision(),
+        Digest(),
+        Revision(),
+        "no majority of the keepers could be had; nothing is known",
+        {}}));
+  };
+  parts_.relay.Start(std::move(call));
+}
+
+void KeeperPages::HandleLocal(const net::AdminRequest& request, Done done) {
+  if (request.method == "POST" && request.path == "/apply") {
+    Apply(request, std::move(done));
+  } else if (request.path == "/apply") {
+    const ChangeId change(QueryOf(request, "change"));
+    AfterRead(done, [this, change] {
+      return AnswerResponse(parts_.driver.state().config().AnswerTo(change));
+    });
+  } else if (request.path == "/history") {
+    AfterRead(done, [this] { return History(); });
+  } else if (request.path == "/show") {
+    AfterRead(done, [this, request] { return Show(request); });
+  } else if (request.path == "/fleet") {
+    AfterRead(done, [this] { return FleetPage(); });
+  } else if (request.path == "/keepers/add") {
+    AddKeeper(request, done);
+  } else if (request.path == "/keepers/remove") {
+    RemoveKeeper(request, done);
+  } else {
+    done(ErrorResponse(kNotFound, "no such page"));
+  }
+}
+
+void KeeperPages::Apply(const net::AdminRequest& request, Done done) {
+  const ChangeId change(QueryOf(request, "change"));
+  const std::optional<uint64_t> base = NumberOf(QueryOf(request, "base"));
+  ChangeAnswer invalid{
+      ChangeResult::kInvalid, Revision(), Digest(), Revision(), "", {}};
+  if (change.empty() || !base) {
+    invalid.detail = "say change=ID and base=REVISION";
+    done(AnswerResponse(invalid));
+    return;
+  }
+  // A change that was accepted before keeps its answer, whatever this build's
+  // checker says of it.
+  const CheckedFile checked = checker_(request.body);
+  const bool known = parts_.driver.state().config().AnswerTo(change).result !=
+                     ChangeResult::kUnknown;
+  if (!checked.faults.empty() && !known) {
+    invalid.detail = checked.faults;
+    done(AnswerResponse(invalid));
+    return;
+  }
+  const StageConfig stage{change, Revision(*base), request.body,
+                          static_cast<uint64_t>(checked.lease.count()),
+                          WallMicros()};
+  parts_.driver.Propose(stage, [done = std::move(done)](
+                                   const std::optional<CommandResult>& result) {
+    if (result) {
+      done(AnswerResponse(std::get<ChangeAnswer>(*result)));
+    } else {
+      done(std::nullopt);
+    }
+  });
+}
+
+void KeeperPages::AfterRead(const Done& done,
+                            std::function<net::AdminResponse()> answer) {
+  parts_.driver.Read([done, answer = std::move(answer)](bool confirmed) {
+    if (confirmed) {
+      done(answer());
+    } else {
+      done(std::nullopt);
+    }
+  });
+}
+
+net::AdminResponse KeeperPages::Show(const net::AdminRequest& request) const {
+  const ConfigLedger& config = parts_.driver.state().config();
+  const std::string text = QueryOf(request, "revision");
+  const std::optional<uint64_t> number = NumberOf(text);
+  if (!text.empty() && !number) {
+    return ErrorResponse(kBadRequest, "revision must be a number");
+  }
+  const ConfigRecord* record =
+      number ? config.Find(Revision(*number)) : config.active();
+  if (record == nullptr) {
+    return ErrorResponse(kNotFound, "no such revision");
+  }
+  if (record->text.empty()) {
+    return ErrorResponse(kNotFound, "the text of this revision is too old");
+  }
+  return net::AdminResponse{kOk, "text/yaml", record->text};
+}
+
+net::AdminResponse KeeperPages::History() const {
+  Json revisions = Json::array();
+  for (const ConfigRecord& record : parts_.driver.state().config().history()) {
+    revisions.push_back({{"revision", record.revision.value},
+                         {"digest", ToHex(record.digest)},
+                         {"change", record.change.value},
+                         {"base", record.base.value},
+                         {"state", ToString(record.state)},
+                         {"at_us", record.at_us}});
+  }
+  return JsonResponse(kOk, {{"revisions", revisions}});
+}
+
+net::AdminResponse KeeperPages::FleetPage() const {
+  const ReplicaDriver& driver = parts_.driver;
+  const ConfigLedger& config = driver.state().config();
+  const Time now = parts_.loop.Now();
+  Json nodes = Json::array();
+  for (const auto& [key, session] : parts_.duties.tracker().sessions()) {
+    const bool lease = now < session.lease_until;
+    nodes.push_back({{"id", key.first.value},
+                     {"incarnation", key.second.value},
+                     {"zone", session.node.location.zone.value},
+                     {"service", session.node.service.value},
+                     {"admin", world::ToString(session.node.admin)},
+                     {"revision", session.report.active.value},
+                     {"staged", session.report.staged.value},
+                     {"since_us", (now - session.since).count()},
+                     {"lease", lease},
+                     {"status", StatusJson(session.status)}});
+  }
+  const ConfigRecord* active = config.active();
+  const ConfigRecord* staged = config.staged();
+  return JsonResponse(
+      kOk, {{"leader", NameOf(driver.replica().members(), driver.self())},
+            {"active", active == nullptr ? 0 : active->revision.value},
+            {"staged", staged == nullptr ? 0 : staged->revision.value},
+            {"nodes", nodes}});
+}
+
+net::AdminResponse KeeperPages::KeepersPage() const {
+  const ReplicaDriver& driver = parts_.driver;
+  const Replica& replica = driver.replica();
+  Json members = Json::array();
+  for (const wire::KeeperMember& member : replica.members().members) {
+    const bool self = member.replica == driver.self();
+    const auto peer = replica.peers().find(member.replica);
+    const wire::KeeperHello* hello = parts_.links.HelloAt(member.control);
+    uint64_t match = self ? replica.log().synced_index() : 0;
+    if (peer != replica.peers().end()) {
+      match = peer->second.match;
+    }
+    members.push_back({{"id", member.id.value},
+                       {"control", world::ToString(member.control)},
+                       {"replica", ToHex(Digest(member.replica.value))},
+                       {"voter", member.voter},
+                       {"match", match},
+                       {"alive", self || (hello != nullptr &&
+                                          hello->replica == member.replica)}});
+  }
+  return JsonResponse(kOk,
+                      {{"self", NameOf(replica.members(), driver.self())},
+                       {"replica", ToHex(Digest(driver.self().value))},
+                       {"leader", NameOf(replica.members(), replica.leader())},
+                       {"term", replica.term()},
+                       {"commit", replica.commit()},
+                       {"applied", driver.state().applied()},
+                       {"members", members}});
+}
+
+void KeeperPages::AddKeeper(const net::AdminRequest& request,
+                            const Done& done) {
+  const NodeId id(QueryOf(request, "id"));
+  const auto control = world::ParseEndpoint(QueryOf(request, "control"));
+  if (id.empty() || !control) {
+    done(ErrorResponse(kBadRequest, "say id=ID and control=IP:PORT"));
+    return;
+  }
+  const wire::KeeperMembers& members = parts_.driver.replica().members();
+  for (const wire::KeeperMember& member : members.members) {
+    if (member.id == id && member.control == *control) {
+      done(JsonResponse(kOk, {{"result", "member"}}));
+      return;
+    }
+  }
+  dial_(*control);
+  const wire::KeeperHello* hello = parts_.links.HelloAt(*control);
+  if (hello == nullptr) {
+    done(std::nullopt);  // tried again until it answers
+    return;
+  }
+  if (hello->id != id || hello->group.value != 0) {
+    done(ErrorResponse(kConflict, "the keeper there is called " +
+                                      hello->id.value +
+                                      " or belongs to a group already"));
+    return;
+  }
+  const auto next = WithLearner(members, *hello, *control);
+  if (!next) {
+    done(ErrorResponse(kConflict, "the id or the endpoint is taken"));
+    return;
+  }
+  ProposeChange(*next, done);
+}
+
+void KeeperPages::RemoveKeeper(const net::AdminRequest& request,
+                               const Done& done) {
+  const NodeId id(QueryOf(request, "id"));
+  const auto next = Without(parts_.driver.replica().members(), id);
+  if (!next) {
+    done(ErrorResponse(kConflict, "no such keeper, or no voter would be left"));
+    return;
+  }
+  ProposeChange(*next, done);
+}
+
+void KeeperPages::ProposeChange(const wire::KeeperMembers& members,
+                                const Done& done) {
+  if (!parts_.driver.ProposeMembers(members)) {
+    done(std::nullopt);  // another change is under way
+    return;
+  }
+  AfterRead(done, [] { return JsonResponse(kOk, {{"result", "accepted"}}); });
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/keeper_pages.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "control/keeper.h"
+#include "control/keeper_links.h"
+#include "control/leader_duties.h"
+#include "control/leader_relay.h"
+#include "control/member_plan.h"
+#include "control/replica_driver.h"
+#include "net/net.h"
+
+namespace ibisvalve::control {
+
+/// The operators' pages of a keeper.
+class KeeperPages {
+ public:
+  /// Gets the answer, or nothing where this keeper turned out not to lead.
+  using Done = std::function<void(const std::optional<net::AdminResponse>&)>;
+  struct Parts {
+    net::EventLoop& loop;
+    ReplicaDriver& driver;
+    KeeperLinks& links;
+    LeaderRelay& relay;
+    const LeaderDuties& duties;
+  };
+  /// Makes the keeper dial an endpoint that an operator wants to add.
+  using Dial = std::function<void(const world::Endpoint&)>;
+
+  KeeperPages(const Parts& parts, Keeper::Checker checker, Dial dial);
+
+  /// Adds the pages to `admin`.
+  void Serve(net::AdminServer& admin);
+  /// Handles a request that another keeper passed on.
+  void OnForward(const wire::ForwardRequest& request,
+                 std::function<void(const wire::ForwardReply&)> reply);
+  /// Takes the leader's answer to a request that was passed on.
+  void OnForwardReply(const wire::ForwardReply& reply);
+
+ private:
+  void Route(const net::AdminRequest& request,
+             const net::AdminServer::Reply& reply);
+  void HandleLocal(const net::AdminRequest& request, Done done);
+  void Apply(const net::AdminRequest& request, Done done);
+  void AfterRead(const Done& done, std::function<net::AdminResponse()> answer);
+  net::AdminResponse Show(const net::AdminRequest& request) const;
+  net::AdminResponse History() const;
+  net::AdminResponse FleetPage() const;
+  net::AdminResponse KeepersPage() const;
+  void AddKeeper(const net::AdminRequest& request, const Done& done);
+  void RemoveKeeper(const net::AdminRequest& request, const Done& done);
+  void ProposeChange(const wire::KeeperMembers& members, const Done& done);
+
+  Parts parts_;
+  Keeper::Checker checker_;
+  Dial dial_;
+  std::map<uint64_t, net::AdminServer::Reply> forwarded_;  // by call
+};
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/leader_duties.cc
@@ -0,0 +1,154 @@
+#include "control/leader_duties.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "control/events.h"
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+
+// Returns the longest lease that an earlier leader may have granted: by the
+// file in force or by the one before it.
+Duration LongestLeaseOut(const ConfigLedger& config) {
+  const ConfigRecord* active = config.active();
+  if (active == nullptr) {
+    return Duration(0);
+  }
+  const ConfigRecord* former = config.Find(active->base);
+  const uint64_t former_us = former == nullptr ? 0 : former->lease_us;
+  return Duration(
+      static_cast<Duration::rep>(std::max(active->lease_us, former_us)));
+}
+
+}  // namespace
+
+Duration PresentLease(const ConfigLedger& config) {
+  const ConfigRecord* active = config.active();
+  return active == nullptr
+             ? world::ControlRules().lease
+             : Duration(static_cast<Duration::rep>(active->lease_us));
+}
+
+LeaderDuties::LeaderDuties(net::EventLoop& loop, ReplicaDriver& driver)
+    : loop_(loop), driver_(driver), tick_(loop, [this] { Decide(); }) {
+  tick_.StartPeriodic(kTick);
+}
+
+void LeaderDuties::OnReports(const wire::SessionReports& reports, Reply reply) {
+  if (!Ready()) {
+    return;
+  }
+  const Time now = loop_.Now();
+  for (const wire::LeaveKeeper& left : reports.left) {
+    tracker_.Left({left.node, left.incarnation});
+  }
+  for (const wire::SessionReport& report : reports.sessions) {
+    tracker_.Heard(report, now);
+  }
+  Decide();
+  if (reports.sessions.empty()) {
+    return;
+  }
+  driver_.Read(
+      [this, alive = alive_, term = term_,
+       waiting = Waiting{reports.sessions, std::move(reply)}](bool confirmed) {
+        if (*alive && confirmed && Ready() && term == term_) {
+          Grant(waiting);
+        }
+      });
+}
+
+void LeaderDuties::OnRole() {
+  held_.clear();
+  term_ = 0;
+  staged_ = Revision();
+  tracker_ = ActivationTracker();
+}
+
+bool LeaderDuties::OnApplied() {
+  const Replica& replica = driver_.replica();
+  // Until the first own entry is applied, the state may be an old one.
+  const bool ready =
+      replica.settled() && driver_.state().applied() >= replica.commit();
+  const bool fresh = ready && term_ != replica.term();
+  if (fresh) {
+    term_ = replica.term();
+    const ConfigLedger& config = driver_.state().config();
+    tracker_.Lead(LongestLeaseOut(config), loop_.Now());
+  }
+  if (Ready()) {
+    FollowStaged();
+  }
+  return fresh;
+}
+
+bool LeaderDuties::Ready() const {
+  return term_ != 0 && driver_.replica().leading() &&
+         driver_.replica().term() == term_;
+}
+
+void LeaderDuties::Grant(const Waiting& waiting) {
+  if (tracker_.activating()) {
+    held_.push_back(waiting);
+    return;
+  }
+  const ConfigLedger& config = driver_.state().config();
+  const Duration lease = PresentLease(config);
+  wire::SessionGrants grants;
+  if (config.active() != nullptr) {
+    grants.active = config.active()->revision;
+    grants.lease_us = static_cast<uint64_t>(lease.count());
+  }
+  for (const wire::SessionReport& report : waiting.sessions) {
+    const wire::FollowKeeper& node = report.node;
+    tracker_.Granted({node.node, node.incarnation}, lease, loop_.Now());
+    grants.grants.push_back(wire::SessionGrant{node.node, node.incarnation,
+                                               report.heartbeat.report.number});
+  }
+  waiting.reply(grants);
+}
+
+void LeaderDuties::GrantHeld() {
+  for (const Waiting& waiting : std::exchange(held_, {})) {
+    Grant(waiting);
+  }
+}
+
+// Tells the tracker of a file that became staged, or is no longer.
+void LeaderDuties::FollowStaged() {
+  const ConfigRecord* staged = driver_.state().config().staged();
+  const Revision revision = staged == nullptr ? Revision() : staged->revision;
+  if (revision == staged_) {
+    return;
+  }
+  staged_ = revision;
+  tracker_.Stage(revision, loop_.Now());
+  GrantHeld();
+  Decide();
+}
+
+void LeaderDuties::Decide() {
+  if (!Ready()) {
+    return;
+  }
+  tracker_.Expire(loop_.Now());
+  const auto decision = tracker_.Decide(loop_.Now());
+  if (!decision) {
+    return;
+  }
+  Command command;
+  if (const auto* activate = std::get_if<ActivateConfig>(&*decision)) {
+    command = ActivateConfig{activate->revision, WallMicros()};
+  } else {
+    WithdrawConfig withdraw = std::get<WithdrawConfig>(*decision);
+    withdraw.at_us = WallMicros();
+    command = std::move(withdraw);
+  }
+  driver_.Propose(command, [](const std::optional<CommandResult>&) {});
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/member_plan.cc
@@ -0,0 +1,135 @@
+#include "control/member_plan.h"
+
+#include <algorithm>
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr uint64_t kCaughtUpEntries = 100;  // behind the leader at most
+
+bool Contains(const wire::KeeperMembers& members, wire::ReplicaId replica) {
+  return std::any_of(members.members.begin(), members.members.end(),
+                     [&](const wire::KeeperMember& member) {
+                       return member.replica == replica;
+                     });
+}
+
+bool CaughtUp(const GroupView& view, wire::ReplicaId replica, Time now) {
+  const auto peer = view.peers.find(replica);
+  return peer != view.peers.end() && peer->second.match > 0 &&
+         peer->second.match + kCaughtUpEntries >= view.commit &&
+         now < peer->second.heard + view.election;
+}
+
+bool HasVoter(const wire::KeeperMembers& members) {
+  return std::any_of(
+      members.members.begin(), members.members.end(),
+      [](const wire::KeeperMember& member) { return member.voter; });
+}
+
+// Adds a keeper that answers at a member's endpoint under a new identity.
+std::optional<wire::KeeperMembers> AddReturned(const GroupView& view) {
+  for (const wire::KeeperMember& member : view.members.members) {
+    const auto hello = view.hellos.find(member.control);
+    if (hello == view.hellos.end() || hello->second.group.value != 0 ||
+        Contains(view.members, hello->second.replica)) {
+      continue;
+    }
+    wire::KeeperMembers next = view.members;
+    next.members.push_back(wire::KeeperMember{
+        hello->second.replica, hello->second.id, member.control, false});
+    return next;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::optional<wire::KeeperMembers> NextMembers(const GroupView& view,
+                                               Time now) {
+  if (auto added = AddReturned(view)) {
+    return added;
+  }
+  for (const wire::KeeperMember& learner : view.members.members) {
+    if (learner.voter || !CaughtUp(view, learner.replica, now)) {
+      continue;
+    }
+    wire::KeeperMembers next = view.members;
+    // Its former self goes first, so that the group never counts both.
+    const auto former =
+        std::find_if(next.members.begin(), next.members.end(),
+                     [&](const wire::KeeperMember& member) {
+                       return member.control == learner.control &&
+                              member.replica != learner.replica;
+                     });
+    if (former != next.members.end()) {
+      next.members.erase(former);
+      if (HasVoter(next)) {
+        return next;
+      }
+      continue;
+    }
+    for (wire::KeeperMember& member : next.members) {
+      member.voter = member.voter || member.replica == learner.replica;
+    }
+    return next;
+  }
+  return std::nullopt;
+}
+
+std::optional<wire::KeeperMembers> FoundingMembers(
+    const wire::KeeperHello& self,
+    const std::set<world::Endpoint>& first_set,
+    const std::map<world::Endpoint, wire::KeeperHello>& hellos) {
+  if (self.group.value != 0 || first_set.empty() ||
+      *first_set.begin() != self.control) {
+    return std::nullopt;
+  }
+  // The group is named after the replica that founds it.
+  wire::KeeperMembers founding{wire::GroupId(self.replica.value), {}};
+  for (const world::Endpoint& endpoint : first_set) {
+    const auto other = hellos.find(endpoint);
+    if (endpoint != self.control &&
+        (other == hellos.end() || other->second.group.value != 0)) {
+      return std::nullopt;
+    }
+    const wire::KeeperHello& hello =
+        endpoint == self.control ? self : other->second;
+    founding.members.push_back(
+        wire::KeeperMember{hello.replica, hello.id, endpoint, true});
+  }
+  return founding;
+}
+
+std::optional<wire::KeeperMembers> WithLearner(
+    const wire::KeeperMembers& members,
+    const wire::KeeperHello& hello,
+    const world::Endpoint& control) {
+  const bool there = std::any_of(members.members.begin(), members.members.end(),
+                                 [&](const wire::KeeperMember& member) {
+                                   return member.replica == hello.replica ||
+                                          member.id == hello.id ||
+                                          member.control == control;
+                                 });
+  if (there) {
+    return std::nullopt;
+  }
+  wire::KeeperMembers next = members;
+  next.members.push_back(
+      wire::KeeperMember{hello.replica, hello.id, control, false});
+  return next;
+}
+
+std::optional<wire::KeeperMembers> Without(const wire::KeeperMembers& members,
+                                           const NodeId& id) {
+  wire::KeeperMembers next = members;
+  std::erase_if(next.members, [&](const wire::KeeperMember& member) {
+    return member.id == id;
+  });
+  if (next.members.size() + 1 != members.members.size() || !HasVoter(next)) {
+    return std::nullopt;
+  }
+  return next;
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/node_agent.cc
@@ -0,0 +1,387 @@
+#include "control/node_agent.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "control/events.h"
+#include "control/lease_clock.h"
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr Duration kHeartbeat = std::chrono::seconds(1);
+constexpr Duration kTick = std::chrono::milliseconds(250);
+constexpr Duration kPatience = std::chrono::milliseconds(2500);  // for a grant
+constexpr Duration kLeaveLimit = std::chrono::seconds(1);
+
+}  // namespace
+
+class NodeAgent::Impl {
+ public:
+  Impl(net::EventLoop& loop,
+       const std::vector<world::Endpoint>& keepers,
+       const world::Member& self,
+       Handlers handlers);
+
+  Revision active() const { return report_.active; }
+  bool lease_held() const { return lease_.HeldAt(loop_.Now()); }
+  void CatchUp(Revision seen);
+  void Claim(const wire::ClaimRequest& request,
+             Duration timeout,
+             std::function<void(const wire::ClaimReply&)> done);
+  void Settle(const wire::ClaimSettle& settle);
+  void Leave(std::function<void()> done);
+  void Collect(std::vector<MetricSample>& out) const;
+
+ private:
+  struct PendingClaim {
+    wire::ClaimRequest request;
+    std::function<void(const wire::ClaimReply&)> done;
+    uint64_t call = 0;  // of the caller
+    std::unique_ptr<net::Timer> timeout;
+  };
+
+  void Dial();
+  void Rotate(const std::string& why);
+  void OnConnected();
+  void OnFrame(wire::FrameType type, std::string_view payload);
+  void OnGrant(const wire::LeaseGrant& grant);
+  void OnUpdate(const wire::ConfigUpdate& update);
+  void OnClaimReply(wire::ClaimReply reply);
+  void OnLeft();
+  std::string Check(const ConfigFile& file) const;
+  void Heartbeat();
+  void Tick();
+  void NoticeLease();
+  bool connected() const { return link_ && link_->connected(); }
+
+  net::EventLoop& loop_;
+  std::vector<world::Endpoint> keepers_;
+  wire::FollowKeeper follow_;
+  Handlers handlers_;
+  size_t keeper_;
+  std::unique_ptr<net::FrameLink> link_;
+  Time granted_at_{};  // or when the link was dialed
+  Time heartbeat_at_{};
+  wire::NodeReport report_;
+  std::string sent_status_;  // on this link
+  std::optional<ConfigFile> staged_;
+  LeaseClock lease_;
+  bool lease_told_ = false;
+  uint64_t next_call_ = 1;
+  std::map<uint64_t, PendingClaim> claims_;
+  std::map<std::pair<wire::RequestKey, wire::ClaimHolder>, wire::ClaimSettle>
+      settles_;
+  std::function<void()> on_left_;
+  bool leaving_ = false;
+  uint64_t former_bytes_ = 0;  // of links that are closed
+  uint64_t rotations_ = 0;
+  net::Timer tick_;
+  net::Timer lease_end_;
+  net::Timer leave_limit_;
+};
+
+NodeAgent::Impl::Impl(net::EventLoop& loop,
+                      const std::vector<world::Endpoint>& keepers,
+                      const world::Member& self,
+                      Handlers handlers)
+    : loop_(loop),
+      keepers_(keepers),
+      follow_{self.id,      self.incarnation, self.location,
+              self.service, self.admin,       wire::GroupId()},
+      handlers_(std::move(handlers)),
+      keeper_(std::hash<NodeId>()(self.id) %
+              std::max<size_t>(keepers.size(), 1)),
+      tick_(loop, [this] { Tick(); }),
+      lease_end_(loop, [this] { NoticeLease(); }),
+      leave_limit_(loop, [this] { OnLeft(); }) {
+  CHECK(!keepers_.empty()) << "a node needs the endpoint of a keeper";
+  Dial();
+  tick_.StartPeriodic(kTick);
+}
+
+void NodeAgent::Impl::CatchUp(Revision seen) {
+  if (seen > report_.active && connected()) {
+    Heartbeat();
+  }
+}
+
+void NodeAgent::Impl::Claim(const wire::ClaimRequest& request,
+                            Duration timeout,
+                            std::function<void(const wire::ClaimReply&)> done) {
+  const uint64_t call = next_call_++;
+  PendingClaim& pending = claims_[call];
+  pending.request = request;
+  pending.request.call = call;
+  pending.call = request.call;
+  pending.done = std::move(done);
+  pending.timeout = std::make_unique<net::Timer>(loop_, [this, call] {
+    wire::ClaimReply unavailable;
+    unavailable.call = call;
+    OnClaimReply(unavailable);
+  });
+  pending.timeout->StartOnce(timeout);
+  if (connected()) {
+    link_->Send(pending.request);
+  }
+}
+
+void NodeAgent::Impl::Settle(const wire::ClaimSettle& settle) {
+  settles_[{settle.key, settle.holder}] = settle;
+  if (connected()) {
+    link_->Send(settle);
+  }
+}
+
+void NodeAgent::Impl::Leave(std::function<void()> done) {
+  leaving_ = true;
+  on_left_ = std::move(done);
+  lease_.Drop();
+  NoticeLease();
+  if (connected()) {
+    link_->Send(wire::LeaveKeeper{follow_.node, follow_.incarnation});
+  }
+  leave_limit_.StartOnce(kLeaveLimit);
+}
+
+void NodeAgent::Impl::Collect(std::vector<MetricSample>& out) const {
+  const uint64_t bytes =
+      former_bytes_ +
+      (link_ ? link_->sent_bytes() + link_->received_bytes() : 0);
+  const auto add = [&out](const std::string& name, uint64_t value,
+                          bool counter) {
+    out.push_back(MetricSample{name, {}, static_cast<double>(value), counter});
+  };
+  add("ibis_control_active_revision", report_.active.value, false);
+  add("ibis_control_lease_held", lease_held() ? 1 : 0, false);
+  add("ibis_control_bytes_total", bytes, true);
+  add("ibis_control_keeper_changes_total", rotations_, true);
+}
+
+void NodeAgent::Impl::Dial() {
+  granted_at_ = loop_.Now();
+  sent_status_.clear();
+  link_ = net::FrameLink::Connect(
+      loop_, keepers_[keeper_],
+      {[this] { OnConnected(); },
+       [this](wire::FrameType type, std::string_view payload) {
+         OnFrame(type, payload);
+       },
+       [this](const std::string& why) { Rotate(why); }, nullptr});
+}
+
+// Goes on to the next keeper; Tick dials it.
+void NodeAgent::Impl::Rotate(const std::string& why) {
+  if (!leaving_) {
+    LogEvent(kKeeperLinkLost,
+             {{"keeper", world::ToString(keepers_[keeper_])}, {"why", why}});
+  }
+  former_bytes_ += link_->sent_bytes() + link_->received_bytes();
+  link_.reset();
+  keeper_ = (keeper_ + 1) % keepers_.size();
+  ++rotations_;
+}
+
+void NodeAgent::Impl::OnConnected() {
+  link_->Send(follow_);
+  Heartbeat();
+  for (const auto& [call, pending] : claims_) {
+    link_->Send(pending.request);
+  }
+  for (const auto& [key, settle] : settles_) {
+    link_->Send(settle);
+  }
+  if (leaving_) {
+    link_->Send(wire::LeaveKeeper{follow_.node, follow_.incarnation});
+  }
+}
+
+void NodeAgent::Impl::OnFrame(wire::FrameType type, std::string_view payload) {
+  switch (type) {
+    case wire::LeaseGrant::kType:
+      OnGrant(wire::Decode<wire::LeaseGrant>(payload));
+      return;
+    case wire::ConfigUpdate::kType:
+      OnUpdate(wire::Decode<wire::ConfigUpdate>(payload));
+      return;
+    case wire::ClaimReply::kType:
+      OnClaimReply(wire::Decode<wire::ClaimReply>(payload));
+      return;
+    case wire::SettleReply::kType: {
+      const auto reply = wire::Decode<wire::SettleReply>(payload);
+      settles_.erase({reply.key, reply.holder});
+      return;
+    }
+    case wire::LeaveKeeper::kType:
+      OnLeft();
+      return;
+    default:
+      throw wire::WireError("a frame of an unknown type");
+  }
+}
+
+void NodeAgent::Impl::OnGrant(const wire::LeaseGrant& grant) {
+  if (leaving_) {
+    return;
+  }
+  granted_at_ = loop_.Now();
+  lease_.Granted(grant.number, grant.active,
+                 Duration(static_cast<Duration::rep>(grant.lease_us)));
+  NoticeLease();
+}
+
+void NodeAgent::Impl::OnUpdate(const wire::ConfigUpdate& update) {
+  if (follow_.group.value != 0 && update.group != follow_.group) {
+    LogEvent(kForeignGroup, {{"keeper", world::ToString(keepers_[keeper_])}});
+    throw wire::WireError("the keeper belongs to another group");
+  }
+  follow_.group = update.group;
+  if (update.revision <= report_.active) {
+    return;  // late
+  }
+  const bool is_staged = staged_ && staged_->revision == update.revision &&
+                         staged_->digest == update.digest;
+  if (!is_staged) {
+    const ConfigFile file{update.revision, update.digest, update.text};
+    const std::string refusal = Check(file);
+    if (!refusal.empty()) {
+      report_.refused = update.revision;
+      report_.refusal = refusal;
+      LogEvent(kConfigRefused,
+               {{"revision", update.revision.value}, {"why", refusal}});
+      Heartbeat();
+      return;
+    }
+    staged_ = file;
+  }
+  report_.staged = update.revision;
+  if (update.active) {
+    report_.active = update.revision;
+    handlers_.activate(*staged_);
+    lease_.Activated(update.revision);
+    NoticeLease();
+  }
+  Heartbeat();
+}
+
+void NodeAgent::Impl::OnClaimReply(wire::ClaimReply reply) {
+  const auto found = claims_.find(reply.call);
+  if (found == claims_.end()) {
+    return;
+  }
+  const PendingClaim pending = std::move(found->second);
+  claims_.erase(found);
+  if (reply.verdict == wire::ClaimVerdict::kUnavailable) {
+    // It may have been granted, or may still be.
+    Settle(wire::ClaimSettle{pending.request.key, pending.request.holder, 0});
+  }
+  reply.call = pending.call;
+  pending.done(reply);
+}
+
+void NodeAgent::Impl::OnLeft() {
+  leave_limit_.Stop();
+  if (const auto done = std::exchange(on_left_, nullptr)) {
+    done();
+  }
+}
+
+std::string NodeAgent::Impl::Check(const ConfigFile& file) const {
+  if (DigestOf(file.text) != file.digest) {
+    return "the digest of the file is wrong";
+  }
+  return handlers_.check(file);
+}
+
+void NodeAgent::Impl::Heartbeat() {
+  if (!connected() || leaving_) {
+    return;
+  }
+  const Time now = loop_.Now();
+  const std::string status = handlers_.status ? handlers_.status() : "";
+  ++report_.number;
+  heartbeat_at_ = now;
+  lease_.Sent(report_.number, now);
+  link_->Send(
+      wire::NodeHeartbeat{report_, status == sent_status_ ? "" : status});
+  sent_status_ = status;
+}
+
+void NodeAgent::Impl::Tick() {
+  const Time now = loop_.Now();
+  if (!link_) {
+    Dial();
+    return;
+  }
+  if (now >= granted_at_ + kPatience && !leaving_) {
+    // Perhaps a keeper that is cut off from the others.
+    link_->Close();
+    Rotate("no confirmation");
+    return;
+  }
+  if (now >= heartbeat_at_ + kHeartbeat - kTick / 2) {
+    Heartbeat();
+    for (const auto& [key, settle] : settles_) {
+      link_->Send(settle);
+    }
+  }
+  NoticeLease();
+}
+
+void NodeAgent::Impl::NoticeLease() {
+  const bool held = lease_held();
+  if (held) {
+    lease_end_.StartOnce(lease_.until() - loop_.Now());
+  }
+  if (held == std::exchange(lease_told_, held)) {
+    return;
+  }
+  LogEvent(held ? kLeaseGained : kLeaseLost,
+           {{"revision", report_.active.value}});
+  handlers_.on_lease(held);
+}
+
+NodeAgent::NodeAgent(net::EventLoop& loop,
+                     const std::vector<world::Endpoint>& keepers,
+                     const world::Member& self,
+                     Handlers handlers)
+    : impl_(std::make_unique<Impl>(loop, keepers, self, std::move(handlers))) {}
+
+NodeAgent::~NodeAgent() = default;
+
+Revision NodeAgent::active() const {
+  return impl_->active();
+}
+
+bool NodeAgent::lease_held() const {
+  return impl_->lease_held();
+}
+
+void NodeAgent::CatchUp(Revision seen) {
+  impl_->CatchUp(seen);
+}
+
+void NodeAgent::Claim(const wire::ClaimRequest& request,
+                      Duration timeout,
+                      std::function<void(const wire::ClaimReply&)> done) {
+  impl_->Claim(request, timeout, std::move(done));
+}
+
+void NodeAgent::Settle(const wire::ClaimSettle& settle) {
+  impl_->Settle(settle);
+}
+
+void NodeAgent::Leave(std::function<void()> done) {
+  impl_->Leave(std::move(done));
+}
+
+void NodeAgent::Collect(std::vector<MetricSample>& out) const {
+  impl_->Collect(out);
+}
+
+}  // namespace ibisvalve::control
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -46,11 +46,13 @@
   /// Returns the revision in force here; 0 before the first.
   Revision active() const;
   /// Returns whether a majority has confirmed that revision within the lease.
+  /// Exact at any moment, also when the loop was held up and on_lease is late.
   bool lease_held() const;
   /// A frame of a higher revision was seen: asks the keepers at once.
   void CatchUp(Revision seen);
   /// Asks to claim a key; calls `done` once, after `timeout` at the latest
-  /// (kUnavailable).
+  /// (kUnavailable). After kUnavailable the holder may not run the request: the
+  /// claim, if it was granted, is released.
   void Claim(const wire::ClaimRequest& request,
              Duration timeout,
              std::function<void(const wire::ClaimReply&)> done);
--- /dev/null
+++ b/src/control/node_sessions.cc
@@ -0,0 +1,154 @@
+#include "control/node_sessions.h"
+
+#include <utility>
+
+#include "control/events.h"
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr Duration kBatch = std::chrono::milliseconds(10);
+
+}  // namespace
+
+NodeSessions::NodeSessions(net::EventLoop& loop,
+                           const ReplicaDriver& driver,
+                           Report report)
+    : driver_(driver),
+      report_(std::move(report)),
+      batch_(loop, [this] { SendBatch(); }) {}
+
+bool NodeSessions::OnFrame(const ControlPort::Peer& peer,
+                           wire::FrameType type,
+                           std::string_view payload) {
+  switch (type) {
+    case wire::FollowKeeper::kType:
+      Follow(peer, wire::Decode<wire::FollowKeeper>(payload));
+      return true;
+    case wire::NodeHeartbeat::kType:
+      Heartbeat(peer, wire::Decode<wire::NodeHeartbeat>(payload));
+      return true;
+    case wire::LeaveKeeper::kType:
+      Leave(peer, wire::Decode<wire::LeaveKeeper>(payload));
+      return true;
+    default:
+      return false;
+  }
+}
+
+void NodeSessions::OnGone(const ControlPort::Peer& peer) {
+  following_.erase(peer);
+  changed_.erase(peer);
+}
+
+void NodeSessions::OnApplied() {
+  for (const ControlPort::Peer& peer : following_) {
+    SendFiles(*peer);
+  }
+}
+
+void NodeSessions::ReportAll() {
+  for (const ControlPort::Peer& peer : following_) {
+    if (peer->heartbeat.report.number > 0) {
+      changed_.insert(peer);
+    }
+  }
+  if (!changed_.empty() && !batch_.running()) {
+    batch_.StartOnce(kBatch);
+  }
+}
+
+void NodeSessions::Deliver(const wire::SessionGrants& grants) {
+  std::map<std::pair<NodeId, Incarnation>, uint64_t> numbers;
+  for (const wire::SessionGrant& grant : grants.grants) {
+    numbers[{grant.node, grant.incarnation}] = grant.number;
+  }
+  for (const ControlPort::Peer& peer : following_) {
+    const auto found =
+        numbers.find({peer->node->node, peer->node->incarnation});
+    if (found != numbers.end()) {
+      peer->link->Send(
+          wire::LeaseGrant{found->second, grants.active, grants.lease_us});
+    }
+  }
+}
+
+void NodeSessions::Follow(const ControlPort::Peer& peer,
+                          const wire::FollowKeeper& follow) {
+  const wire::GroupId group = driver_.replica().members().group;
+  if (follow.group.value != 0 && group.value != 0 && follow.group != group) {
+    LogEvent(kForeignGroup, {{"node", follow.node.value}});
+    throw wire::WireError("the node follows another group of keepers");
+  }
+  if (!peer->node) {
+    LogEvent(kNodeFollows, {{"node", follow.node.value},
+                            {"incarnation", follow.incarnation.value}});
+  }
+  peer->node = follow;
+  following_.insert(peer);
+}
+
+void NodeSessions::Heartbeat(const ControlPort::Peer& peer,
+                             const wire::NodeHeartbeat& heartbeat) {
+  if (!peer->node) {
+    throw wire::WireError("a heartbeat came before the node said who it is");
+  }
+  const std::string status =
+      heartbeat.status.empty() ? peer->heartbeat.status : heartbeat.status;
+  peer->heartbeat = heartbeat;
+  peer->heartbeat.status = status;
+  changed_.insert(peer);
+  SendFiles(*peer);
+  if (!batch_.running()) {
+    batch_.StartOnce(kBatch);
+  }
+}
+
+void NodeSessions::Leave(const ControlPort::Peer& peer,
+                         const wire::LeaveKeeper& leave) {
+  LogEvent(kNodeLeft, {{"node", leave.node.value}});
+  left_.push_back(leave);
+  changed_.erase(peer);
+  SendBatch();
+  peer->link->Send(leave);  // the node's sign that it may go
+}
+
+void NodeSessions::SendFiles(InboundPeer& peer) {
+  const ConfigLedger& config = driver_.state().config();
+  const wire::NodeReport& report = peer.heartbeat.report;
+  const ConfigRecord* active = config.active();
+  if (active != nullptr && report.active < active->revision &&
+      peer.sent_active < active->revision) {
+    peer.sent_active = active->revision;
+    SendFile(peer, *active, true);
+  }
+  const ConfigRecord* staged = config.staged();
+  if (staged != nullptr && report.staged != staged->revision &&
+      report.refused != staged->revision &&
+      peer.sent_staged < staged->revision) {
+    peer.sent_staged = staged->revision;
+    SendFile(peer, *staged, false);
+  }
+}
+
+void NodeSessions::SendFile(InboundPeer& peer,
+                            const ConfigRecord& record,
+                            bool active) {
+  const bool known = peer.heartbeat.report.staged == record.revision;
+  peer.link->Send(wire::ConfigUpdate{driver_.replica().members().group,
+                                     record.revision, record.digest, active,
+                                     known ? "" : record.text});
+}
+
+void NodeSessions::SendBatch() {
+  batch_.Stop();
+  wire::SessionReports reports;
+  for (const ControlPort::Peer& peer : std::exchange(changed_, {})) {
+    reports.sessions.push_back(
+        wire::SessionReport{*peer->node, peer->heartbeat});
+  }
+  reports.left = std::exchange(left_, {});
+  report_(reports);
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/replica.cc
@@ -0,0 +1,547 @@
+#include "control/replica.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr size_t kAppendBytes = 1 << 20;       // of entries in one message
+constexpr uint64_t kWindowEntries = 16 << 10;  // sent ahead of the answers
+constexpr Duration kSnapshotRetry = std::chrono::seconds(10);
+
+}  // namespace
+
+bool ReplicaActions::empty() const {
+  return early.empty() && !hard && !install && entries.empty() &&
+         messages.empty() && committed.empty() && reads.empty() &&
+         failed_reads.empty() && behind.empty();
+}
+
+Replica::Replica(const ReplicaSettings& settings,
+                 const RecoveredLog& recovered,
+                 Time now)
+    : settings_(settings),
+      random_(settings.seed),
+      hard_(recovered.hard),
+      log_(recovered.snapshot, recovered.entries),
+      commit_(recovered.snapshot.index),
+      handed_(recovered.snapshot.index) {
+  ResetElection(now);
+}
+
+void Replica::Tick(Time now) {
+  if (leading()) {
+    CheckQuorum(now);
+    if (leading() && now >= heartbeat_at_) {
+      broadcast_ = true;
+    }
+    return;
+  }
+  // Nobody else can lead where this is the only voter.
+  const bool alone = VoterCount() == 1;
+  if (IsVoter(settings_.self) && (alone || now >= election_at_)) {
+    Campaign(true, now);
+  }
+}
+
+void Replica::Receive(const ReplicaMessage& message, Time now) {
+  std::visit(
+      [&](const auto& typed) {
+        if (typed.to == settings_.self) {
+          On(typed, now);
+        }
+      },
+      message);
+}
+
+void Replica::Found(const wire::KeeperMembers& members, Time now) {
+  if (log_.last_index() != 0) {
+    return;
+  }
+  SetTerm(1);
+  log_.Put(
+      wire::LogEntry{1, 1, wire::EntryKind::kMembers, wire::Encode(members)});
+  ResetElection(now);
+}
+
+std::optional<uint64_t> Replica::Propose(std::string command) {
+  if (!leading()) {
+    return std::nullopt;
+  }
+  return Append(wire::EntryKind::kCommand, std::move(command));
+}
+
+std::optional<uint64_t> Replica::ProposeMembers(
+    const wire::KeeperMembers& members) {
+  // A change before the first own entry is committed could pass by a change of
+  // an earlier leader that is still under way.
+  if (!settled() || log_.members_index() > commit_) {
+    return std::nullopt;
+  }
+  return Append(wire::EntryKind::kMembers, wire::Encode(members));
+}
+
+std::optional<uint64_t> Replica::RequestRead() {
+  if (!leading()) {
+    return std::nullopt;
+  }
+  reads_.push_back(PendingRead{next_token_, 0, std::max(commit_, term_start_)});
+  return next_token_++;
+}
+
+void Replica::OfferSnapshot(wire::ReplicaId to,
+                            uint64_t index,
+                            std::string data,
+                            Time now) {
+  const auto peer = peers_.find(to);
+  if (!leading() || peer == peers_.end()) {
+    return;
+  }
+  peer->second.snapshot_until = now + kSnapshotRetry;
+  actions_.messages.emplace_back(wire::InstallSnapshot{
+      settings_.self, to, hard_.term, index, log_.TermAt(index),
+      log_.MembersAt(index), std::move(data)});
+}
+
+void Replica::Compact(uint64_t index) {
+  CHECK_LE(index, handed_);
+  log_.Compact(index);
+}
+
+ReplicaActions Replica::Take(Time now) {
+  if (leading()) {
+    const bool new_reads =
+        std::any_of(reads_.begin(), reads_.end(),
+                    [](const PendingRead& read) { return read.round == 0; });
+    if (new_reads) {
+      ++round_;
+      for (PendingRead& read : reads_) {
+        read.round = read.round == 0 ? round_ : read.round;
+      }
+      broadcast_ = true;
+    }
+    if (broadcast_) {
+      Broadcast(now);
+    }
+    AdvanceCommit();
+    ConfirmReads();
+  }
+  actions_.entries = log_.Unsynced();
+  if (hard_changed_) {
+    // A term must be on disk before anything is said in it.
+    actions_.hard = hard_;
+    actions_.messages.insert(actions_.messages.begin(), actions_.early.begin(),
+                             actions_.early.end());
+    actions_.early.clear();
+  }
+  for (; handed_ < commit_; ++handed_) {
+    actions_.committed.push_back(log_.At(handed_ + 1));
+  }
+  return std::exchange(actions_, ReplicaActions());
+}
+
+void Replica::Synced() {
+  hard_changed_ = false;
+  log_.MarkSynced(log_.last_index());
+  if (leading()) {
+    AdvanceCommit();
+  }
+}
+
+void Replica::On(const wire::VoteRequest& request, Time now) {
+  // With a leader in sight nobody else may disturb it; and a replica without a
+  // log knows nothing that a vote could rest on.
+  const bool leader_in_sight =
+      leading() || (ever_heard_ && now < heard_leader_ + settings_.election);
+  const bool eligible = log_.last_index() > 0 && !leader_in_sight;
+  wire::VoteReply reply{settings_.self, request.from, request.term, false,
+                        request.pre};
+  if (request.pre) {
+    reply.granted = eligible && request.term > hard_.term && UpToDate(request);
+  } else if (eligible) {
+    if (request.term > hard_.term) {
+      BecomeFollower(request.term, wire::ReplicaId(), now);
+    }
+    const bool free = hard_.vote.value == 0 || hard_.vote == request.from;
+    reply.granted = request.term == hard_.term && free && UpToDate(request);
+    if (reply.granted) {
+      hard_.vote = request.from;
+      hard_changed_ = true;
+      ResetElection(now);
+    }
+  }
+  if (!reply.granted) {
+    reply.term = hard_.term;
+  }
+  actions_.messages.emplace_back(reply);
+}
+
+void Replica::On(const wire::VoteReply& reply, Time now) {
+  if (!reply.granted) {
+    if (reply.term > hard_.term) {
+      BecomeFollower(reply.term, wire::ReplicaId(), now);
+    }
+    return;
+  }
+  const bool pre = role_ == ReplicaRole::kPreCandidate;
+  const bool wanted = pre || role_ == ReplicaRole::kCandidate;
+  const uint64_t asked = pre ? hard_.term + 1 : hard_.term;
+  if (!wanted || reply.pre != pre || reply.term != asked) {
+    return;
+  }
+  votes_.insert(reply.from);
+  if (HasMajority(votes_)) {
+    if (pre) {
+      Campaign(false, now);
+    } else {
+      BecomeLeader(now);
+    }
+  }
+}
+
+void Replica::On(const wire::AppendRequest& request, Time now) {
+  if (request.term < hard_.term) {
+    Reply(request, false, 0);
+    return;
+  }
+  if (request.term > hard_.term || leader_ != request.from ||
+      role_ != ReplicaRole::kFollower) {
+    BecomeFollower(request.term, request.from, now);
+  }
+  heard_leader_ = now;
+  ever_heard_ = true;
+  ResetElection(now);
+  if (!AppendFrom(request)) {
+    Reply(request, false, ConflictHint(request.prev_index));
+    return;
+  }
+  const uint64_t match = request.prev_index + request.entries.size();
+  commit_ = std::max(commit_, std::min(request.commit, match));
+  Reply(request, true, match);
+}
+
+void Replica::On(const wire::AppendReply& reply, Time now) {
+  if (reply.term > hard_.term) {
+    BecomeFollower(reply.term, wire::ReplicaId(), now);
+    return;
+  }
+  const auto found = peers_.find(reply.from);
+  if (!leading() || reply.term != hard_.term || found == peers_.end() ||
+      reply.match > log_.last_index()) {
+    return;
+  }
+  PeerProgress& peer = found->second;
+  peer.heard = now;
+  peer.round = std::max(peer.round, reply.round);
+  if (reply.accepted) {
+    peer.match = std::max(peer.match, reply.match);
+    peer.next = std::max(peer.next, peer.match + 1);
+    peer.probing = false;
+    peer.snapshot_until = now;
+  } else {
+    peer.next = std::max(peer.match, reply.match) + 1;
+    peer.probing = false;
+  }
+  SendAppends(reply.from, peer, now);
+}
+
+void Replica::On(const wire::InstallSnapshot& snapshot, Time now) {
+  if (snapshot.term < hard_.term) {
+    actions_.messages.emplace_back(wire::AppendReply{
+        settings_.self, snapshot.from, hard_.term, false, 0, 0});
+    return;
+  }
+  if (snapshot.term > hard_.term || leader_ != snapshot.from ||
+      role_ != ReplicaRole::kFollower) {
+    BecomeFollower(snapshot.term, snapshot.from, now);
+  }
+  heard_leader_ = now;
+  ever_heard_ = true;
+  ResetElection(now);
+  const bool have = log_.Holds(snapshot.index) &&
+                    log_.TermAt(snapshot.index) == snapshot.index_term;
+  if (have) {
+    commit_ = std::max(commit_, snapshot.index);
+  } else if (snapshot.index > commit_) {
+    const SnapshotMeta meta{snapshot.index, snapshot.index_term,
+                            snapshot.members};
+    log_.Reset(meta);
+    commit_ = snapshot.index;
+    handed_ = snapshot.index;
+    actions_.install = SnapshotToInstall{meta, snapshot.data};
+    hard_changed_ = true;
+  }
+  actions_.messages.emplace_back(
+      wire::AppendReply{settings_.self, snapshot.from, hard_.term, true,
+                        std::min(snapshot.index, commit_), 0});
+}
+
+bool Replica::IsVoter(wire::ReplicaId id) const {
+  const auto& all = members().members;
+  return std::any_of(all.begin(), all.end(),
+                     [&](const wire::KeeperMember& member) {
+                       return member.replica == id && member.voter;
+                     });
+}
+
+size_t Replica::VoterCount() const {
+  const auto& all = members().members;
+  return static_cast<size_t>(std::count_if(
+      all.begin(), all.end(),
+      [](const wire::KeeperMember& member) { return member.voter; }));
+}
+
+bool Replica::HasMajority(const std::set<wire::ReplicaId>& ids) const {
+  const auto voters = static_cast<size_t>(std::count_if(
+      ids.begin(), ids.end(), [&](wire::ReplicaId id) { return IsVoter(id); }));
+  return voters > VoterCount() / 2;
+}
+
+uint64_t Replica::MajorityOf(std::vector<uint64_t> values) const {
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[values.size() / 2];
+}
+
+bool Replica::UpToDate(const wire::VoteRequest& request) const {
+  return std::pair(request.last_term, request.last_index) >=
+         std::pair(log_.last_term(), log_.last_index());
+}
+
+void Replica::SetTerm(uint64_t term) {
+  CHECK_GE(term, hard_.term);
+  if (term > hard_.term) {
+    hard_ = HardState{term, wire::ReplicaId()};
+    hard_changed_ = true;
+  }
+}
+
+void Replica::BecomeFollower(uint64_t term, wire::ReplicaId leader, Time now) {
+  SetTerm(term);
+  FailReads();
+  role_ = ReplicaRole::kFollower;
+  leader_ = leader;
+  votes_.clear();
+  peers_.clear();
+  ResetElection(now);
+}
+
+void Replica::Campaign(bool pre, Time now) {
+  BecomeFollower(pre ? hard_.term : hard_.term + 1, wire::ReplicaId(), now);
+  role_ = pre ? ReplicaRole::kPreCandidate : ReplicaRole::kCandidate;
+  votes_ = {settings_.self};
+  if (!pre) {
+    hard_.vote = settings_.self;
+    hard_changed_ = true;
+  }
+  if (HasMajority(votes_)) {
+    if (pre) {
+      Campaign(false, now);
+    } else {
+      BecomeLeader(now);
+    }
+    return;
+  }
+  for (const wire::KeeperMember& member : members().members) {
+    if (member.voter && member.replica != settings_.self) {
+      actions_.messages.emplace_back(wire::VoteRequest{
+          settings_.self, member.replica, pre ? hard_.term + 1 : hard_.term,
+          log_.last_index(), log_.last_term(), pre});
+    }
+  }
+}
+
+void Replica::BecomeLeader(Time now) {
+  role_ = ReplicaRole::kLeader;
+  leader_ = settings_.self;
+  votes_.clear();
+  peers_.clear();
+  round_ = 0;
+  term_start_ = Append(wire::EntryKind::kNoop, "");
+  RefreshPeers(now);
+}
+
+void Replica::ResetElection(Time now) {
+  std::uniform_int_distribution<int64_t> extra(0, settings_.election.count());
+  election_at_ = now + settings_.election + Duration(extra(random_));
+}
+
+uint64_t Replica::Append(wire::EntryKind kind, std::string data) {
+  const uint64_t index = log_.last_index() + 1;
+  log_.Put(wire::LogEntry{index, hard_.term, kind, std::move(data)});
+  broadcast_ = true;
+  return index;
+}
+
+// Returns whether the entry before the first one matches.
+bool Replica::AppendFrom(const wire::AppendRequest& request) {
+  if (request.prev_index > log_.last_index()) {
+    return false;
+  }
+  if (request.prev_index >= log_.base_index() &&
+      log_.TermAt(request.prev_index) != request.prev_term) {
+    return false;
+  }
+  // Entries up to the base are committed, hence the same at every leader.
+  for (const wire::LogEntry& entry : request.entries) {
+    const bool known = entry.index <= log_.base_index() ||
+                       (entry.index <= log_.last_index() &&
+                        log_.TermAt(entry.index) == entry.term);
+    if (!known) {
+      if (entry.index <= commit_ || entry.index > log_.last_index() + 1) {
+        throw wire::WireError("entries do not fit a committed log");
+      }
+      log_.Put(entry);
+    }
+  }
+  return true;
+}
+
+// Returns where the leader may try again: before every entry of the term that
+// did not match.
+uint64_t Replica::ConflictHint(uint64_t prev_index) const {
+  if (prev_index > log_.last_index()) {
+    return log_.last_index();
+  }
+  uint64_t index = prev_index;
+  const uint64_t term = log_.TermAt(index);
+  while (index > commit_ && index > log_.base_index() &&
+         log_.TermAt(index) == term) {
+    --index;
+  }
+  return index;
+}
+
+// Keeps peers_ in step with the members.
+void Replica::RefreshPeers(Time now) {
+  std::map<wire::ReplicaId, PeerProgress> kept;
+  for (const wire::KeeperMember& member : members().members) {
+    if (member.replica == settings_.self) {
+      continue;
+    }
+    const auto known = peers_.find(member.replica);
+    kept[member.replica] =
+        known != peers_.end()
+            ? known->second
+            : PeerProgress{.next = log_.last_index() + 1, .heard = now};
+  }
+  peers_ = std::move(kept);
+}
+
+void Replica::SendAppends(wire::ReplicaId id, PeerProgress& peer, Time now) {
+  if (peer.next <= log_.base_index()) {
+    if (now >= peer.snapshot_until) {
+      actions_.behind.push_back(id);
+      peer.snapshot_until = now + kSnapshotRetry;
+    }
+    return;
+  }
+  while (!peer.probing && peer.next <= log_.last_index() &&
+         peer.next <= peer.match + kWindowEntries) {
+    SendOneAppend(id, peer, true);
+  }
+}
+
+void Replica::SendOneAppend(wire::ReplicaId id,
+                            PeerProgress& peer,
+                            bool entries) {
+  const uint64_t prev = std::max(peer.next - 1, log_.base_index());
+  wire::AppendRequest request{settings_.self,    id,      hard_.term, prev,
+                              log_.TermAt(prev), commit_, round_,     {}};
+  if (entries) {
+    request.entries = log_.From(peer.next, kAppendBytes);
+    peer.next += request.entries.size();
+  }
+  actions_.early.emplace_back(std::move(request));
+}
+
+void Replica::Broadcast(Time now) {
+  broadcast_ = false;
+  heartbeat_at_ = now + settings_.heartbeat;
+  RefreshPeers(now);
+  for (auto& [id, peer] : peers_) {
+    const size_t before = actions_.early.size();
+    SendAppends(id, peer, now);
+    if (actions_.early.size() == before) {
+      SendOneAppend(id, peer, false);
+    }
+  }
+}
+
+void Replica::AdvanceCommit() {
+  std::vector<uint64_t> matches;
+  for (const wire::KeeperMember& member : members().members) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto peer = peers_.find(member.replica);
+    matches.push_back(member.replica == settings_.self ? log_.synced_index()
+                      : peer == peers_.end()           ? 0
+                                                       : peer->second.match);
+  }
+  const uint64_t index = MajorityOf(std::move(matches));
+  // Entries of earlier terms are committed only along with one of this term.
+  if (index > commit_ && log_.TermAt(index) == hard_.term) {
+    commit_ = index;
+    broadcast_ = true;
+  }
+}
+
+void Replica::ConfirmReads() {
+  std::vector<uint64_t> rounds;
+  for (const wire::KeeperMember& member : members().members) {
+    if (!member.voter) {
+      continue;
+    }
+    const auto peer = peers_.find(member.replica);
+    rounds.push_back(member.replica == settings_.self ? round_
+                     : peer == peers_.end()           ? 0
+                                                      : peer->second.round);
+  }
+  const uint64_t confirmed = MajorityOf(std::move(rounds));
+  std::erase_if(reads_, [&](const PendingRead& read) {
+    const bool done =
+        read.round != 0 && read.round <= confirmed && read.index <= commit_;
+    if (done) {
+      actions_.reads.push_back(read.token);
+    }
+    return done;
+  });
+}
+
+void Replica::FailReads() {
+  for (const PendingRead& read : reads_) {
+    actions_.failed_reads.push_back(read.token);
+  }
+  reads_.clear();
+}
+
+void Replica::CheckQuorum(Time now) {
+  std::set<wire::ReplicaId> heard = {settings_.self};
+  for (const auto& [id, peer] : peers_) {
+    if (now < peer.heard + settings_.election) {
+      heard.insert(id);
+    }
+  }
+  const bool removed =
+      !IsVoter(settings_.self) && log_.members_index() <= commit_;
+  if (removed || !HasMajority(heard)) {
+    BecomeFollower(hard_.term, wire::ReplicaId(), now);
+  }
+}
+
+void Replica::Reply(const wire::AppendRequest& request,
+                    bool accepted,
+                    uint64_t match) {
+  actions_.messages.emplace_back(wire::AppendReply{settings_.self, request.from,
+                                                   hard_.term, accepted, match,
+                                                   request.round});
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/replica_log.cc
@@ -0,0 +1,107 @@
+#include "control/replica_log.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace ibisvalve::control {
+
+ReplicaLog::ReplicaLog(const SnapshotMeta& base,
+                       const std::vector<wire::LogEntry>& entries) {
+  Reset(base);
+  for (const wire::LogEntry& entry : entries) {
+    Put(entry);
+  }
+  synced_ = last_index();
+}
+
+uint64_t ReplicaLog::last_term() const {
+  return entries_.empty() ? base_.term : entries_.back().term;
+}
+
+bool ReplicaLog::Holds(uint64_t index) const {
+  return index >= base_.index && index <= last_index();
+}
+
+uint64_t ReplicaLog::TermAt(uint64_t index) const {
+  return index == base_.index ? base_.term : At(index).term;
+}
+
+const wire::LogEntry& ReplicaLog::At(uint64_t index) const {
+  CHECK_GT(index, base_.index);
+  CHECK_LE(index, last_index());
+  return entries_[index - base_.index - 1];
+}
+
+std::vector<wire::LogEntry> ReplicaLog::From(uint64_t first,
+                                             size_t max_bytes) const {
+  std::vector<wire::LogEntry> found;
+  size_t bytes = 0;
+  for (uint64_t index = first; index <= last_index(); ++index) {
+    const wire::LogEntry& entry = At(index);
+    bytes += entry.data.size() + sizeof(entry);
+    if (!found.empty() && bytes > max_bytes) {
+      break;
+    }
+    found.push_back(entry);
+  }
+  return found;
+}
+
+const wire::KeeperMembers& ReplicaLog::MembersAt(uint64_t index) const {
+  const auto after = std::upper_bound(
+      history_.begin(), history_.end(), index,
+      [](uint64_t value, const MembersSince& at) { return value < at.index; });
+  CHECK(after != history_.begin()) << "the log before its base is gone";
+  return std::prev(after)->members;
+}
+
+void ReplicaLog::Put(wire::LogEntry entry) {
+  CHECK_GT(entry.index, base_.index);
+  CHECK_LE(entry.index, last_index() + 1);
+  // Decoded first: foreign bytes must not leave the log half changed.
+  std::optional<wire::KeeperMembers> members;
+  if (entry.kind == wire::EntryKind::kMembers) {
+    members = wire::Decode<wire::KeeperMembers>(entry.data);
+  }
+  entries_.resize(entry.index - base_.index - 1);
+  while (history_.size() > 1 && history_.back().index >= entry.index) {
+    history_.pop_back();
+  }
+  synced_ = std::min(synced_, entry.index - 1);
+  if (members) {
+    history_.push_back(MembersSince{entry.index, *std::move(members)});
+  }
+  entries_.push_back(std::move(entry));
+}
+
+std::vector<wire::LogEntry> ReplicaLog::Unsynced() const {
+  if (synced_ == last_index()) {
+    return {};
+  }
+  return From(synced_ + 1, SIZE_MAX);
+}
+
+void ReplicaLog::Compact(uint64_t index) {
+  if (index <= base_.index) {
+    return;
+  }
+  const SnapshotMeta base{index, TermAt(index), MembersAt(index)};
+  entries_.erase(entries_.begin(),
+                 entries_.begin() + static_cast<int64_t>(index - base_.index));
+  while (history_.size() > 1 && history_[1].index <= index) {
+    history_.erase(history_.begin());
+  }
+  base_ = base;
+}
+
+void ReplicaLog::Reset(const SnapshotMeta& base) {
+  base_ = base;
+  entries_.clear();
+  history_ = {MembersSince{base.index, base.members}};
+  synced_ = base.index;
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/tests/control/keeper_test.cc
@@ -0,0 +1,154 @@
+#include "control/keeper.h"
+
+#include <gmock/gmock.h>
+
+#include <optional>
+
+#include "control/keeper_fixture.h"
+
+namespace ibisvalve::control {
+namespace {
+
+using testing::ElementsAre;
+
+wire::ClaimRequest ClaimOf(const std::string& key, uint64_t attempt) {
+  wire::ClaimRequest request;
+  request.call = attempt;
+  request.key = {ServiceName("bookdesk"), key};
+  request.body = Digest(7);
+  request.holder.attempt = {Incarnation(1), attempt};
+  request.retention_us = 60'000'000;
+  return request;
+}
+
+class OneKeeperTest : public KeeperFixture {
+ protected:
+  void SetUp() override {
+    Reserve(1);
+    StartKeeper(0);
+  }
+
+  wire::ClaimReply Claim(Node& node, const wire::ClaimRequest& request) {
+    std::optional<wire::ClaimReply> reply;
+    node.agent->Claim(request, std::chrono::seconds(5),
+                      [&](const wire::ClaimReply& got) { reply = got; });
+    EXPECT_TRUE(RunUntil([&] { return reply.has_value(); }));
+    return reply.value_or(wire::ClaimReply());
+  }
+};
+
+TEST_F(OneKeeperTest, PutsAFileInForceAtEveryNode) {
+  const auto first = StartNode("a");
+  const auto second = StartNode("b");
+  EXPECT_TRUE(RunUntil([&] { return NodesWithLease(0) == 2; }));
+  const auto answer = AskJson(0, "POST", "/apply?change=c1&base=0", "file 1");
+  EXPECT_EQ(answer["result"], "staged");
+  EXPECT_EQ(answer["revision"], 1);
+  EXPECT_TRUE(RunUntil([&] { return first->lease && second->lease; }));
+  EXPECT_THAT(first->activated, ElementsAre(1));
+  EXPECT_THAT(second->activated, ElementsAre(1));
+  const auto again = AskJson(0, "GET", "/apply?change=c1");
+  EXPECT_EQ(again["result"], "active");
+  EXPECT_EQ(again["active"], 1);
+  EXPECT_EQ(Ask(0, "GET", "/show").body, "file 1");
+  const auto fleet = AskJson(0, "GET", "/fleet");
+  EXPECT_EQ(fleet["nodes"].size(), 2U);
+  EXPECT_EQ(fleet["nodes"][0]["lease"], true);
+  EXPECT_EQ(AskJson(0, "GET", "/keepers")["members"][0]["voter"], true);
+}
+
+TEST_F(OneKeeperTest, WithdrawsAFileThatANodeRefuses) {
+  const auto good = StartNode("good");
+  const auto bad = StartNode("bad");
+  bad->refusal = "no room";
+  EXPECT_TRUE(RunUntil([&] { return NodesWithLease(0) == 2; }));
+  AskJson(0, "POST", "/apply?change=c1&base=0", "file 1");
+  nlohmann::json answer;
+  EXPECT_TRUE(RunUntil([&] {
+    answer = AskJson(0, "GET", "/apply?change=c1");
+    return answer["result"] != "staged";
+  }));
+  EXPECT_EQ(answer["result"], "withdrawn");
+  EXPECT_EQ(answer["hosts"], nlohmann::json({"bad"}));
+  EXPECT_EQ(answer["detail"], "no room");
+  EXPECT_TRUE(good->activated.empty());
+}
+
+TEST_F(OneKeeperTest, OneOfTwoRacingChangesWins) {
+  AskJson(0, "POST", "/apply?change=c1&base=0", "file 1");
+  const auto loser = AskJson(0, "POST", "/apply?change=c2&base=0", "file 2");
+  EXPECT_EQ(loser["result"], "conflict");
+  EXPECT_EQ(loser["digest"], ToHex(DigestOf("file 1")));
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=c3&base=0", "bad")["result"],
+            "invalid");
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=c4&base=1", "file 4")["result"],
+            "staged");
+  EXPECT_TRUE(RunUntil([&] {
+    return AskJson(0, "GET", "/apply?change=c4")["result"] == "active";
+  }));
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=c5&base=0", "file 5")["result"],
+            "stale");
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=c2&base=0", "file 2")["result"],
+            "conflict");
+}
+
+TEST_F(OneKeeperTest, ComesBackToThePresentRevision) {
+  const auto node = StartNode("a");
+  AskJson(0, "POST", "/apply?change=c1&base=0", "file 1");
+  EXPECT_TRUE(RunUntil([&] { return node->lease; }));
+  EXPECT_EQ(Claim(*node, ClaimOf("k", 1)).verdict,
+            wire::ClaimVerdict::kGranted);
+  StopKeeper(0);
+  StartKeeper(0);
+  EXPECT_EQ(Ask(0, "GET", "/show").body, "file 1");
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=c1&base=0", "file 1")["result"],
+            "active");
+  EXPECT_EQ(Claim(*node, ClaimOf("k", 2)).verdict, wire::ClaimVerdict::kTaken);
+  EXPECT_EQ(Claim(*node, ClaimOf("k", 1)).verdict,
+            wire::ClaimVerdict::kGranted);
+}
+
+TEST_F(OneKeeperTest, ReleasesAndRecordsClaims) {
+  const auto node = StartNode("a");
+  EXPECT_EQ(Claim(*node, ClaimOf("k", 1)).verdict,
+            wire::ClaimVerdict::kGranted);
+  node->agent->Settle({ClaimOf("k", 1).key, ClaimOf("k", 1).holder, 0});
+  RunFor(std::chrono::milliseconds(200));
+  EXPECT_EQ(Claim(*node, ClaimOf("k", 2)).verdict,
+            wire::ClaimVerdict::kGranted);
+  node->agent->Settle({ClaimOf("k", 2).key, ClaimOf("k", 2).holder, 201});
+  RunFor(std::chrono::milliseconds(200));
+  const wire::ClaimReply taken = Claim(*node, ClaimOf("k", 3));
+  EXPECT_EQ(taken.verdict, wire::ClaimVerdict::kTaken);
+  EXPECT_EQ(taken.status, 201);
+  EXPECT_EQ(taken.holder, ClaimOf("k", 2).holder);
+  wire::ClaimRequest other = ClaimOf("k", 4);
+  other.body = Digest(8);
+  EXPECT_EQ(Claim(*node, other).verdict, wire::ClaimVerdict::kMismatch);
+}
+
+TEST_F(OneKeeperTest, ANodeLosesItsLeaseWithoutKeepers) {
+  const auto node = StartNode("a");
+  AskJson(0, "POST", "/apply?change=c1&base=0", "file 1");
+  EXPECT_TRUE(RunUntil([&] { return node->lease; }));
+  StopKeeper(0);
+  const Time stopped = loop_.Now();
+  EXPECT_TRUE(RunUntil([&] { return !node->lease; }));
+  EXPECT_LE(loop_.Now() - stopped, std::chrono::milliseconds(2500));
+  EXPECT_FALSE(node->agent->lease_held());
+  StartKeeper(0);
+  EXPECT_TRUE(RunUntil([&] { return node->lease; }));
+}
+
+TEST_F(OneKeeperTest, ALeavingNodeHoldsUpNothing) {
+  auto node = StartNode("a");
+  EXPECT_TRUE(RunUntil([&] { return NodesWithLease(0) == 1; }));
+  bool left = false;
+  node->agent->Leave([&] { left = true; });
+  EXPECT_TRUE(RunUntil([&] { return left; }));
+  RunFor(std::chrono::milliseconds(100));
+  EXPECT_EQ(AskJson(0, "GET", "/fleet")["nodes"].size(), 0U);
+}
+
+}  // namespace
+}  // namespace ibisvalve::control
