--- /dev/null
+++ b/src/dataplane/answer_relay.cc
@@ -0,0 +1,100 @@
+#include "dataplane/answer_relay.h"
+
+#include <utility>
+
+#include "dataplane/gate_reply.h"
+
+namespace ibisvalve::dataplane {
+
+AnswerRelay::AnswerRelay(std::shared_ptr<CallerExchange> exchange,
+                         Handlers handlers)
+    : exchange_(std::move(exchange)), handlers_(std::move(handlers)) {}
+
+bool AnswerRelay::OnHead(wire::AnswerHead head) {
+  if (head_seen_) {
+    throw wire::WireError("an answer has started twice");
+  }
+  head_seen_ = true;
+  held_ = std::move(head.body);
+  received_ = held_.size();
+  head_ = std::move(head);
+  return Continue(head_.complete);
+}
+
+bool AnswerRelay::OnPart(const wire::AnswerPart& part) {
+  if (!head_seen_) {
+    throw wire::WireError("part of an answer that has not started");
+  }
+  held_ += part.bytes;
+  received_ += part.bytes.size();
+  return Continue(part.last);
+}
+
+void AnswerRelay::Restart() {
+  head_seen_ = false;
+  held_.clear();
+  received_ = 0;
+}
+
+bool AnswerRelay::Continue(bool last) {
+  CheckLength(last);
+  const bool small = head_.length && *head_.length <= kHeldAnswerBytes;
+  if (!committed_ && last) {
+    ReplyWhole();
+    return true;
+  }
+  if (committed_ || (!small && !HasNoBody())) {
+    Flush();
+    if (last) {
+      exchange_->End();
+    }
+  }
+  return last;
+}
+
+void AnswerRelay::CheckLength(bool last) const {
+  if (!head_.length || HasNoBody()) {
+    return;
+  }
+  if (received_ > *head_.length || (last && received_ != *head_.length)) {
+    throw wire::WireError("an answer does not have its declared length");
+  }
+}
+
+bool AnswerRelay::HasNoBody() const {
+  return exchange_->request().method == "HEAD" || head_.status == 204 ||
+         head_.status == 304;
+}
+
+void AnswerRelay::ReplyWhole() {
+  wire::Headers headers = handlers_.outcome_headers();
+  headers.insert(headers.end(), head_.headers.begin(), head_.headers.end());
+  if (exchange_->request().method == "HEAD" && head_.length) {
+    headers.emplace_back("Content-Length", std::to_string(*head_.length));
+  }
+  handlers_.on_committed();
+  committed_ = true;
+  exchange_->Reply(head_.status, headers, held_);
+}
+
+void AnswerRelay::Flush() {
+  if (!committed_) {
+    committed_ = true;
+    wire::Headers headers = handlers_.outcome_headers();
+    headers.insert(headers.end(), head_.headers.begin(), head_.headers.end());
+    handlers_.on_committed();
+    exchange_->Start(head_.status, headers, head_.length);
+  }
+  if (held_.empty()) {
+    return;
+  }
+  // The connection tells when all that was written has gone out, so the bytes
+  // of several parts are counted together.
+  *untaken_ += static_cast<uint32_t>(held_.size());
+  exchange_->Write(held_, [untaken = untaken_, taken = handlers_.on_taken] {
+    taken(std::exchange(*untaken, 0));
+  });
+  held_.clear();
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/answer_sender.cc
@@ -0,0 +1,101 @@
+#include "dataplane/answer_sender.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ibisvalve::dataplane {
+
+AnswerSender::AnswerSender(const AttemptId& id, Send send)
+    : id_(id), send_(std::move(send)) {}
+
+void AnswerSender::OnHead(uint16_t status,
+                          wire::Headers headers,
+                          std::optional<uint64_t> length) {
+  status_ = status;
+  head_.id = id_;
+  head_.status = status;
+  head_.headers = std::move(headers);
+  head_.length = length;
+}
+
+void AnswerSender::OnData(std::string_view bytes) {
+  if (discarding_) {
+    return;
+  }
+  buffer_.append(bytes);
+  total_ += bytes.size();
+  const uint64_t expected = std::max(total_, head_.length.value_or(0));
+  if (expected > kHeldAnswerBytes) {
+    Pump();
+  }
+}
+
+void AnswerSender::OnEnd(const wire::LoadHint& hint) {
+  ended_ = true;
+  if (discarding_) {
+    finished_ = true;
+    return;
+  }
+  head_.hint = hint;
+  if (!head_sent_ && !head_.length) {
+    head_.length = total_;
+  }
+  Pump();
+}
+
+void AnswerSender::AddCredit(uint32_t bytes) {
+  credit_ += bytes;
+  if (head_sent_ && !finished_ && !discarding_) {
+    Pump();
+  }
+}
+
+void AnswerSender::Discard() {
+  discarding_ = true;
+  finished_ = ended_;
+  std::string().swap(buffer_);
+  offset_ = 0;
+}
+
+bool AnswerSender::wants_more() const {
+  return buffer_.size() - offset_ <= kHeldAnswerBytes;
+}
+
+void AnswerSender::Pump() {
+  if (!head_sent_) {
+    SendHead();
+  }
+  while (!finished_ && credit_ > 0 && offset_ < buffer_.size()) {
+    wire::AnswerPart part{id_, TakePart(), false};
+    part.last = ended_ && offset_ == buffer_.size();
+    finished_ = part.last;
+    send_(part);
+  }
+  if (ended_ && !finished_ && offset_ == buffer_.size()) {
+    finished_ = true;
+    send_(wire::AnswerPart{id_, "", true});
+  }
+  if (offset_ == buffer_.size()) {
+    std::string().swap(buffer_);
+    offset_ = 0;
+  }
+}
+
+void AnswerSender::SendHead() {
+  head_sent_ = true;
+  head_.body = TakePart();
+  head_.complete = ended_ && offset_ == buffer_.size();
+  finished_ = head_.complete;
+  send_(std::exchange(head_, {}));
+}
+
+std::string AnswerSender::TakePart() {
+  const size_t size = std::min<size_t>(
+      {buffer_.size() - offset_, kPartBytes, static_cast<size_t>(credit_)});
+  std::string part = buffer_.substr(offset_, size);
+  offset_ += size;
+  credit_ -= size;
+  return part;
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/candidate_table.cc
@@ -0,0 +1,74 @@
+#include "dataplane/candidate_table.h"
+
+#include <algorithm>
+
+namespace ibisvalve::dataplane {
+
+CandidateTable::CandidateTable(const PlaneSettings& settings,
+                               const FleetView& view)
+    : settings_(settings),
+      view_(view),
+      random_(settings.incarnation.value ^
+              std::hash<std::string>()(settings.id.value)) {}
+
+std::optional<NodeId> CandidateTable::Choose(const world::Service& service,
+                                             const std::set<NodeId>& tried,
+                                             Time now) {
+  std::vector<policy::Candidate> candidates;
+  for (const world::Member* member : view_.Targets(service.name)) {
+    if (!tried.contains(member->id)) {
+      candidates.push_back(CandidateFor(service, *member, now));
+    }
+  }
+  // Another region is used only where the own one has nothing left.
+  const bool near =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [](const auto& one) { return one.same_region; });
+  if (near || !service.routing.cross_region) {
+    std::erase_if(candidates, [](const auto& one) { return !one.same_region; });
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[chooser_.Choose(candidates, now, random_)].id;
+}
+
+void CandidateTable::OnHint(const NodeId& gate,
+                            const wire::LoadHint& hint,
+                            Time now) {
+  Known& known = known_[gate];
+  known.hint = hint;
+  known.hint_time = now;
+}
+
+policy::Candidate CandidateTable::CandidateFor(const world::Service& service,
+                                               const world::Member& member,
+                                               Time now) {
+  Known& known = known_[member.id];
+  if (!known.ready_since) {
+    known.ready_since = now;
+  }
+  policy::Candidate candidate;
+  candidate.id = member.id;
+  candidate.zone = member.location.zone;
+  candidate.same_zone = member.location == settings_.location;
+  candidate.same_region = member.location.region == settings_.location.region;
+  for (const world::ZoneShare& share : service.routing.shares) {
+    if (share.zone == member.location.zone) {
+      candidate.share = share.weight;
+    }
+  }
+  candidate.local_in_flight = known.in_flight;
+  candidate.slots = std::max(member.slots, 1U);
+  candidate.hint_in_flight = known.hint.in_flight;
+  candidate.hint_queued = known.hint.queued;
+  candidate.hint_limit = known.hint.limit;
+  candidate.hint_service = Duration(known.hint.service_us);
+  constexpr double kPermille = 1000.0;
+  candidate.hint_failures = known.hint.error_permille / kPermille;
+  candidate.hint_time = known.hint_time;
+  candidate.ready_since = *known.ready_since;
+  return candidate;
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/candidate_table.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "dataplane/fleet_view.h"
+#include "dataplane/node_plane.h"
+#include "dataplane/simple_chooser.h"
+#include "policy/policy.h"
+#include "wire/wire.h"
+
+namespace ibisvalve::dataplane {
+
+/// What this ingress knows of each gate, and its choice among them.
+class CandidateTable {
+ public:
+  /// Both references must outlive the table.
+  CandidateTable(const PlaneSettings& settings, const FleetView& view);
+
+  /// Picks a target of `service` outside `tried`; nothing where none is left.
+  std::optional<NodeId> Choose(const world::Service& service,
+                               const std::set<NodeId>& tried,
+                               Time now);
+  /// A gate has told its load.
+  void OnHint(const NodeId& gate, const wire::LoadHint& hint, Time now);
+  /// An attempt is in flight at `gate` from now on, or no longer.
+  void Begin(const NodeId& gate) { ++known_[gate].in_flight; }
+  void End(const NodeId& gate) { --known_[gate].in_flight; }
+
+ private:
+  struct Known {
+    uint32_t in_flight = 0;  // from this ingress
+    wire::LoadHint hint;
+    std::optional<Time> hint_time;
+    std::optional<Time> ready_since;
+  };
+
+  policy::Candidate CandidateFor(const world::Service& service,
+                                 const world::Member& member,
+                                 Time now);
+
+  const PlaneSettings& settings_;
+  const FleetView& view_;
+  std::map<NodeId, Known> known_;
+  policy::Random random_;
+  SimpleChooser chooser_;
+};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/events.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/base.h"
+
+namespace ibisvalve::dataplane {
+
+inline constexpr EventCode kTargetStateChanged{1501, Severity::kInfo,
+                                               "target_state"};
+inline constexpr EventCode kDrainChanged{1502, Severity::kInfo, "drain"};
+inline constexpr EventCode kMeshLinkRefused{1503, Severity::kWarning,
+                                            "mesh_link_refused"};
+inline constexpr EventCode kMeshLinkLost{1504, Severity::kInfo,
+                                         "mesh_link_lost"};
+inline constexpr EventCode kMeshLinkSilent{1505, Severity::kWarning,
+                                           "mesh_link_silent"};
+inline constexpr EventCode kTargetBroke{1506, Severity::kWarning,
+                                        "target_broke"};
+inline constexpr EventCode kPlaneStopped{1507, Severity::kInfo,
+                                         "plane_stopped"};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/gate.cc
@@ -0,0 +1,615 @@
+#include "dataplane/gate.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dataplane/events.h"
+#include "dataplane/http_headers.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+using claims::AttemptPhase;
+using claims::FinishedAttempt;
+using world::Outcome;
+using world::Reason;
+
+constexpr Duration kQueueTick = std::chrono::milliseconds(2);
+constexpr uint32_t kQueuePerSlot = 4;
+constexpr uint16_t kFirstServerError = 500;
+
+policy::AdmissionSettings AdmissionFor(const FleetView& view,
+                                       const ServiceName& service,
+                                       uint32_t slots) {
+  policy::AdmissionSettings settings;
+  settings.slots = std::max(slots, 1U);
+  settings.max_queue = settings.slots * kQueuePerSlot;
+  if (view.fleet() != nullptr) {
+    const world::Service* known = world::FindService(*view.fleet(), service);
+    if (known != nullptr) {
+      settings.max_wait = known->limits.queue;
+    }
+  }
+  return settings;
+}
+
+uint16_t Clamped(uint32_t number) {
+  return static_cast<uint16_t>(std::min(number, 0xFFFFU));
+}
+
+}  // namespace
+
+Gate::Gate(net::EventLoop& loop,
+           const PlaneSettings& settings,
+           const FleetView& view,
+           ClaimPort& claims,
+           MemoryBudget& memory,
+           Handlers handlers)
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      claims_(claims),
+      memory_(memory),
+      handlers_(std::move(handlers)),
+      admission_(AdmissionFor(view, settings.service, settings.slots)),
+      attempts_(claims::AttemptTableLimits{}),
+      queue_timer_(loop, [this] { ExpireQueue(); }) {
+  if (settings_.target) {
+    client_ = std::make_unique<TargetClient>(loop_, *settings_.target);
+  }
+}
+
+Gate::~Gate() {
+  *alive_ = false;
+}
+
+void Gate::Open(const wire::OpenAttempt& open, const ReplyPort& port) {
+  if (open.gate != settings_.incarnation) {
+    // Meant for another run of this node, which can't have seen this frame.
+    port.send(wire::AttemptFailed{open.id, Outcome::kNotRun,
+                                  Reason::kGateRestarted, view_.revision(),
+                                  Hint(), std::nullopt, 0});
+    return;
+  }
+  const AttemptPhase phase = attempts_.Open(open.id);
+  if (phase != AttemptPhase::kUnseen) {
+    ReplyKnown(open.id, open.id, phase, port);
+    return;
+  }
+  if (const std::optional<Reason> reason = RefusalFor(open)) {
+    Refuse(open, port, *reason);
+    return;
+  }
+  auto made = std::make_unique<GateRun>();
+  if (!made->memory.Take(
+          memory_, std::max<uint64_t>(open.body_bytes, open.body.size()))) {
+    Refuse(open, port, Reason::kMemory);
+    return;
+  }
+  GateRun& run = *made;
+  runs_.emplace(open.id, std::move(made));
+  run.open = open;
+  run.port = port;
+  run.deadline =
+      loop_.Now() + Duration(static_cast<int64_t>(open.remaining_us));
+  run.deadline_timer = std::make_unique<net::Timer>(
+      loop_, [this, id = open.id] { OnDeadline(id); });
+  run.deadline_timer->StartOnce(run.deadline - loop_.Now());
+  if (open.body_complete) {
+    Admit(run);
+  }
+}
+
+std::optional<Reason> Gate::RefusalFor(const wire::OpenAttempt& open) const {
+  if (view_.fleet() == nullptr) {
+    return Reason::kRevision;
+  }
+  if (open.revision != view_.revision()) {
+    if (open.revision > view_.revision() && handlers_.on_newer_revision) {
+      handlers_.on_newer_revision(open.revision);
+    }
+    return Reason::kRevision;
+  }
+  if (!view_.MayServe(open.may_repeat ? world::Repeat::kAllowed
+                                      : world::Repeat::kNever)) {
+    return Reason::kIsolated;
+  }
+  if (client_ == nullptr || open.service != settings_.service) {
+    return Reason::kNoTarget;
+  }
+  switch (target_state_) {
+    case world::TargetState::kReady:
+      break;
+    case world::TargetState::kDraining:
+      return Reason::kDraining;
+    default:
+      return Reason::kTargetDown;
+  }
+  const world::Service* service =
+      world::FindService(*view_.fleet(), open.service);
+  if (service == nullptr) {
+    return Reason::kUnknownService;
+  }
+  if (open.body_bytes > service->limits.request_body) {
+    return Reason::kTooLarge;
+  }
+  return std::nullopt;
+}
+
+void Gate::Refuse(const wire::OpenAttempt& open,
+                  const ReplyPort& port,
+                  Reason reason) {
+  const FinishedAttempt finished{Outcome::kNotRun, reason, 0, nullptr};
+  attempts_.Finish(open.id, finished, false);
+  Count(finished);
+  SendFinished(finished, open.id, port);
+}
+
+void Gate::AddBody(const wire::BodyPart& part) {
+  GateRun* run = Find(part.id);
+  if (run == nullptr || run->stage != RunStage::kReceiving) {
+    return;
+  }
+  run->open.body += part.bytes;
+  if (run->open.body.size() > run->open.body_bytes ||
+      (part.last && run->open.body.size() != run->open.body_bytes)) {
+    Fail(*run, Outcome::kNotRun, Reason::kBadRequest);
+    return;
+  }
+  if (part.last) {
+    Admit(*run);
+  } else if (run->port.send) {
+    run->port.send(
+        wire::Credit{part.id, static_cast<uint32_t>(part.bytes.size())});
+  }
+}
+
+void Gate::Cancel(const AttemptId& id) {
+  GateRun* run = Find(id);
+  if (run == nullptr) {
+    attempts_.Query(id);  // one that never came must not come later
+    return;
+  }
+  ++counts_.cancelled;
+  run->port.send = nullptr;
+  // A run that holds a key is worth its answer: its caller may ask again.
+  if (run->keyed() && run->reached()) {
+    if (run->answer != nullptr && run->answer->started()) {
+      run->answer->Discard();
+      FinishIfSent(id);
+    }
+    return;
+  }
+  Fail(*run, run->reached() ? Outcome::kUnknown : Outcome::kNotRun,
+       Reason::kCancelled);
+}
+
+void Gate::AddCredit(const wire::Credit& credit) {
+  GateRun* run = Find(credit.id);
+  if (run == nullptr || run->answer == nullptr) {
+    return;
+  }
+  run->answer->AddCredit(credit.bytes);
+  if (run->call != nullptr) {
+    run->call->SetReading(run->answer->wants_more());
+  }
+  FinishIfSent(credit.id);
+}
+
+void Gate::Query(const wire::QueryAttempt& query, const ReplyPort& port) {
+  if (query.gate != settings_.incarnation) {
+    port.send(wire::AttemptFailed{query.reply_as, Outcome::kUnknown,
+                                  Reason::kGateRestarted, view_.revision(),
+                                  Hint(), std::nullopt, 0});
+    return;
+  }
+  const AttemptPhase phase = attempts_.Query(query.id);
+  GateRun* run = Find(query.id);
+  if (phase == AttemptPhase::kRunning && run != nullptr) {
+    if (query.reply_as != query.id) {
+      run->followers.push_back({query.reply_as, port});
+    } else if (run->answer != nullptr && run->answer->started()) {
+      // What was sent on the old link can't be sent again.
+      run->port = port;
+      Fail(*run, Outcome::kUnknown, Reason::kLinkLost);
+      return;
+    } else {
+      run->port = port;
+    }
+  }
+  if (phase == AttemptPhase::kFenced) {
+    ++counts_.fenced;
+  }
+  ReplyKnown(query.id, query.reply_as, phase, port);
+}
+
+void Gate::ReplyKnown(const AttemptId& id,
+                      const AttemptId& reply_as,
+                      AttemptPhase phase,
+                      const ReplyPort& port) {
+  if (phase == AttemptPhase::kRunning) {
+    port.send(wire::AttemptRunning{reply_as});
+    return;
+  }
+  const FinishedAttempt* known = attempts_.Find(id);
+  SendFinished(known != nullptr
+                   ? *known
+                   : FinishedAttempt{Outcome::kUnknown, Reason::kFenced, 0, {}},
+               reply_as, port);
+}
+
+void Gate::SendFinished(const FinishedAttempt& finished,
+                        const AttemptId& reply_as,
+                        const ReplyPort& port) {
+  if (finished.outcome != Outcome::kAnswered || finished.answer == nullptr) {
+    const bool lost_answer = finished.outcome == Outcome::kAnswered;
+    port.send(wire::AttemptFailed{
+        reply_as, lost_answer ? Outcome::kUnknown : finished.outcome,
+        lost_answer ? Reason::kLinkLost : finished.reason, view_.revision(),
+        Hint(), std::nullopt, finished.status});
+    return;
+  }
+  AnswerSender sender(reply_as, port.send);
+  const claims::KeptAnswer& answer = *finished.answer;
+  sender.OnHead(answer.status, answer.headers, answer.body.size());
+  sender.OnData(answer.body);
+  sender.OnEnd(Hint());
+}
+
+void Gate::OnLinkLost(uint64_t link) {
+  std::vector<AttemptId> streaming;
+  for (auto& [id, run] : runs_) {
+    std::erase_if(run->followers, [&](const RunFollower& follower) {
+      return follower.port.link == link;
+    });
+    if (run->port.link != link) {
+      continue;
+    }
+    run->port.send = nullptr;
+    const bool cut = run->answer != nullptr && run->answer->started();
+    if (cut || run->stage == RunStage::kReceiving) {
+      streaming.push_back(id);
+    }
+  }
+  for (const AttemptId& id : streaming) {
+    GateRun* run = Find(id);
+    if (run != nullptr) {
+      Fail(*run,
+           run->stage == RunStage::kReceiving ? Outcome::kNotRun
+                                              : Outcome::kUnknown,
+           Reason::kLinkLost);
+    }
+  }
+}
+
+bool Gate::HasAttemptsOf(uint64_t link) const {
+  return std::any_of(runs_.begin(), runs_.end(), [&](const auto& entry) {
+    return entry.second->port.link == link;
+  });
+}
+
+void Gate::SetTargetState(world::TargetState state, uint32_t slots) {
+  target_state_ = state;
+  admission_.Configure(AdmissionFor(view_, settings_.service, slots));
+  if (state == world::TargetState::kReady) {
+    return;
+  }
+  std::vector<AttemptId> waiting;
+  for (const auto& [id, run] : runs_) {
+    if (!run->holds_slot()) {
+      waiting.push_back(id);
+    }
+  }
+  for (const AttemptId& id : waiting) {
+    if (GateRun* run = Find(id)) {
+      Fail(*run, Outcome::kNotRun,
+           state == world::TargetState::kDraining ? Reason::kDraining
+                                                  : Reason::kTargetDown);
+    }
+  }
+}
+
+wire::LoadHint Gate::Hint() const {
+  wire::LoadHint hint;
+  hint.in_flight = Clamped(admission_.in_flight());
+  hint.queued = Clamped(admission_.queued());
+  hint.limit = Clamped(admission_.limit());
+  hint.service_us = static_cast<uint32_t>(
+      std::min<int64_t>(admission_.service_time().count(), UINT32_MAX));
+  hint.error_permille =
+      static_cast<uint32_t>(admission_.failure_share() * 1000);
+  return hint;
+}
+
+void Gate::Admit(GateRun& run) {
+  run.stage = RunStage::kQueued;
+  Decide(run, admission_.Arrive(run.open.id, run.deadline, loop_.Now()));
+}
+
+void Gate::Apply(const std::vector<SimpleAdmission::Release>& released) {
+  for (const SimpleAdmission::Release& release : released) {
+    if (GateRun* run = Find(release.id)) {
+      Decide(*run, release.decision);
+    }
+  }
+}
+
+void Gate::Decide(GateRun& run, const SimpleAdmission::Decision& decision) {
+  switch (decision.admit) {
+    case policy::Admit::kQueue:
+      if (!queue_timer_.running()) {
+        queue_timer_.StartOnce(kQueueTick);
+      }
+      return;
+    case policy::Admit::kRefuse:
+      run.stage = RunStage::kReceiving;  // no longer in the queue
+      Fail(run, Outcome::kNotRun, decision.reason);
+      return;
+    case policy::Admit::kRun:
+      run.stage = RunStage::kClaiming;
+      if (run.keyed()) {
+        Claim(run);
+      } else {
+        Dispatch(run);
+      }
+      return;
+  }
+}
+
+void Gate::Claim(GateRun& run) {
+  if (!claims_.claim) {
+    Fail(run, Outcome::kNotRun, Reason::kNoQuorum);
+    return;
+  }
+  const world::Service* service =
+      world::FindService(*view_.fleet(), run.open.service);
+  wire::ClaimRequest request;
+  request.key = {run.open.service, run.open.key};
+  request.body = run.open.fingerprint;
+  request.holder = HolderOf(run);
+  request.retention_us = static_cast<uint64_t>(service->key_retention.count());
+  claims_.claim(request, run.deadline - loop_.Now(),
+                [this, request, alive = alive_](const wire::ClaimReply& reply) {
+                  if (*alive) {
+                    OnClaimed(request, reply);
+                  }
+                });
+}
+
+void Gate::OnClaimed(const wire::ClaimRequest& request,
+                     const wire::ClaimReply& reply) {
+  const AttemptId& id = request.holder.attempt;
+  const bool held = reply.verdict == wire::ClaimVerdict::kGranted ||
+                    reply.verdict == wire::ClaimVerdict::kUnavailable;
+  GateRun* run = Find(id);
+  if (run == nullptr || run->stage != RunStage::kClaiming) {
+    // It ended while it waited and never runs: the key is free again.
+    if (held) {
+      Settle(request.key, request.holder, 0);
+    }
+    return;
+  }
+  switch (reply.verdict) {
+    case wire::ClaimVerdict::kGranted:
+      Dispatch(*run);
+      return;
+    case wire::ClaimVerdict::kTaken:
+      if (run->port.send) {
+        run->port.send(wire::AttemptFailed{
+            id, Outcome::kNotRun, Reason::kKeyClaimed, view_.revision(), Hint(),
+            reply.holder, reply.status});
+        run->port.send = nullptr;
+      }
+      Fail(*run, Outcome::kNotRun, Reason::kKeyClaimed);
+      return;
+    case wire::ClaimVerdict::kMismatch:
+      Fail(*run, Outcome::kNotRun, Reason::kKeyMismatch);
+      return;
+    case wire::ClaimVerdict::kUnavailable:
+      Settle(request.key, request.holder, 0);
+      Fail(*run, Outcome::kNotRun, Reason::kNoQuorum);
+      return;
+  }
+}
+
+void Gate::Settle(const wire::RequestKey& key,
+                  const wire::ClaimHolder& holder,
+                  uint16_t status) {
+  if (claims_.settle) {
+    claims_.settle(wire::ClaimSettle{key, holder, status});
+  }
+}
+
+void Gate::Dispatch(GateRun& run) {
+  run.stage = RunStage::kRunning;
+  run.dispatched = loop_.Now();
+  if (run.dispatched >= run.deadline) {
+    Fail(run, Outcome::kNotRun, Reason::kDeadline);
+    return;
+  }
+  run.kept = std::make_shared<claims::KeptAnswer>();
+  ++counts_.dispatched;
+  const AttemptId id = run.open.id;
+  TargetRequest request = RequestFor(run);
+  std::string().swap(run.open.body);
+  run.call = client_->Call(
+      request,
+      {[this, id](const TargetHead& head) { OnTargetHead(id, head); },
+       [this, id](const std::string& bytes) { OnTargetData(id, bytes); },
+       [this, id] { OnTargetEnd(id); },
+       [this, id](TargetFault fault) { OnTargetFault(id, fault); }});
+}
+
+TargetRequest Gate::RequestFor(const GateRun& run) const {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      run.deadline - run.dispatched);
+  TargetRequest request{run.open.method, run.open.uri, run.open.headers,
+                        run.open.body};
+  request.headers.emplace_back(kDeadlineHeader, std::to_string(left.count()));
+  request.headers.emplace_back(kDepthHeader, std::to_string(run.open.depth));
+  if (run.open.retry) {
+    request.headers.emplace_back(kRetryHeader, "1");
+  }
+  return request;
+}
+
+void Gate::OnTargetHead(const AttemptId& id, const TargetHead& head) {
+  GateRun* run = Find(id);
+  CHECK_NOTNULL(run);
+  run->kept->status = head.status;
+  run->kept->headers = EndToEnd(head.headers);
+  run->answer =
+      std::make_unique<AnswerSender>(id, [this, id](const GateReply& reply) {
+        GateRun* sending = Find(id);
+        if (sending != nullptr && sending->port.send) {
+          sending->port.send(reply);
+        }
+      });
+  run->answer->OnHead(head.status, run->kept->headers, head.length);
+}
+
+void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
+  GateRun* run = Find(id);
+  CHECK_NOTNULL(run);
+  if (run->kept != nullptr) {
+    run->kept->body += bytes;
+    if (run->kept->body.size() > kHeldAnswerBytes) {
+      run->kept = nullptr;
+    }
+  }
+  run->answer->OnData(bytes);
+  run->call->SetReading(run->answer->wants_more());
+}
+
+void Gate::OnTargetEnd(const AttemptId& id) {
+  GateRun* run = Find(id);
+  CHECK_NOTNULL(run);
+  run->call = nullptr;
+  const uint16_t status = run->answer->status();
+  run->answer->OnEnd(Hint());
+  EndCall(*run, status, status >= kFirstServerError);
+  FinishIfSent(id);
+}
+
+void Gate::FinishIfSent(const AttemptId& id) {
+  GateRun* run = Find(id);
+  if (run == nullptr || run->stage != RunStage::kSending ||
+      (run->answer->started() && !run->answer->finished() && run->port.send)) {
+    return;  // the rest goes out as the ingress gives credit
+  }
+  const FinishedAttempt finished{Outcome::kAnswered, Reason::kNone,
+                                 run->answer->status(), run->kept};
+  for (const RunFollower& follower : run->followers) {
+    SendFinished(finished, follower.reply_as, follower.port);
+  }
+  Finish(*run, finished);
+}
+
+void Gate::OnTargetFault(const AttemptId& id, TargetFault fault) {
+  GateRun* run = Find(id);
+  CHECK_NOTNULL(run);
+  LogEvent(kTargetBroke,
+           {{"attempt", ToString(id)},
+            {"reached", fault == TargetFault::kNotReached ? "no" : "yes"}});
+  const bool reached = fault != TargetFault::kNotReached;
+  if (!reached) {
+    --counts_.dispatched;
+  }
+  run->call = nullptr;
+  Fail(*run, reached ? Outcome::kUnknown : Outcome::kNotRun,
+       reached ? Reason::kTargetBroke : Reason::kTargetDown);
+  if (handlers_.on_target_fault) {
+    handlers_.on_target_fault();
+  }
+}
+
+void Gate::OnDeadline(const AttemptId& id) {
+  GateRun* run = Find(id);
+  CHECK_NOTNULL(run);
+  const bool flows = run->answer != nullptr && run->answer->started();
+  if (flows && run->port.send) {
+    return;  // an answer that flows may take longer
+  }
+  Fail(*run, run->reached() ? Outcome::kUnknown : Outcome::kNotRun,
+       Reason::kDeadline);
+}
+
+void Gate::Fail(GateRun& run, Outcome outcome, Reason reason) {
+  const FinishedAttempt finished{outcome, reason, 0, nullptr};
+  if (run.port.send) {
+    SendFinished(finished, run.open.id, run.port);
+  }
+  for (const RunFollower& follower : run.followers) {
+    SendFinished(finished, follower.reply_as, follower.port);
+  }
+  Finish(run, finished);
+}
+
+// The target is done with the run, or never gets it: its slot is free.
+void Gate::EndCall(GateRun& run, uint16_t status, bool failed) {
+  const AttemptId id = run.open.id;
+  const Duration took = run.stage == RunStage::kRunning
+                            ? loop_.Now() - run.dispatched
+                            : Duration(0);
+  run.stage = RunStage::kSending;
+  if (run.keyed() && status != 0) {
+    Settle({run.open.service, run.open.key}, HolderOf(run), status);
+  }
+  Apply(admission_.Finish(id, took, failed, loop_.Now()));
+}
+
+void Gate::Finish(GateRun& run, FinishedAttempt finished) {
+  const AttemptId id = run.open.id;
+  if (run.stage == RunStage::kQueued) {
+    admission_.Forget(id);
+  }
+  const bool release_key =
+      run.keyed() && run.reached() && finished.outcome == Outcome::kNotRun;
+  if (release_key) {
+    Settle({run.open.service, run.open.key}, HolderOf(run), 0);
+  }
+  Count(finished);
+  const bool failed = finished.outcome == Outcome::kUnknown ||
+                      finished.reason == Reason::kTargetDown;
+  attempts_.Finish(id, std::move(finished), run.keyed());
+  // Kept until the end of this method, because `run` may name it.
+  const std::unique_ptr<GateRun> ended = std::move(runs_.at(id));
+  runs_.erase(id);
+  if (ended->holds_slot()) {
+    EndCall(*ended, 0, failed);
+  }
+}
+
+void Gate::Count(const FinishedAttempt& finished) {
+  switch (finished.outcome) {
+    case Outcome::kAnswered:
+      ++counts_.answered;
+      return;
+    case Outcome::kNotRun:
+      ++counts_.refused;
+      return;
+    case Outcome::kUnknown:
+      ++counts_.unknown;
+      return;
+  }
+}
+
+wire::ClaimHolder Gate::HolderOf(const GateRun& run) const {
+  return {run.open.id, settings_.id, settings_.incarnation};
+}
+
+void Gate::ExpireQueue() {
+  Apply(admission_.Expire(loop_.Now()));
+  if (admission_.queued() > 0) {
+    queue_timer_.StartOnce(kQueueTick);
+  }
+}
+
+GateRun* Gate::Find(const AttemptId& id) {
+  const auto found = runs_.find(id);
+  return found == runs_.end() ? nullptr : found->second.get();
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/gate.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "claims/claims.h"
+#include "dataplane/gate_reply.h"
+#include "dataplane/gate_run.h"
+#include "dataplane/memory_budget.h"
+#include "dataplane/node_plane.h"
+#include "dataplane/simple_admission.h"
+#include "dataplane/target_client.h"
+
+namespace ibisvalve::dataplane {
+
+/// What a gate counts for metrics.
+struct GateCounts {
+  uint64_t dispatched = 0;  // requests sent to the target
+  uint64_t answered = 0;
+  uint64_t refused = 0;  // not run
+  uint64_t unknown = 0;
+  uint64_t fenced = 0;
+  uint64_t cancelled = 0;
+
+  auto operator<=>(const GateCounts&) const = default;
+};
+
+/// Decides what runs at the target beside this node, runs it, and knows what
+/// became of it. Calls of a reply port are made on the loop, some of them from
+/// inside the gate's own methods.
+class Gate {
+ public:
+  struct Handlers {
+    /// An ingress is at a higher revision than this node.
+    std::function<void(Revision seen)> on_newer_revision;
+    /// The target could not be reached or broke off.
+    std::function<void()> on_target_fault;
+  };
+
+  /// All references must outlive the gate.
+  Gate(net::EventLoop& loop,
+       const PlaneSettings& settings,
+       const FleetView& view,
+       ClaimPort& claims,
+       MemoryBudget& memory,
+       Handlers handlers);
+  ~Gate();
+  Gate(const Gate&) = delete;
+  Gate& operator=(const Gate&) = delete;
+
+  /// An ingress asks to run an attempt.
+  void Open(const wire::OpenAttempt& open, const ReplyPort& port);
+  /// More of a request's body.
+  void AddBody(const wire::BodyPart& part);
+  /// The ingress no longer wants the answer.
+  void Cancel(const AttemptId& id);
+  /// The ingress takes more of an answer.
+  void AddCredit(const wire::Credit& credit);
+  /// The ingress asks what became of an attempt.
+  void Query(const wire::QueryAttempt& query, const ReplyPort& port);
+  /// The link `link` is gone: nothing can be sent on it any more.
+  void OnLinkLost(uint64_t link);
+
+  /// Returns whether an attempt in flight is answered on `link`.
+  bool HasAttemptsOf(uint64_t link) const;
+
+  /// What the target is ready for.
+  void SetTargetState(world::TargetState state, uint32_t slots);
+  /// Returns the load, as it rides on answers.
+  wire::LoadHint Hint() const;
+  /// Returns how many attempts are not over.
+  size_t in_flight() const { return runs_.size(); }
+  uint32_t running() const { return admission_.in_flight(); }
+  const GateCounts& counts() const { return counts_; }
+  const claims::AttemptTable& attempts() const { return attempts_; }
+
+ private:
+  std::optional<world::Reason> RefusalFor(const wire::OpenAttempt& open) const;
+  void Refuse(const wire::OpenAttempt& open,
+              const ReplyPort& port,
+              world::Reason reason);
+  void ReplyKnown(const AttemptId& id,
+                  const AttemptId& reply_as,
+                  claims::AttemptPhase phase,
+                  const ReplyPort& port);
+  void SendFinished(const claims::FinishedAttempt& finished,
+                    const AttemptId& reply_as,
+                    const ReplyPort& port);
+  void Admit(GateRun& run);
+  void Apply(const std::vector<SimpleAdmission::Release>& released);
+  void Decide(GateRun& run, const SimpleAdmission::Decision& decision);
+  void Claim(GateRun& run);
+  void OnClaimed(const wire::ClaimRequest& request,
+                 const wire::ClaimReply& reply);
+  void Settle(const wire::RequestKey& key,
+              const wire::ClaimHolder& holder,
+              uint16_t status);
+  void Dispatch(GateRun& run);
+  TargetRequest RequestFor(const GateRun& run) const;
+  void OnTargetHead(const AttemptId& id, const TargetHead& head);
+  void OnTargetData(const AttemptId& id, const std::string& bytes);
+  void OnTargetEnd(const AttemptId& id);
+  void FinishIfSent(const AttemptId& id);
+  void OnTargetFault(const AttemptId& id, TargetFault fault);
+  void OnDeadline(const AttemptId& id);
+  void EndCall(GateRun& run, uint16_t status, bool failed);
+  void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
+  void Finish(GateRun& run, claims::FinishedAttempt finished);
+  void Count(const claims::FinishedAttempt& finished);
+  wire::ClaimHolder HolderOf(const GateRun& run) const;
+  void ExpireQueue();
+  GateRun* Find(const AttemptId& id);
+
+  net::EventLoop& loop_;
+  const PlaneSettings& settings_;
+  const FleetView& view_;
+  ClaimPort& claims_;
+  MemoryBudget& memory_;
+  Handlers handlers_;
+  world::TargetState target_state_ = world::TargetState::kNone;
+  SimpleAdmission admission_;
+  claims::AttemptTable attempts_;
+  std::unique_ptr<TargetClient> client_;  // null without a target
+  std::unordered_map<AttemptId, std::unique_ptr<GateRun>> runs_;
+  net::Timer queue_timer_;
+  GateCounts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/http_headers.cc
@@ -0,0 +1,160 @@
+#include "dataplane/http_headers.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr std::array<std::string_view, 11> kOneConnection = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Expect",
+    "Content-Length"};
+
+constexpr std::string_view kOwnPrefix = "Ibis-";
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+// Returns whether the comma-separated `list` holds `name`.
+bool ListHolds(std::string_view list, std::string_view name) {
+  while (!list.empty()) {
+    const size_t comma = std::min(list.find(','), list.size());
+    if (SameName(Trim(list.substr(0, comma)), name)) {
+      return true;
+    }
+    list.remove_prefix(std::min(comma + 1, list.size()));
+  }
+  return false;
+}
+
+bool IsOneConnection(const wire::Headers& headers, std::string_view name) {
+  if (std::any_of(kOneConnection.begin(), kOneConnection.end(),
+                  [&](std::string_view own) { return SameName(own, name); })) {
+    return true;
+  }
+  return std::any_of(headers.begin(), headers.end(), [&](const auto& header) {
+    return SameName(header.first, "Connection") &&
+           ListHolds(header.second, name);
+  });
+}
+
+size_t Count(const wire::Headers& headers, std::string_view name) {
+  return static_cast<size_t>(std::count_if(
+      headers.begin(), headers.end(),
+      [&](const auto& header) { return SameName(header.first, name); }));
+}
+
+}  // namespace
+
+bool SameName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+wire::Headers AllHeaders(const evkeyvalq* headers) {
+  wire::Headers all;
+  for (const evkeyval* header = headers->tqh_first; header != nullptr;
+       header = header->next.tqe_next) {
+    all.emplace_back(header->key, header->value);
+  }
+  return all;
+}
+
+const std::string* FindHeader(const wire::Headers& headers,
+                              std::string_view name) {
+  const auto found = std::find_if(
+      headers.begin(), headers.end(),
+      [&](const auto& header) { return SameName(header.first, name); });
+  return found == headers.end() ? nullptr : &found->second;
+}
+
+wire::Headers EndToEnd(const wire::Headers& headers) {
+  wire::Headers kept;
+  for (const auto& [name, value] : headers) {
+    const bool own = SameName(
+        std::string_view(name).substr(0, kOwnPrefix.size()), kOwnPrefix);
+    if (!own && !IsOneConnection(headers, name)) {
+      kept.emplace_back(name, value);
+    }
+  }
+  return kept;
+}
+
+std::optional<uint64_t> ParseNumber(std::string_view text) {
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number);
+  if (text.empty() || error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string FramingFault(const std::string& method,
+                         const wire::Headers& headers) {
+  if (Count(headers, "Host") != 1) {
+    return "a request has exactly one Host header";
+  }
+  const std::string* length = FindHeader(headers, "Content-Length");
+  if (Count(headers, "Content-Length") > 1) {
+    return "Content-Length is there more than once";
+  }
+  if (length != nullptr && !ParseNumber(*length)) {
+    return "Content-Length is not a number";
+  }
+  const std::string* coding = FindHeader(headers, "Transfer-Encoding");
+  if (coding != nullptr &&
+      (length != nullptr || Count(headers, "Transfer-Encoding") > 1 ||
+       !SameName(*coding, "chunked"))) {
+    return "Transfer-Encoding is ambiguous";
+  }
+  // evhttp reads no body with these and would take it for the next request.
+  const bool has_body =
+      coding != nullptr || (length != nullptr && *length != "0");
+  if (has_body && method != "POST" && method != "PUT" && method != "PATCH") {
+    return "a " + method + " request has no body";
+  }
+  return "";
+}
+
+int StatusFor(world::Outcome outcome, world::Reason reason) {
+  using world::Reason;
+  if (outcome == world::Outcome::kUnknown) {
+    return reason == Reason::kDeadline ? 504 : 502;
+  }
+  switch (reason) {
+    case Reason::kUnknownService:
+      return 404;
+    case Reason::kTooLarge:
+      return 413;
+    case Reason::kKeyMismatch:
+      return 422;
+    case Reason::kKeyRequired:
+    case Reason::kBadRequest:
+      return 400;
+    default:
+      return 503;
+  }
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/mesh_link.cc
@@ -0,0 +1,102 @@
+#include "dataplane/mesh_link.h"
+
+#include <utility>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+// Looks at a link so many times within the time that counts as silence.
+constexpr int kWatchesPerSilence = 4;
+
+}  // namespace
+
+MeshLink::MeshLink(net::EventLoop& loop,
+                   const world::Endpoint& remote,
+                   const wire::MeshHello& hello,
+                   Duration silence,
+                   Handlers handlers)
+    : loop_(loop),
+      silence_(silence),
+      handlers_(std::move(handlers)),
+      idle_since_(loop.Now()),
+      watch_timer_(loop, [this] { Watch(); }) {
+  link_ = net::FrameLink::Connect(
+      loop, remote,
+      {[this] {
+         was_connected_ = true;
+         last_heard_ = loop_.Now();
+       },
+       [this](wire::FrameType type, std::string_view payload) {
+         OnFrame(type, payload);
+       },
+       [this](const std::string& why) {
+         const auto on_down = handlers_.on_down;  // survives the link
+         on_down(why);
+       },
+       nullptr});
+  link_->Send(hello);
+}
+
+void MeshLink::BeginAttempt() {
+  if (in_flight_++ == 0) {
+    last_heard_ = last_watch_ = loop_.Now();
+    watch_timer_.StartPeriodic(silence_ / kWatchesPerSilence);
+  }
+}
+
+void MeshLink::EndAttempt() {
+  if (--in_flight_ == 0) {
+    idle_since_ = loop_.Now();
+    watch_timer_.Stop();
+  }
+}
+
+void MeshLink::OnFrame(wire::FrameType type, std::string_view payload) {
+  last_heard_ = loop_.Now();
+  switch (type) {
+    case wire::MeshHello::kType:
+      handlers_.on_hello(wire::Decode<wire::MeshHello>(payload));
+      return;
+    case wire::AnswerHead::kType:
+      handlers_.on_reply(wire::Decode<wire::AnswerHead>(payload));
+      return;
+    case wire::AnswerPart::kType:
+      handlers_.on_reply(wire::Decode<wire::AnswerPart>(payload));
+      return;
+    case wire::AttemptFailed::kType:
+      handlers_.on_reply(wire::Decode<wire::AttemptFailed>(payload));
+      return;
+    case wire::AttemptRunning::kType:
+      handlers_.on_reply(wire::Decode<wire::AttemptRunning>(payload));
+      return;
+    case wire::Credit::kType:
+      handlers_.on_reply(wire::Decode<wire::Credit>(payload));
+      return;
+    case wire::Pong::kType:
+      handlers_.on_pong(wire::Decode<wire::Pong>(payload));
+      return;
+    default:
+      throw wire::WireError("a gate does not send frames of this type");
+  }
+}
+
+void MeshLink::Watch() {
+  const Time now = loop_.Now();
+  const Duration interval = silence_ / kWatchesPerSilence;
+  // A watch that comes late means that this process stood still: what has come
+  // meanwhile has not been read yet.
+  if (now - last_watch_ > 2 * interval) {
+    last_heard_ = now;
+  }
+  last_watch_ = now;
+  if (now - last_heard_ >= silence_) {
+    const auto on_down = handlers_.on_down;  // survives the link
+    on_down("silent");
+    return;
+  }
+  if (now - last_heard_ >= interval) {
+    link_->Send(wire::Ping{++pings_});
+  }
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/mesh_server.cc
@@ -0,0 +1,140 @@
+#include "dataplane/mesh_server.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dataplane/events.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+// A frame between nodes is a header's worth of text and one part of a body.
+constexpr size_t kMaxMeshPayload = 256 << 10;
+
+// An ingress that goes silent is given up by the gate only long after it has
+// given up the link itself.
+constexpr int kSilencesBeforeClose = 20;
+constexpr Duration kShortestClose = std::chrono::seconds(5);
+constexpr Duration kSilenceCheck = std::chrono::seconds(1);
+
+}  // namespace
+
+MeshServer::MeshServer(net::EventLoop& loop,
+                       const PlaneSettings& settings,
+                       const FleetView& view,
+                       Gate& gate)
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      gate_(gate),
+      silence_timer_(loop, [this] { CloseSilent(); }),
+      listener_(loop, settings.mesh, [this](int fd) { Accept(fd); }) {
+  silence_timer_.StartPeriodic(kSilenceCheck);
+}
+
+MeshServer::~MeshServer() = default;
+
+void MeshServer::Accept(int fd) {
+  const uint64_t number = ++next_number_;
+  Link& link = links_[number];
+  link.last_heard = loop_.Now();
+  link.frames = net::FrameLink::Accept(
+      loop_, fd,
+      {nullptr,
+       [this, number](wire::FrameType type, std::string_view payload) {
+         OnFrame(number, type, payload);
+       },
+       [this, number](const std::string& why) { OnClosed(number, why); },
+       nullptr},
+      kMaxMeshPayload);
+}
+
+void MeshServer::OnFrame(uint64_t number,
+                         wire::FrameType type,
+                         std::string_view payload) {
+  Link& link = links_.at(number);
+  link.last_heard = loop_.Now();
+  if (!link.greeted && type != wire::MeshHello::kType) {
+    throw wire::WireError("a mesh link starts with a hello");
+  }
+  switch (type) {
+    case wire::MeshHello::kType:
+      OnHello(link, wire::Decode<wire::MeshHello>(payload));
+      return;
+    case wire::OpenAttempt::kType:
+      gate_.Open(wire::Decode<wire::OpenAttempt>(payload), PortOf(number));
+      return;
+    case wire::BodyPart::kType:
+      gate_.AddBody(wire::Decode<wire::BodyPart>(payload));
+      return;
+    case wire::CancelAttempt::kType:
+      gate_.Cancel(wire::Decode<wire::CancelAttempt>(payload).id);
+      return;
+    case wire::Credit::kType:
+      gate_.AddCredit(wire::Decode<wire::Credit>(payload));
+      return;
+    case wire::QueryAttempt::kType:
+      gate_.Query(wire::Decode<wire::QueryAttempt>(payload), PortOf(number));
+      return;
+    case wire::Ping::kType:
+      link.frames->Send(wire::Pong{wire::Decode<wire::Ping>(payload).number,
+                                   view_.revision(), false, gate_.Hint()});
+      return;
+    default:
+      throw wire::WireError("an ingress does not send frames of this type");
+  }
+}
+
+void MeshServer::OnHello(Link& link, const wire::MeshHello& hello) {
+  link.greeted = true;
+  link.peer = hello.node.value;
+  link.frames->Send(
+      wire::MeshHello{settings_.id, settings_.incarnation, view_.revision()});
+}
+
+void MeshServer::OnClosed(uint64_t number, const std::string& why) {
+  const auto found = links_.find(number);
+  if (found == links_.end()) {
+    return;
+  }
+  if (!found->second.greeted) {
+    LogEvent(kMeshLinkRefused, {{"why", why}});
+  }
+  // Its own callback may be running, so it is destroyed from the loop.
+  std::shared_ptr<net::FrameLink> gone = std::move(found->second.frames);
+  loop_.Post([gone] {});
+  links_.erase(found);
+  gate_.OnLinkLost(number);
+}
+
+void MeshServer::CloseSilent() {
+  const Duration limit =
+      std::max(kShortestClose, settings_.link_silence * kSilencesBeforeClose);
+  std::vector<uint64_t> silent;
+  for (const auto& [number, link] : links_) {
+    if (loop_.Now() - link.last_heard > limit &&
+        (!link.greeted || gate_.HasAttemptsOf(number))) {
+      silent.push_back(number);
+    }
+  }
+  for (const uint64_t number : silent) {
+    links_.at(number).frames->Close();
+    OnClosed(number, "silent");
+  }
+}
+
+ReplyPort MeshServer::PortOf(uint64_t number) {
+  return ReplyPort{
+      number, [this, number](const GateReply& reply) {
+        const auto link = links_.find(number);
+        if (link == links_.end()) {
+          return;
+        }
+        std::visit(
+            [&](const auto& message) { link->second.frames->Send(message); },
+            reply);
+      }};
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/mesh_server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dataplane/fleet_view.h"
+#include "dataplane/gate.h"
+#include "dataplane/node_plane.h"
+#include "net/net.h"
+
+namespace ibisvalve::dataplane {
+
+/// Takes mesh links from the ingresses of other nodes and hands their frames
+/// to the gate.
+class MeshServer {
+ public:
+  /// Listens at settings.mesh. All references must outlive it. Throws
+  /// SystemError.
+  MeshServer(net::EventLoop& loop,
+             const PlaneSettings& settings,
+             const FleetView& view,
+             Gate& gate);
+  ~MeshServer();
+
+  /// Returns where it listens.
+  world::Endpoint local() const { return listener_.local(); }
+  size_t links() const { return links_.size(); }
+
+ private:
+  struct Link {
+    std::unique_ptr<net::FrameLink> frames;
+    std::string peer;  // once it has said hello
+    bool greeted = false;
+    Time last_heard;
+  };
+
+  void Accept(int fd);
+  void OnFrame(uint64_t number, wire::FrameType type, std::string_view payload);
+  void OnHello(Link& link, const wire::MeshHello& hello);
+  void OnClosed(uint64_t number, const std::string& why);
+  void CloseSilent();
+  ReplyPort PortOf(uint64_t number);
+
+  net::EventLoop& loop_;
+  const PlaneSettings& settings_;
+  const FleetView& view_;
+  Gate& gate_;
+  std::map<uint64_t, Link> links_;
+  uint64_t next_number_ = 0;
+  net::Timer silence_timer_;
+  net::Listener listener_;
+};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/node_plane.cc
@@ -0,0 +1,289 @@
+#include "dataplane/node_plane.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dataplane/caller_server.h"
+#include "dataplane/events.h"
+#include "dataplane/gate.h"
+#include "dataplane/ingress.h"
+#include "dataplane/memory_budget.h"
+#include "dataplane/mesh_server.h"
+#include "dataplane/plane_pages.h"
+#include "dataplane/target_monitor.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr Duration kLimitsCheck = std::chrono::milliseconds(500);
+
+void Add(std::vector<MetricSample>& out,
+         const std::string& name,
+         double value,
+         bool counter) {
+  out.push_back(MetricSample{name, {}, value, counter});
+}
+
+}  // namespace
+
+class NodePlane::Impl {
+ public:
+  Impl(net::EventLoop& loop,
+       const PlaneSettings& settings,
+       const FleetView& view,
+       ClaimPort claims,
+       PlaneHandlers handlers);
+
+  void SetDraining(bool draining);
+  void Stop(Duration limit, std::function<void()> done);
+  void Serve(net::AdminServer& admin);
+  std::string StatusJson() const;
+  void Collect(std::vector<MetricSample>& out) const;
+
+  const CallerServer& callers() const { return callers_; }
+  const MeshServer& mesh() const { return mesh_; }
+
+ private:
+  void OnTargetState(world::TargetState state, uint32_t slots);
+  void FollowLimits();
+  void CheckStopped();
+  void FinishStop(const std::string& how);
+
+  net::EventLoop& loop_;
+  PlaneSettings settings_;
+  const FleetView& view_;
+  ClaimPort claims_;
+  PlaneHandlers handlers_;
+  MemoryBudget memory_;
+  std::optional<world::TargetState> told_;
+  uint32_t told_slots_ = 0;
+  std::function<void()> stopped_;  // null unless a stop is under way
+  Gate gate_;
+  Ingress ingress_;
+  MeshServer mesh_;
+  CallerServer callers_;
+  TargetMonitor monitor_;
+  net::Timer limits_timer_;
+  net::Timer stop_timer_;
+  net::Timer stop_check_timer_;
+  std::shared_ptr<const world::Fleet> limits_of_;
+};
+
+NodePlane::Impl::Impl(net::EventLoop& loop,
+                      const PlaneSettings& settings,
+                      const FleetView& view,
+                      ClaimPort claims,
+                      PlaneHandlers handlers)
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      claims_(std::move(claims)),
+      handlers_(std::move(handlers)),
+      memory_(settings.body_memory),
+      gate_(loop,
+            settings_,
+            view,
+            claims_,
+            memory_,
+            {[this](Revision seen) {
+               if (handlers_.on_newer_revision) {
+                 handlers_.on_newer_revision(seen);
+               }
+             },
+             [this] { monitor_.OnFault(); }}),
+      ingress_(loop, settings_, view, gate_, memory_, handlers_),
+      mesh_(loop, settings_, view, gate_),
+      callers_(loop,
+               settings_.callers,
+               [this](std::shared_ptr<CallerExchange> exchange) {
+                 ingress_.OnRequest(std::move(exchange));
+               }),
+      monitor_(loop,
+               settings_,
+               view,
+               [this](world::TargetState state, uint32_t slots) {
+                 OnTargetState(state, slots);
+               }),
+      limits_timer_(loop, [this] { FollowLimits(); }),
+      stop_timer_(loop, [this] { FinishStop("limit"); }),
+      stop_check_timer_(loop, [this] { CheckStopped(); }) {
+  limits_timer_.StartPeriodic(kLimitsCheck);
+}
+
+void NodePlane::Impl::SetDraining(bool draining) {
+  monitor_.SetDraining(draining);
+}
+
+void NodePlane::Impl::Stop(Duration limit, std::function<void()> done) {
+  constexpr Duration kStopCheck = std::chrono::milliseconds(10);
+  stopped_ = std::move(done);
+  callers_.StopListening();
+  monitor_.SetDraining(true);
+  stop_timer_.StartOnce(limit);
+  stop_check_timer_.StartPeriodic(kStopCheck);
+}
+
+void NodePlane::Impl::CheckStopped() {
+  if (gate_.in_flight() == 0 && ingress_.in_flight() == 0) {
+    FinishStop("idle");
+  }
+}
+
+void NodePlane::Impl::FinishStop(const std::string& how) {
+  stop_timer_.Stop();
+  stop_check_timer_.Stop();
+  LogEvent(kPlaneStopped,
+           {{"how", how},
+            {"in_flight", uint64_t{gate_.in_flight() + ingress_.in_flight()}}});
+  const auto done = std::exchange(stopped_, nullptr);
+  if (done) {
+    done();
+  }
+}
+
+void NodePlane::Impl::Serve(net::AdminServer& admin) {
+  ServePages(admin, {[this](bool draining) { SetDraining(draining); },
+                     [this](const TargetAnnouncement& announcement) {
+                       monitor_.Announce(announcement.state,
+                                         announcement.slots);
+                     },
+                     [this] { return StatusJson(); }});
+}
+
+std::string NodePlane::Impl::StatusJson() const {
+  PlaneStatus status;
+  status.target = monitor_.state();
+  status.slots = monitor_.slots();
+  status.draining = monitor_.draining();
+  status.gate_in_flight = gate_.in_flight();
+  status.gate_hint = gate_.Hint();
+  status.ingress_in_flight = ingress_.in_flight();
+  status.links = ingress_.peers().links();
+  status.memory_used = memory_.used();
+  status.memory_limit = memory_.limit();
+  return ToJson(status);
+}
+
+void NodePlane::Impl::Collect(std::vector<MetricSample>& out) const {
+  const GateCounts& gate = gate_.counts();
+  Add(out, "ibis_gate_dispatched_total", static_cast<double>(gate.dispatched),
+      true);
+  Add(out, "ibis_gate_answered_total", static_cast<double>(gate.answered),
+      true);
+  Add(out, "ibis_gate_not_run_total", static_cast<double>(gate.refused), true);
+  Add(out, "ibis_gate_unknown_total", static_cast<double>(gate.unknown), true);
+  Add(out, "ibis_gate_fenced_total", static_cast<double>(gate.fenced), true);
+  Add(out, "ibis_gate_cancelled_total", static_cast<double>(gate.cancelled),
+      true);
+  Add(out, "ibis_gate_in_flight", static_cast<double>(gate_.in_flight()),
+      false);
+  Add(out, "ibis_gate_running", gate_.running(), false);
+  Add(out, "ibis_gate_limit", gate_.Hint().limit, false);
+  Add(out, "ibis_gate_attempt_entries",
+      static_cast<double>(gate_.attempts().entries()), false);
+  Add(out, "ibis_gate_kept_answer_bytes",
+      static_cast<double>(gate_.attempts().answer_bytes()), false);
+  const IngressCounts& ingress = ingress_.counts();
+  Add(out, "ibis_ingress_requests_total", static_cast<double>(ingress.requests),
+      true);
+  Add(out, "ibis_ingress_attempts_total", static_cast<double>(ingress.attempts),
+      true);
+  Add(out, "ibis_ingress_retries_total", static_cast<double>(ingress.retries),
+      true);
+  Add(out, "ibis_ingress_hedges_total", static_cast<double>(ingress.hedges),
+      true);
+  Add(out, "ibis_ingress_queries_total", static_cast<double>(ingress.queries),
+      true);
+  Add(out, "ibis_ingress_hung_up_total", static_cast<double>(ingress.hung_up),
+      true);
+  Add(out, "ibis_ingress_in_flight", static_cast<double>(ingress_.in_flight()),
+      false);
+  Add(out, "ibis_mesh_links", static_cast<double>(ingress_.peers().links()),
+      false);
+  Add(out, "ibis_mesh_sent_bytes_total",
+      static_cast<double>(ingress_.peers().sent_bytes()), true);
+  Add(out, "ibis_measuring_heartbeats_total",
+      static_cast<double>(ingress_.peers().pings()), true);
+  Add(out, "ibis_measuring_target_checks_total",
+      static_cast<double>(monitor_.checks()), true);
+  Add(out, "ibis_body_memory_bytes", static_cast<double>(memory_.used()),
+      false);
+}
+
+void NodePlane::Impl::OnTargetState(world::TargetState state, uint32_t slots) {
+  gate_.SetTargetState(state, slots);
+  if (told_ == state && told_slots_ == slots) {
+    return;
+  }
+  told_ = state;
+  told_slots_ = slots;
+  LogEvent(kTargetStateChanged,
+           {{"state", world::ToString(state)}, {"slots", uint64_t{slots}}});
+  if (handlers_.on_target) {
+    handlers_.on_target(state, slots);
+  }
+}
+
+// Bounds the callers' requests as the file in force says: by the service that
+// allows most, because the connection does not tell which one is asked.
+void NodePlane::Impl::FollowLimits() {
+  if (view_.fleet() == limits_of_ || view_.fleet() == nullptr) {
+    return;
+  }
+  limits_of_ = view_.fleet();
+  world::Limits limits;
+  for (const world::Service& service : limits_of_->services) {
+    limits.request_body =
+        std::max(limits.request_body, service.limits.request_body);
+    limits.header_bytes =
+        std::max(limits.header_bytes, service.limits.header_bytes);
+  }
+  callers_.SetLimits(limits.request_body, limits.header_bytes);
+}
+
+NodePlane::NodePlane(net::EventLoop& loop,
+                     const PlaneSettings& settings,
+                     const FleetView& view,
+                     ClaimPort claims,
+                     PlaneHandlers handlers)
+    : impl_(std::make_unique<Impl>(loop,
+                                   settings,
+                                   view,
+                                   std::move(claims),
+                                   std::move(handlers))) {}
+
+NodePlane::~NodePlane() = default;
+
+void NodePlane::Drain() {
+  impl_->SetDraining(true);
+}
+
+void NodePlane::Undrain() {
+  impl_->SetDraining(false);
+}
+
+void NodePlane::Stop(Duration limit, std::function<void()> done) {
+  impl_->Stop(limit, std::move(done));
+}
+
+void NodePlane::Serve(net::AdminServer& admin) {
+  impl_->Serve(admin);
+}
+
+world::Endpoint NodePlane::callers() const {
+  return impl_->callers().local();
+}
+
+world::Endpoint NodePlane::mesh() const {
+  return impl_->mesh().local();
+}
+
+std::string NodePlane::StatusJson() const {
+  return impl_->StatusJson();
+}
+
+void NodePlane::Collect(std::vector<MetricSample>& out) const {
+  impl_->Collect(out);
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -28,6 +28,7 @@
   uint64_t body_memory = 24 << 20;        // bytes of bodies held at any time
   uint32_t caller_connections = 2000;
   Duration link_silence = std::chrono::milliseconds(300);
+  bool target_announces = false;  // not ready until POST /announce
   policy::ChoiceKind choice = policy::ChoiceKind::kWeighed;
 
   auto operator<=>(const PlaneSettings&) const = default;
--- /dev/null
+++ b/src/dataplane/peer_table.cc
@@ -0,0 +1,152 @@
+#include "dataplane/peer_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dataplane/events.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr Duration kIdleLimit = std::chrono::seconds(30);
+constexpr Duration kIdleCheck = std::chrono::seconds(5);
+
+}  // namespace
+
+PeerTable::PeerTable(net::EventLoop& loop,
+                     const PlaneSettings& settings,
+                     const FleetView& view,
+                     Handlers handlers)
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      handlers_(std::move(handlers)),
+      idle_timer_(loop, [this] { CloseIdle(); }) {
+  idle_timer_.StartPeriodic(kIdleCheck);
+}
+
+std::optional<uint64_t> PeerTable::LinkTo(const NodeId& gate) {
+  const world::Member* member = view_.Find(gate);
+  if (member == nullptr) {
+    return std::nullopt;
+  }
+  Peer& peer = peers_[gate];
+  if (peer.link == nullptr) {
+    Open(gate, peer, member->mesh);
+  }
+  return peer.number;
+}
+
+void PeerTable::BeginAttempt(const NodeId& gate, uint64_t link) {
+  if (MeshLink* standing = Find(gate, link)) {
+    standing->BeginAttempt();
+  }
+}
+
+void PeerTable::EndAttempt(const NodeId& gate, uint64_t link) {
+  if (MeshLink* standing = Find(gate, link)) {
+    standing->EndAttempt();
+  }
+}
+
+Incarnation PeerTable::IncarnationOf(const NodeId& gate) const {
+  const world::Member* member = view_.Find(gate);
+  const Incarnation announced =
+      member == nullptr ? Incarnation() : member->incarnation;
+  const auto peer = peers_.find(gate);
+  return peer == peers_.end() ? announced
+                              : std::max(announced, peer->second.incarnation);
+}
+
+size_t PeerTable::links() const {
+  return static_cast<size_t>(std::count_if(
+      peers_.begin(), peers_.end(),
+      [](const auto& peer) { return peer.second.link != nullptr; }));
+}
+
+uint64_t PeerTable::sent_bytes() const {
+  uint64_t bytes = closed_sent_bytes_;
+  for (const auto& [gate, peer] : peers_) {
+    bytes += peer.link == nullptr ? 0 : peer.link->sent_bytes();
+  }
+  return bytes;
+}
+
+uint64_t PeerTable::pings() const {
+  uint64_t pings = closed_pings_;
+  for (const auto& [gate, peer] : peers_) {
+    pings += peer.link == nullptr ? 0 : peer.link->pings();
+  }
+  return pings;
+}
+
+MeshLink* PeerTable::Find(const NodeId& gate, uint64_t link) {
+  const auto peer = peers_.find(gate);
+  return peer == peers_.end() || peer->second.number != link
+             ? nullptr
+             : peer->second.link.get();
+}
+
+void PeerTable::Open(const NodeId& gate,
+                     Peer& peer,
+                     const world::Endpoint& remote) {
+  const uint64_t number = ++next_number_;
+  peer.number = number;
+  MeshLink::Handlers handlers;
+  handlers.on_hello = [this, gate](const wire::MeshHello& hello) {
+    if (hello.node != gate) {
+      throw wire::WireError("the peer is another node than announced");
+    }
+    peers_[gate].incarnation = hello.incarnation;
+    if (hello.revision > view_.revision()) {
+      handlers_.on_newer_revision(hello.revision);
+    }
+  };
+  handlers.on_reply = [this, gate](GateReply reply) {
+    handlers_.on_reply(gate, std::move(reply));
+  };
+  handlers.on_pong = [this, gate](const wire::Pong& pong) {
+    handlers_.on_hint(gate, pong.hint);
+    if (pong.revision > view_.revision()) {
+      handlers_.on_newer_revision(pong.revision);
+    }
+  };
+  handlers.on_down = [this, gate, number](const std::string& why) {
+    OnDown(gate, number, why);
+  };
+  peer.link = std::make_unique<MeshLink>(
+      loop_, remote,
+      wire::MeshHello{settings_.id, settings_.incarnation, view_.revision()},
+      settings_.link_silence, std::move(handlers));
+}
+
+void PeerTable::OnDown(const NodeId& gate,
+                       uint64_t link,
+                       const std::string& why) {
+  if (Find(gate, link) == nullptr) {
+    return;
+  }
+  LogEvent(why == "silent" ? kMeshLinkSilent : kMeshLinkLost,
+           {{"gate", gate.value}, {"why", why}});
+  std::unique_ptr<MeshLink> down = std::move(peers_.at(gate).link);
+  closed_sent_bytes_ += down->sent_bytes();
+  closed_pings_ += down->pings();
+  const bool connected = down->was_connected();
+  // Its own callback may be running, so it is destroyed from the loop.
+  loop_.Post([gone = std::shared_ptr<MeshLink>(std::move(down))] {});
+  handlers_.on_down(gate, link, connected);
+}
+
+void PeerTable::CloseIdle() {
+  const Time now = loop_.Now();
+  for (auto& [gate, peer] : peers_) {
+    if (peer.link != nullptr && peer.link->in_flight() == 0 &&
+        now - peer.link->idle_since() > kIdleLimit) {
+      closed_sent_bytes_ += peer.link->sent_bytes();
+      closed_pings_ += peer.link->pings();
+      peer.link = nullptr;
+    }
+  }
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/plane_pages.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "net/net.h"
+#include "wire/wire.h"
+#include "world/world.h"
+
+namespace ibisvalve::dataplane {
+
+/// What a target says of itself.
+struct TargetAnnouncement {
+  world::TargetState state = world::TargetState::kReady;
+  uint32_t slots = 0;  // 0: as in the settings
+
+  auto operator<=>(const TargetAnnouncement&) const = default;
+};
+
+/// State of ingress and gate, for status pages.
+struct PlaneStatus {
+  world::TargetState target = world::TargetState::kNone;
+  uint32_t slots = 0;
+  bool draining = false;
+  uint64_t gate_in_flight = 0;
+  wire::LoadHint gate_hint;
+  uint64_t ingress_in_flight = 0;
+  uint64_t links = 0;
+  uint64_t memory_used = 0;   // bytes
+  uint64_t memory_limit = 0;  // bytes
+
+  auto operator<=>(const PlaneStatus&) const = default;
+};
+
+/// Returns `status` as a JSON object.
+std::string ToJson(const PlaneStatus& status);
+
+/// Parses {"state":"ready|draining|starting","slots":N}; throws InvalidInput
+/// with every fault.
+TargetAnnouncement ParseAnnouncement(const std::string& json);
+
+/// What the pages do.
+struct PageActions {
+  std::function<void(bool draining)> set_draining;
+  std::function<void(const TargetAnnouncement& announcement)> announce;
+  std::function<std::string()> status;
+};
+
+/// Adds POST /drain, /undrain and /announce to `admin`.
+void ServePages(net::AdminServer& admin, const PageActions& actions);
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/target_monitor.cc
@@ -0,0 +1,146 @@
+#include "dataplane/target_monitor.h"
+
+#include <event2/bufferevent.h>
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dataplane/events.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr Duration kCheckTimeout = std::chrono::seconds(1);
+constexpr int kHealthyFrom = 200;
+constexpr int kHealthyBelow = 300;
+
+}  // namespace
+
+TargetMonitor::TargetMonitor(net::EventLoop& loop,
+                             const PlaneSettings& settings,
+                             const FleetView& view,
+                             OnState on_state)
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      on_state_(std::move(on_state)),
+      slots_(settings.slots),
+      timer_(loop, [this] { Check(); }),
+      connect_timer_(loop, [this] { OnResult(false); }) {
+  if (settings_.target) {
+    timer_.StartOnce(Duration(0));
+  }
+}
+
+TargetMonitor::~TargetMonitor() {
+  *alive_ = false;
+  if (connecting_ != nullptr) {
+    bufferevent_free(connecting_);
+  }
+}
+
+void TargetMonitor::Announce(world::TargetState state, uint32_t slots) {
+  announced_ = state;
+  slots_ = slots == 0 ? settings_.slots : slots;
+  // One that says it is ready can be reached; the next check confirms it.
+  reachable_ |= state == world::TargetState::kReady;
+  Update();
+}
+
+void TargetMonitor::SetDraining(bool draining) {
+  if (draining_ != draining) {
+    draining_ = draining;
+    LogEvent(kDrainChanged, {{"draining", draining ? "yes" : "no"}});
+    Update();
+  }
+}
+
+void TargetMonitor::OnFault() {
+  // The next check is due within the budget anyway; a target that answers
+  // nobody is seen there.
+  if (!checking_ && !timer_.running()) {
+    ScheduleNext();
+  }
+}
+
+void TargetMonitor::Check() {
+  checking_ = true;
+  ++checks_;
+  if (settings_.health_path.empty()) {
+    CheckConnect();
+  } else {
+    CheckHttp();
+  }
+}
+
+void TargetMonitor::CheckHttp() {
+  net::FetchHttp(loop_, *settings_.target, "GET", settings_.health_path, "",
+                 kCheckTimeout,
+                 [this, alive = alive_](const net::HttpResult& result) {
+                   if (*alive) {
+                     OnResult(result.status >= kHealthyFrom &&
+                              result.status < kHealthyBelow);
+                   }
+                 });
+}
+
+void TargetMonitor::CheckConnect() {
+  connecting_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  CHECK_NOTNULL(connecting_);
+  bufferevent_setcb(
+      connecting_, nullptr, nullptr,
+      [](bufferevent*, int16_t what, void* argument) {
+        static_cast<TargetMonitor*>(argument)->OnResult(
+            (what & BEV_EVENT_CONNECTED) != 0);
+      },
+      this);
+  connect_timer_.StartOnce(kCheckTimeout);
+  const net::SocketAddress address = net::ToSocketAddress(*settings_.target);
+  if (bufferevent_socket_connect(connecting_, address.get(),
+                                 static_cast<int>(address.length)) != 0) {
+    connect_timer_.StartOnce(Duration(0));
+  }
+}
+
+void TargetMonitor::OnResult(bool healthy) {
+  if (connecting_ != nullptr) {
+    bufferevent_free(std::exchange(connecting_, nullptr));
+  }
+  connect_timer_.Stop();
+  checking_ = false;
+  reachable_ = healthy;
+  Update();
+  ScheduleNext();
+}
+
+void TargetMonitor::ScheduleNext() {
+  double per_second = world::MeasuringBudget().reports_per_second;
+  if (view_.fleet() != nullptr) {
+    const world::Service* service =
+        world::FindService(*view_.fleet(), settings_.service);
+    if (service != nullptr) {
+      per_second = service->measuring.reports_per_second;
+    }
+  }
+  constexpr double kSlowest = 0.05;  // even with a budget of 0
+  constexpr double kMicros = 1e6;
+  timer_.StartOnce(
+      Duration(static_cast<int64_t>(kMicros / std::max(per_second, kSlowest))));
+}
+
+void TargetMonitor::Update() {
+  world::TargetState state = world::TargetState::kReady;
+  if (draining_ || announced_ == world::TargetState::kDraining) {
+    state = world::TargetState::kDraining;
+  } else if (!reachable_) {
+    state = world::TargetState::kDown;
+  } else if (announced_ == world::TargetState::kStarting ||
+             (settings_.target_announces && !announced_)) {
+    state = world::TargetState::kStarting;
+  }
+  state_ = state;
+  on_state_(state_, slots_);
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -47,6 +47,7 @@
 struct OpenAttempt {
   static constexpr FrameType kType = 2;
   AttemptId id;
+  Incarnation gate;  // the only run of the gate that may take it
   Revision revision;
   ServiceName service;
   std::string method;
@@ -64,8 +65,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, revision, service, method, uri, headers, remaining_us, depth,
-            retry, may_repeat, key, fingerprint, body_bytes, body,
+    archive(id, gate, revision, service, method, uri, headers, remaining_us,
+            depth, retry, may_repeat, key, fingerprint, body_bytes, body,
             body_complete);
   }
 };
@@ -158,12 +159,13 @@
 struct QueryAttempt {
   static constexpr FrameType kType = 9;
   AttemptId id;
-  Incarnation gate;     // the gate's incarnation when the attempt was sent
-  bool attach = false;  // for a re-send: answer when it ends
+  Incarnation gate;    // the gate's incarnation when the attempt was sent
+  AttemptId reply_as;  // id of the frames that answer; `id` for one's own
+                       // attempt, another to follow the first run of a key
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, gate, attach);
+    archive(id, gate, reply_as);
   }
 };
 
--- /dev/null
+++ b/tests/dataplane/node_plane_test.cc
@@ -0,0 +1,154 @@
+#include "dataplane/dataplane.h"
+
+#include <event2/bufferevent.h>
+
+#include "dataplane/plane_fixture.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+TEST_F(PlaneTest, CarriesARequestThroughTheMeshAndBack) {
+  FakeTarget target(loop_, [](evhttp_request* request) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "X-Seat",
+                      "14");
+    Answer(request, "echo:" + BodyOf(request));
+  });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  const CallerAnswer answer =
+      Fetch(ingress, {"POST", "/bookings?x=1", {{"X-A", "b"}}, "two seats"});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "echo:two seats");
+  EXPECT_EQ(answer.Get("X-Seat"), "14");
+  EXPECT_EQ(answer.Get("Ibis-Outcome"), "answered");
+  EXPECT_EQ(answer.Get("Ibis-Attempts"), "1");
+  EXPECT_EQ(target.seen(), std::vector<std::string>{"/bookings?x=1"});
+  EXPECT_EQ(*FindHeader(target.headers(), "X-A"), "b");
+  EXPECT_EQ(*FindHeader(target.headers(), "Ibis-Depth"), "0");
+  ASSERT_EQ(ingress.records.size(), 1U);
+  EXPECT_EQ(ingress.records[0].gate, NodeId("suva-2"));
+  EXPECT_EQ(ingress.records[0].outcome, world::Outcome::kAnswered);
+}
+
+TEST_F(PlaneTest, SkipsTheMeshForTheTargetBesideIt) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "here"); });
+  Node& node = AddNode("suva-1", &target);
+  WaitReady(node);
+  EXPECT_EQ(Fetch(node, {"GET", "/rooms", {}, ""}).body, "here");
+}
+
+TEST_F(PlaneTest, EachAnswerGoesToItsOwnCaller) {
+  FakeTarget target(loop_, [](evhttp_request* request) {
+    Answer(request, evhttp_request_get_uri(request));
+  });
+  slots_ = 1000;
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  std::vector<std::shared_ptr<CallerAnswer>> answers;
+  constexpr size_t kRequests = 200;
+  for (size_t i = 0; i < kRequests; ++i) {
+    answers.push_back(
+        Send(ingress, {"GET", "/rooms/" + std::to_string(i), {}, ""}));
+  }
+  RunUntil([&] { return ended_ == kRequests; });
+  for (size_t i = 0; i < kRequests; ++i) {
+    EXPECT_EQ(answers[i]->body, "/rooms/" + std::to_string(i));
+  }
+}
+
+TEST_F(PlaneTest, RefusesAsNotRunWhereNoTargetCanTakeIt) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "x"); });
+  Node& ingress = AddNode("suva-1", nullptr);
+  const CallerAnswer none = Fetch(ingress, {"POST", "/bookings", {}, "a"});
+  EXPECT_EQ(none.status, 503);
+  EXPECT_EQ(none.Get("Ibis-Outcome"), "not-run");
+  EXPECT_EQ(none.Get("Ibis-Reason"), "no-target");
+
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  const CallerAnswer unknown =
+      Fetch(ingress, {"GET", "/", {{"Ibis-Service", "nothing"}}, ""});
+  EXPECT_EQ(unknown.status, 404);
+
+  gate.plane->Drain();
+  gate.member.target = world::TargetState::kReady;
+  Spread(gate.member);  // the news has not reached the ingress yet
+  const CallerAnswer draining = Fetch(ingress, {"POST", "/bookings", {}, "a"});
+  EXPECT_EQ(draining.status, 503);
+  EXPECT_EQ(draining.Get("Ibis-Reason"), "draining");
+
+  gate.plane->Undrain();
+  EXPECT_EQ(Fetch(ingress, {"POST", "/bookings", {}, "a"}).status, 200);
+
+  ingress.view.SetLease(false);
+  EXPECT_EQ(Fetch(ingress, {"GET", "/", {}, ""}).Get("Ibis-Reason"),
+            "isolated");
+  EXPECT_EQ(target.seen().size(), 1U);
+}
+
+TEST_F(PlaneTest, OnlyRequestsThatMayBeRepeatedAreTriedAgain) {
+  // Breaks every connection before it answers.
+  const auto breaks = [](evhttp_request* request) {
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+             SHUT_RDWR);
+  };
+  FakeTarget bad(loop_, breaks);
+  FakeTarget good(loop_,
+                  [](evhttp_request* request) { Answer(request, "ok"); });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& broken = AddNode("suva-2", &bad);
+  WaitReady(broken);
+  const CallerAnswer booking = Fetch(ingress, {"POST", "/bookings", {}, "a"});
+  EXPECT_EQ(booking.status, 502);
+  EXPECT_EQ(booking.Get("Ibis-Outcome"), "unknown");
+  EXPECT_EQ(booking.Get("Ibis-Reason"), "target-broke");
+  EXPECT_EQ(bad.seen().size(), 1U);
+
+  Node& whole = AddNode("suva-3", &good);
+  WaitReady(whole);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Fetch(ingress, {"GET", "/rooms", {}, ""}).body, "ok");
+  }
+  EXPECT_GT(bad.seen().size(), 1U);
+}
+
+TEST_F(PlaneTest, AStoppedTargetGivesNotRun) {
+  auto target = std::make_unique<FakeTarget>(
+      loop_, [](evhttp_request* request) { Answer(request, "x"); });
+  service_.measuring.reports_per_second = 0.1;
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", target.get());
+  WaitReady(gate);
+  target = nullptr;
+  const CallerAnswer answer = Fetch(ingress, {"POST", "/bookings", {}, "a"});
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(answer.Get("Ibis-Outcome"), "not-run");
+  EXPECT_EQ(answer.Get("Ibis-Reason"), "target-down");
+}
+
+TEST_F(PlaneTest, StopWaitsForWhatIsInFlight) {
+  evhttp_request* held = nullptr;
+  FakeTarget target(loop_, [&](evhttp_request* request) { held = request; });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  const auto answer = Send(ingress, {"POST", "/bookings", {}, "a"});
+  RunUntil([&] { return held != nullptr; });
+  bool stopped = false;
+  gate.plane->Stop(std::chrono::seconds(20), [&] { stopped = true; });
+  net::Timer later(loop_, [&] {
+    EXPECT_FALSE(stopped);
+    Answer(held, "done");
+  });
+  later.StartOnce(std::chrono::milliseconds(50));
+  RunUntil([&] { return stopped && ended_ == sent_; });
+  EXPECT_EQ(answer->body, "done");
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/tests/dataplane/plane_fixture.h
@@ -0,0 +1,236 @@
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dataplane/dataplane.h"
+#include "dataplane/http_headers.h"
+#include "dataplane/target_client.h"
+
+namespace ibisvalve::dataplane {
+
+inline const world::Endpoint kAnyPort{"127.0.0.1", 0};
+
+/// What a caller got.
+struct CallerAnswer {
+  int status = 0;  // 0: none
+  wire::Headers headers;
+  std::string body;
+  bool whole = false;
+
+  /// Returns a header, or an empty string.
+  std::string Get(const char* name) const {
+    const std::string* value = FindHeader(headers, name);
+    return value == nullptr ? "" : *value;
+  }
+};
+
+/// HTTP server that answers each request by a function of the test. Counts
+/// what it has seen.
+class FakeTarget {
+ public:
+  using Handler = std::function<void(evhttp_request*)>;
+
+  FakeTarget(net::EventLoop& loop, Handler handler)
+      : handler_(std::move(handler)), http_(evhttp_new(loop.base())) {
+    evhttp_set_allowed_methods(http_, 0xFFFF);
+    evhttp_set_gencb(
+        http_,
+        [](evhttp_request* request, void* argument) {
+          auto* self = static_cast<FakeTarget*>(argument);
+          self->seen_.emplace_back(evhttp_request_get_uri(request));
+          self->headers_ =
+              AllHeaders(evhttp_request_get_input_headers(request));
+          self->handler_(request);
+        },
+        this);
+    evhttp_bound_socket* socket =
+        evhttp_bind_socket_with_handle(http_, "127.0.0.1", 0);
+    local_ = net::LocalEndpoint(evhttp_bound_socket_get_fd(socket));
+  }
+  ~FakeTarget() { evhttp_free(http_); }
+
+  const world::Endpoint& local() const { return local_; }
+  const std::vector<std::string>& seen() const { return seen_; }
+  const wire::Headers& headers() const { return headers_; }
+
+ private:
+  Handler handler_;
+  evhttp* http_;
+  world::Endpoint local_;
+  std::vector<std::string> seen_;
+  wire::Headers headers_;
+};
+
+/// Answers `request` with 200 and `body`.
+inline void Answer(evhttp_request* request, const std::string& body) {
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+               body.size());
+  evhttp_send_reply(request, 200, nullptr, nullptr);
+}
+
+/// Returns the body of `request`.
+inline std::string BodyOf(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, body.data(), body.size());
+  return body;
+}
+
+/// Some node planes on one loop, each with the same view of the fleet.
+class PlaneTest : public testing::Test {
+ protected:
+  struct Node {
+    FleetView view;
+    world::Member member;
+    std::vector<RequestRecord> records;
+    std::unique_ptr<NodePlane> plane;
+  };
+
+  PlaneTest()
+      : guard_(loop_, [this] {
+          ADD_FAILURE() << "nothing happened in time";
+          loop_.Stop();
+        }) {
+    guard_.StartOnce(std::chrono::seconds(30));
+    service_.name = ServiceName("bookdesk");
+    service_.deadline = std::chrono::seconds(5);
+    service_.contracts = {{{"POST"},
+                           "/bookings",
+                           world::Repeat::kNever,
+                           world::KeyRule::kOptional,
+                           {}}};
+    service_.measuring.reports_per_second = 50;
+  }
+
+  ~PlaneTest() override {
+    calls_.clear();
+    clients_.clear();
+    nodes_.clear();
+    for (int i = 0; i < 3; ++i) {
+      loop_.Poll();  // what was posted last
+    }
+  }
+
+  /// Starts a node; with a target where `target` is given.
+  Node& AddNode(const std::string& id, const FakeTarget* target) {
+    PlaneSettings settings;
+    settings.id = NodeId(id);
+    settings.incarnation = Incarnation(nodes_.size() + 100);
+    settings.callers = settings.mesh = kAnyPort;
+    settings.link_silence = silence_;
+    settings.body_memory = body_memory_;
+    if (target != nullptr) {
+      settings.target = target->local();
+      settings.service = service_.name;
+      settings.slots = slots_;
+    }
+    auto& node = *nodes_.emplace_back(std::make_unique<Node>());
+    Node* raw = &node;
+    node.member.id = settings.id;
+    node.member.incarnation = settings.incarnation;
+    node.member.service = settings.service;
+    PlaneHandlers handlers;
+    handlers.on_request = [raw](const RequestRecord& record) {
+      raw->records.push_back(record);
+    };
+    handlers.on_target = [this, raw](world::TargetState state, uint32_t slots) {
+      raw->member.target = state;
+      raw->member.slots = slots;
+      Spread(raw->member);
+    };
+    node.plane = std::make_unique<NodePlane>(loop_, settings, node.view,
+                                             claims_, handlers);
+    node.member.mesh = node.plane->mesh();
+    PutInForce();
+    for (const auto& other : nodes_) {
+      Spread(other->member);
+    }
+    return node;
+  }
+
+  void Spread(const world::Member& member) {
+    for (const auto& node : nodes_) {
+      node->view.SetMember(member);
+    }
+  }
+
+  void PutInForce(uint64_t revision = 1) {
+    auto fleet = std::make_shared<world::Fleet>();
+    fleet->services = {service_};
+    for (const auto& node : nodes_) {
+      node->view.SetFleet(fleet, Revision(revision));
+      node->view.SetLease(true);
+    }
+  }
+
+  /// Runs the loop until `condition` holds.
+  void RunUntil(const std::function<bool()>& condition) {
+    net::Timer check(loop_, [&] {
+      if (condition()) {
+        loop_.Stop();
+      }
+    });
+    check.StartPeriodic(std::chrono::milliseconds(1));
+    loop_.Run();
+  }
+
+  /// Runs the loop until `node` has a target that is ready.
+  void WaitReady(const Node& node) {
+    RunUntil([&] { return node.member.target == world::TargetState::kReady; });
+  }
+
+  /// Sends a request to `node` and returns where its answer will be.
+  std::shared_ptr<CallerAnswer> Send(const Node& node, TargetRequest request) {
+    auto answer = std::make_shared<CallerAnswer>();
+    if (FindHeader(request.headers, "Host") == nullptr) {
+      request.headers.emplace_back("Host", "bookdesk.example");
+    }
+    auto& client = clients_[node.member.id];
+    if (client == nullptr) {
+      client = std::make_unique<TargetClient>(loop_, node.plane->callers());
+    }
+    calls_.push_back(client->Call(
+        request, {[answer](const TargetHead& head) {
+                    answer->status = head.status;
+                    answer->headers = head.headers;
+                  },
+                  [answer](const std::string& bytes) { answer->body += bytes; },
+                  [this, answer] {
+                    answer->whole = true;
+                    ++ended_;
+                  },
+                  [this](TargetFault) { ++ended_; }}));
+    ++sent_;
+    return answer;
+  }
+
+  /// Sends a request and waits for its end.
+  CallerAnswer Fetch(const Node& node, const TargetRequest& request) {
+    const auto answer = Send(node, request);
+    RunUntil([this] { return ended_ == sent_; });
+    return *answer;
+  }
+
+  net::EventLoop loop_;
+  net::Timer guard_;
+  world::Service service_;
+  ClaimPort claims_;
+  Duration silence_ = std::chrono::milliseconds(300);
+  uint64_t body_memory_ = 24 << 20;
+  uint32_t slots_ = 4;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<NodeId, std::unique_ptr<TargetClient>> clients_;
+  std::vector<std::unique_ptr<TargetCall>> calls_;
+  size_t sent_ = 0;
+  size_t ended_ = 0;
+};
+
+}  // namespace ibisvalve::dataplane
