Add a fake target for tests and the bench

Cause: the data plane and the system tests need workers with slots, a queue, service-time distributions, noise, cold start, fail-fast, crash and a run log. Ruled out: counting a run by one line at its end, since a run that crashes the process would leave no trace; a start and an end line are written instead.

--- /dev/null
+++ b/bench/target/main.cc
@@ -0,0 +1,110 @@
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <optional>
+#include <string>
+
+#include "base/base.h"
+#include "bench/target/target_server.h"
+#include "net/net.h"
+
+DEFINE_string(listen, "127.0.0.1:0", "address for HTTP; port 0 picks one");
+DEFINE_string(name, "target", "name in every answer");
+DEFINE_uint32(slots, 20, "requests run at once; the rest wait");
+DEFINE_double(service_time, 5, "mean service time, milliseconds");
+DEFINE_string(distribution, "fixed", "fixed, exponential or lognormal");
+DEFINE_double(noise_factor, 1, "factor on service times in noisy periods");
+DEFINE_double(noise_share, 0, "share of the time that is noisy, below 1");
+DEFINE_double(noise_length, 50, "mean noisy period, milliseconds");
+DEFINE_double(straggler, 1, "factor on every service time");
+DEFINE_bool(fail_fast, false, "refuse every request with 500 at once");
+DEFINE_double(cold_start, 0, "seconds from the start until warm");
+DEFINE_double(cold_factor, 10, "factor on service times at the very start");
+DEFINE_string(crash_on, "", "path whose run ends the process at once");
+DEFINE_string(run_log, "", "file with a line for each start and end of a run");
+DEFINE_uint64(seed, 1, "of service times and noise");
+DEFINE_string(announce, "", "admin address of the node beside the target");
+
+namespace ibisvalve::bench {
+namespace {
+
+constexpr double kMicrosPerMilli = 1e3;
+constexpr double kMicrosPerSecond = 1e6;
+
+Duration FromMicros(double micros) {
+  return Duration(static_cast<int64_t>(micros));
+}
+
+// Returns nothing, with the reason printed, when a flag is wrong.
+std::optional<TargetSettings> SettingsFromFlags() {
+  TargetSettings settings;
+  const auto listen = world::ParseEndpoint(FLAGS_listen);
+  const auto distribution = ParseDistribution(FLAGS_distribution);
+  if (!listen || !distribution || FLAGS_slots == 0 || FLAGS_noise_share < 0 ||
+      FLAGS_noise_share >= 1) {
+    std::fprintf(stderr,
+                 "faketarget: --listen, --distribution, --slots or "
+                 "--noise_share is wrong; see --help\n");
+    return std::nullopt;
+  }
+  settings.listen = *listen;
+  settings.name = FLAGS_name;
+  settings.slots = FLAGS_slots;
+  settings.service.mean = FromMicros(FLAGS_service_time * kMicrosPerMilli);
+  settings.service.distribution = *distribution;
+  settings.service.straggler = FLAGS_straggler;
+  settings.service.noise_factor = FLAGS_noise_factor;
+  settings.service.noise_share = FLAGS_noise_share;
+  settings.service.noise_length =
+      FromMicros(FLAGS_noise_length * kMicrosPerMilli);
+  settings.service.cold_factor = FLAGS_cold_factor;
+  settings.service.cold_length =
+      FromMicros(FLAGS_cold_start * kMicrosPerSecond);
+  settings.fail_fast = FLAGS_fail_fast;
+  settings.crash_on = FLAGS_crash_on;
+  settings.run_log = FLAGS_run_log;
+  settings.seed = FLAGS_seed;
+  if (!FLAGS_announce.empty()) {
+    settings.announce = world::ParseEndpoint(FLAGS_announce);
+    if (!settings.announce) {
+      std::fprintf(stderr, "faketarget: --announce must be ip:port\n");
+      return std::nullopt;
+    }
+  }
+  return settings;
+}
+
+int RunTarget() {
+  const std::optional<TargetSettings> settings = SettingsFromFlags();
+  if (!settings) {
+    return 2;
+  }
+  net::EventLoop loop;
+  TargetServer server(loop, *settings);
+  std::printf("listening %s\n", world::ToString(server.local()).c_str());
+  std::fflush(stdout);
+  for (const int signal : {SIGTERM, SIGINT}) {
+    loop.OnSignal(signal, [&] { server.Stop([&loop] { loop.Stop(); }); });
+  }
+  loop.Run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace ibisvalve::bench
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("plays a worker: an HTTP server with slots");
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  try {
+    return ibisvalve::bench::RunTarget();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "faketarget: %s\n", error.what());
+    return 1;
+  }
+}
