Parse the configuration file and the settings, all findings at once

Cause: nothing could read the two YAML formats yet. Both parsers read their file through one map reader that knows which keys were asked for, so unknown and doubled keys are found wherever they stand, and every fault is kept with line, column and path until the end.

--- /dev/null
+++ b/src/config/settings_parser.cc
@@ -0,0 +1,214 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "config/config.h"
+#include "config/converters.h"
+
+namespace ibisvalve::config {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr uint32_t kMaxSlots = 10'000;
+constexpr uint32_t kMaxCallerConnections = 100'000;
+constexpr uint64_t kMinBodyMemory = 1 << 20;
+constexpr uint64_t kMaxBodyMemory = 1 << 30;
+
+// An address that other processes are told: it must be one that they can
+// connect to.
+Converter<world::Endpoint> AnnouncedAddress() {
+  return [address = Address(false)](
+             const YamlValue& value) -> std::optional<world::Endpoint> {
+    std::optional<world::Endpoint> endpoint = address(value);
+    if (endpoint && (endpoint->ip == "0.0.0.0" || endpoint->ip == "::")) {
+      value.Report(endpoint->ip + " cannot be announced to other processes",
+                   "write the IP number of this host");
+      return std::nullopt;
+    }
+    return endpoint;
+  };
+}
+
+// Reads the settings of a daemon; its members are the steps.
+class SettingsParser {
+ public:
+  explicit SettingsParser(const YamlValue& document) : map_(document) {}
+
+  Settings Parse();
+
+ private:
+  bool ReadRole();
+  void ReadNode();
+  void ReadKeeper();
+  void ReadTarget(YamlMap& map);
+  void ReadPolicy();
+  void ReadLimits(YamlMap& map);
+  void ReadAddresses(const std::string& key,
+                     bool required,
+                     std::vector<world::Endpoint>& out);
+  void ReadAnnounced(const std::string& key,
+                     const std::string& example,
+                     world::Endpoint& out);
+  void RefuseKeys(const std::vector<std::string>& keys,
+                  const std::string& role);
+  void CheckPorts();
+
+  YamlMap map_;
+  Settings settings_;
+};
+
+Settings SettingsParser::Parse() {
+  if (!map_.valid()) {
+    return settings_;
+  }
+  settings_.admin = world::Endpoint{"127.0.0.1", 0};
+  map_.Require("id", "id: suva-1", Name<NodeId>(), settings_.id);
+  const bool role_known = ReadRole();
+  map_.Require("region", "region: viti-levu", Name<RegionName>(),
+               settings_.location.region);
+  map_.Require("zone", "zone: suva", Name<ZoneName>(), settings_.location.zone);
+  map_.Read("admin", AnnouncedAddress(), settings_.admin);
+  ReadAddresses("keepers", true, settings_.keepers);
+  // Without a role nobody can tell which of the other keys fit.
+  if (role_known) {
+    settings_.role == Role::kNode ? ReadNode() : ReadKeeper();
+    CheckPorts();
+    map_.Finish();
+  }
+  return settings_;
+}
+
+bool SettingsParser::ReadRole() {
+  return map_.Require(
+      "role", "role: node",
+      OneOf<Role>({{"node", Role::kNode}, {"keeper", Role::kKeeper}}),
+      settings_.role);
+}
+
+void SettingsParser::ReadNode() {
+  map_.Require("callers", "callers: 10.0.0.7:8000", Address(false),
+               settings_.callers);
+  ReadAnnounced("mesh", "mesh: 10.0.0.7:7000", settings_.mesh);
+  ReadAnnounced("gossip", "gossip: 10.0.0.7:7000", settings_.gossip);
+  ReadAddresses("seeds", false, settings_.seeds);
+  map_.ReadMap("target", [this](YamlMap& map) { ReadTarget(map); });
+  ReadPolicy();
+  map_.ReadMap("limits", [this](YamlMap& map) { ReadLimits(map); });
+  RefuseKeys({"control", "data"}, "node");
+}
+
+void SettingsParser::ReadKeeper() {
+  ReadAnnounced("control", "control: 10.0.0.7:7100", settings_.control);
+  map_.Require("data", "data: /var/lib/ibisvalve", Text(), settings_.data);
+  RefuseKeys(
+      {"callers", "mesh", "gossip", "seeds", "target", "policy", "limits"},
+      "keeper");
+}
+
+void SettingsParser::ReadTarget(YamlMap& map) {
+  TargetSettings target;
+  map.Require("service", "service: bookdesk", Name<ServiceName>(),
+              target.service);
+  map.Require("endpoint", "endpoint: 127.0.0.1:9000", Address(true),
+              target.endpoint);
+  map.Require("slots", "slots: 20", WholeBetween(1, kMaxSlots), target.slots);
+  map.Read("health_path", UriPath(), target.health_path);
+  map.Read("announces", Boolean(), target.announces);
+  if (target.endpoint.port != 0 && target.endpoint == settings_.callers) {
+    map.ReportAt("endpoint", "is this node's own address for callers",
+                 "write the address of the target");
+  }
+  settings_.target = target;
+}
+
+void SettingsParser::ReadPolicy() {
+  map_.Read("policy",
+            OneOf<ChoicePolicy>({{"weighed", ChoicePolicy::kWeighed},
+                                 {"random", ChoicePolicy::kRandom},
+                                 {"round-robin", ChoicePolicy::kRoundRobin},
+                                 {"least-local", ChoicePolicy::kLeastLocal},
+                                 {"two-stale", ChoicePolicy::kTwoStale}}),
+            settings_.policy);
+}
+
+void SettingsParser::ReadLimits(YamlMap& map) {
+  ProcessLimits& limits = settings_.limits;
+  map.Read("body_memory", SizeBetween(kMinBodyMemory, kMaxBodyMemory),
+           limits.body_memory);
+  map.Read("caller_connections", WholeBetween(1, kMaxCallerConnections),
+           limits.caller_connections);
+  map.Read("link_silence", DurationBetween(milliseconds(20), seconds(10)),
+           limits.link_silence);
+  map.Read("drain_limit", DurationBetween(seconds(1), minutes(60)),
+           limits.drain_limit);
+}
+
+void SettingsParser::ReadAddresses(const std::string& key,
+                                   bool required,
+                                   std::vector<world::Endpoint>& out) {
+  map_.ReadList(
+      key, required, key + ": [10.0.0.7:7000]", [&](const YamlValue& item) {
+        const auto endpoint = Address(true)(item);
+        if (!endpoint) {
+          return;
+        }
+        if (std::find(out.begin(), out.end(), *endpoint) != out.end()) {
+          item.Report("the address stands twice", "remove one of them");
+          return;
+        }
+        out.push_back(*endpoint);
+      });
+}
+
+void SettingsParser::ReadAnnounced(const std::string& key,
+                                   const std::string& example,
+                                   world::Endpoint& out) {
+  map_.Require(key, example, AnnouncedAddress(), out);
+}
+
+void SettingsParser::RefuseKeys(const std::vector<std::string>& keys,
+                                const std::string& role) {
+  for (const std::string& key : keys) {
+    if (map_.Find(key)) {
+      map_.ReportAt(key, "does not fit a " + role, "remove it");
+    }
+  }
+}
+
+void SettingsParser::CheckPorts() {
+  // Gossip runs over UDP and may share a port number with the others.
+  const std::vector<std::pair<std::string, const world::Endpoint*>> listeners =
+      {{"callers", &settings_.callers},
+       {"mesh", &settings_.mesh},
+       {"admin", &settings_.admin},
+       {"control", &settings_.control}};
+  for (size_t later = 1; later < listeners.size(); ++later) {
+    for (size_t earlier = 0; earlier < later; ++earlier) {
+      const world::Endpoint& endpoint = *listeners[later].second;
+      if (endpoint.port != 0 && endpoint == *listeners[earlier].second) {
+        map_.ReportAt(
+            listeners[later].first,
+            "is the same address as \"" + listeners[earlier].first + "\"",
+            "give each its own port");
+      }
+    }
+  }
+}
+
+}  // namespace
+
+Settings ParseSettings(const std::string& text, const std::string& file) {
+  FindingList findings(file);
+  Settings settings;
+  if (const auto document = LoadDocument(text, findings)) {
+    settings = SettingsParser(*document).Parse();
+  }
+  findings.ThrowIfAny();
+  return settings;
+}
+
+}  // namespace ibisvalve::config
--- /dev/null
+++ b/src/config/yaml_document.cc
@@ -0,0 +1,248 @@
+#include "config/yaml_document.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "config/units.h"
+
+namespace ibisvalve::config {
+namespace {
+
+constexpr size_t kMaxFileBytes = 1 << 20;
+// A longer text is cut in messages.
+constexpr size_t kShownLetters = 60;
+
+// Returns `text` fit for one line of a message.
+std::string Shown(const std::string& text) {
+  std::string shown;
+  for (const char letter : text.substr(0, kShownLetters)) {
+    const bool control = static_cast<unsigned char>(letter) < ' ';
+    shown += control ? '?' : letter;
+  }
+  return text.size() > kShownLetters ? shown + "..." : shown;
+}
+
+std::string KindOf(const YAML::Node& node) {
+  switch (node.Type()) {
+    case YAML::NodeType::Map:
+      return "a map";
+    case YAML::NodeType::Sequence:
+      return "a list";
+    case YAML::NodeType::Scalar:
+      return "\"" + Shown(node.Scalar()) + "\"";
+    default:
+      return "empty";
+  }
+}
+
+}  // namespace
+
+void FindingList::Add(const YAML::Mark& mark,
+                      const std::string& path,
+                      const std::string& problem,
+                      const std::string& advice) {
+  findings_.push_back(Finding{
+      Place{file_, mark.line + 1, mark.column + 1, path}, problem, advice});
+}
+
+void FindingList::ThrowIfAny() {
+  if (findings_.empty()) {
+    return;
+  }
+  std::stable_sort(findings_.begin(), findings_.end(),
+                   [](const Finding& one, const Finding& other) {
+                     return std::tie(one.place.line, one.place.column) <
+                            std::tie(other.place.line, other.place.column);
+                   });
+  throw InvalidInput(findings_);
+}
+
+YamlValue::YamlValue(const YAML::Node& node,
+                     const YAML::Mark& mark,
+                     std::string path,
+                     FindingList& findings)
+    : node_(node), mark_(mark), path_(std::move(path)), findings_(&findings) {}
+
+void YamlValue::Report(const std::string& problem,
+                       const std::string& advice) const {
+  findings_->Add(mark_, path_, problem, advice);
+}
+
+std::optional<std::string> YamlValue::Scalar(
+    const std::string& expected) const {
+  if (node_.IsScalar()) {
+    return node_.Scalar();
+  }
+  Report("is " + KindOf(node_), "write " + expected);
+  return std::nullopt;
+}
+
+std::vector<YamlValue> YamlValue::Items() const {
+  std::vector<YamlValue> items;
+  if (!node_.IsSequence()) {
+    Report("is " + KindOf(node_), "write a list");
+    return items;
+  }
+  for (const YAML::Node& item : node_) {
+    const YAML::Mark mark = item.Mark().is_null() ? mark_ : item.Mark();
+    items.emplace_back(item, mark,
+                       path_ + "[" + std::to_string(items.size()) + "]",
+                       *findings_);
+  }
+  return items;
+}
+
+YamlMap::YamlMap(const YamlValue& value)
+    : self_(value), valid_(value.node_.IsMap()) {
+  if (!valid_) {
+    value.Report("is " + KindOf(value.node_), "write a map of keys");
+    return;
+  }
+  for (const auto& pair : value.node_) {
+    Add(pair.first, pair.second);
+  }
+}
+
+void YamlMap::Add(const YAML::Node& key, const YAML::Node& value) {
+  const YAML::Mark mark = key.Mark().is_null() ? self_.mark_ : key.Mark();
+  if (!key.IsScalar()) {
+    self_.findings_->Add(mark, self_.path_, "a key is " + KindOf(key),
+                         "write a plain word as key");
+    return;
+  }
+  const std::string& name = key.Scalar();
+  if (FindEntry(name) != nullptr) {
+    self_.findings_->Add(mark, PathOf(name), "the key stands twice",
+                         "remove one of them");
+    return;
+  }
+  const bool placed = !value.Mark().is_null() && !value.IsNull();
+  entries_.push_back(Entry{name, mark,
+                           YamlValue(value, placed ? value.Mark() : mark,
+                                     PathOf(name), *self_.findings_)});
+}
+
+std::optional<YamlValue> YamlMap::Find(const std::string& key) {
+  if (std::find(known_.begin(), known_.end(), key) == known_.end()) {
+    known_.push_back(key);
+  }
+  const Entry* entry = FindEntry(key);
+  return entry == nullptr ? std::nullopt : std::optional(entry->value);
+}
+
+void YamlMap::ReadList(const std::string& key,
+                       bool required,
+                       const std::string& example,
+                       const std::function<void(const YamlValue&)>& read) {
+  const std::optional<YamlValue> value = Find(key);
+  if (!value) {
+    if (required) {
+      ReportMissing(key, example);
+    }
+    return;
+  }
+  const size_t faults = self_.findings_->size();
+  const std::vector<YamlValue> items = value->Items();
+  if (required && items.empty() && faults == self_.findings_->size()) {
+    value->Report("is an empty list", "write at least one item: " + example);
+  }
+  for (const YamlValue& item : items) {
+    read(item);
+  }
+}
+
+void YamlMap::ReadMap(const std::string& key,
+                      const std::function<void(YamlMap&)>& read) {
+  const std::optional<YamlValue> value = Find(key);
+  if (!value) {
+    return;
+  }
+  YamlMap map(*value);
+  if (map.valid()) {
+    read(map);
+    map.Finish();
+  }
+}
+
+void YamlMap::ReadEach(
+    const std::function<void(const std::string& key, const YamlValue& value)>&
+        read) {
+  for (const Entry& entry : entries_) {
+    known_.push_back(entry.key);
+    read(entry.key, entry.value);
+  }
+}
+
+void YamlMap::ReportAt(const std::string& key,
+                       const std::string& problem,
+                       const std::string& advice) const {
+  const Entry* entry = FindEntry(key);
+  if (entry == nullptr) {
+    self_.Report(problem, advice);
+  } else {
+    entry->value.Report(problem, advice);
+  }
+}
+
+void YamlMap::Finish() const {
+  for (const Entry& entry : entries_) {
+    if (std::find(known_.begin(), known_.end(), entry.key) != known_.end()) {
+      continue;
+    }
+    const std::optional<std::string> nearest = NearestWord(entry.key, known_);
+    std::string advice;
+    if (nearest) {
+      advice = "write \"" + *nearest + "\"";
+    } else {
+      advice = "known here:";
+      for (const std::string& known : known_) {
+        advice += " " + known;
+      }
+    }
+    self_.findings_->Add(entry.mark, PathOf(entry.key), "unknown key", advice);
+  }
+}
+
+void YamlMap::ReportMissing(const std::string& key,
+                            const std::string& example) const {
+  self_.Report("\"" + key + "\" is missing", "write \"" + example + "\"");
+}
+
+const YamlMap::Entry* YamlMap::FindEntry(const std::string& key) const {
+  const auto found =
+      std::find_if(entries_.begin(), entries_.end(),
+                   [&](const Entry& entry) { return entry.key == key; });
+  return found == entries_.end() ? nullptr : &*found;
+}
+
+std::string YamlMap::PathOf(const std::string& key) const {
+  const std::string shown = Shown(key);
+  return self_.path_.empty() ? shown : self_.path_ + "." + shown;
+}
+
+std::optional<YamlValue> LoadDocument(const std::string& text,
+                                      FindingList& findings) {
+  const YAML::Mark start;
+  if (text.size() > kMaxFileBytes) {
+    findings.Add(start, "", "the file is longer than 1MiB",
+                 "write a shorter one");
+    return std::nullopt;
+  }
+  try {
+    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
+    if (documents.size() == 1) {
+      return YamlValue(documents.front(), start, "", findings);
+    }
+    findings.Add(start, "",
+                 "the file holds " + std::to_string(documents.size()) +
+                     " YAML documents",
+                 "write exactly one");
+  } catch (const YAML::Exception& error) {
+    const YAML::Mark mark = error.mark.is_null() ? start : error.mark;
+    findings.Add(mark, "", "is not valid YAML: " + error.msg,
+                 "check the indentation, quotes and brackets here");
+  }
+  return std::nullopt;
+}
+
+}  // namespace ibisvalve::config
