--- a/bench/common/run_log.cc
+++ b/bench/common/run_log.cc
@@ -15,6 +15,11 @@
   return text.empty() ? dash : text;
 }
 
+std::string Identity(const std::string& run, const std::string& key) {
+  return std::to_string(WallMicros()) + " run=" + OrDash(run) +
+         " key=" + OrDash(key);
+}
+
 }  // namespace
 
 RunLog::RunLog(const std::string& path) {
@@ -38,15 +43,13 @@
                    const std::string& key,
                    const std::string& method,
                    const std::string& path) {
-  Write("start " + std::to_string(WallMicros()) + " " + OrDash(run) + " " +
-        OrDash(key) + " " + method + " " + path + "\n");
+  Write("start " + Identity(run, key) + " " + method + " " + path + "\n");
 }
 
 void RunLog::End(const std::string& run,
                  const std::string& key,
                  const std::string& status) {
-  Write("end " + std::to_string(WallMicros()) + " " + OrDash(run) + " " +
-        OrDash(key) + " " + status + "\n");
+  Write("end " + Identity(run, key) + " " + status + "\n");
 }
 
 void RunLog::Write(const std::string& line) {
--- a/bench/common/run_log.h
+++ b/bench/common/run_log.h
@@ -5,9 +5,10 @@
 namespace ibisvalve::bench {
 
 /// File with one line for the start and one for the end of each run:
-///   start MICROS RUN KEY METHOD PATH
-///   end MICROS RUN KEY STATUS
-/// A missing RUN or KEY is "-"; STATUS is an HTTP status or "cancelled". Each
+///   start MICROS run=RUN key=KEY METHOD PATH
+///   end MICROS run=RUN key=KEY STATUS
+/// A missing RUN or KEY is "-"; STATUS is an HTTP status, "cut" or
+/// "cancelled". Each
 /// line has been handed to the system before the target goes on, so it
 /// survives the death of the process.
 class RunLog {
--- a/bench/target/main.cc
+++ b/bench/target/main.cc
@@ -8,20 +8,21 @@
 #include <string>
 
 #include "base/base.h"
+#include "bench/common/duration_text.h"
 #include "bench/target/target_server.h"
 #include "net/net.h"
 
 DEFINE_string(listen, "127.0.0.1:0", "address for HTTP; port 0 picks one");
 DEFINE_string(name, "target", "name in every answer");
 DEFINE_uint32(slots, 20, "requests run at once; the rest wait");
-DEFINE_double(service_time, 5, "mean service time, milliseconds");
+DEFINE_string(service_time, "5ms", "mean service time");
 DEFINE_string(distribution, "fixed", "fixed, exponential or lognormal");
 DEFINE_double(noise_factor, 1, "factor on service times in noisy periods");
 DEFINE_double(noise_share, 0, "share of the time that is noisy, below 1");
-DEFINE_double(noise_length, 50, "mean noisy period, milliseconds");
+DEFINE_string(noise_length, "50ms", "mean noisy period");
 DEFINE_double(straggler, 1, "factor on every service time");
 DEFINE_bool(fail_fast, false, "refuse every request with 500 at once");
-DEFINE_double(cold_start, 0, "seconds from the start until warm");
+DEFINE_string(cold_start, "0s", "from the start until warm");
 DEFINE_double(cold_factor, 10, "factor on service times at the very start");
 DEFINE_string(crash_on, "", "path whose run ends the process at once");
 DEFINE_string(run_log, "", "file with a line for each start and end of a run");
@@ -31,38 +32,33 @@
 namespace ibisvalve::bench {
 namespace {
 
-constexpr double kMicrosPerMilli = 1e3;
-constexpr double kMicrosPerSecond = 1e6;
-
-Duration FromMicros(double micros) {
-  return Duration(static_cast<int64_t>(micros));
-}
-
 // Returns nothing, with the reason printed, when a flag is wrong.
 std::optional<TargetSettings> SettingsFromFlags() {
   TargetSettings settings;
   const auto listen = world::ParseEndpoint(FLAGS_listen);
   const auto distribution = ParseDistribution(FLAGS_distribution);
-  if (!listen || !distribution || FLAGS_slots == 0 || FLAGS_noise_share < 0 ||
+  const auto service_time = ParseDuration(FLAGS_service_time);
+  const auto noise_length = ParseDuration(FLAGS_noise_length);
+  const auto cold_start = ParseDuration(FLAGS_cold_start);
+  if (!listen || !distribution || !service_time || !noise_length ||
+      !cold_start || FLAGS_slots == 0 || FLAGS_noise_share < 0 ||
       FLAGS_noise_share >= 1) {
     std::fprintf(stderr,
-                 "faketarget: --listen, --distribution, --slots or "
-                 "--noise_share is wrong; see --help\n");
+                 "faketarget: a flag is wrong: addresses are ip:port, times "
+                 "carry us, ms or s, shares are below 1; see --help\n");
     return std::nullopt;
   }
   settings.listen = *listen;
   settings.name = FLAGS_name;
   settings.slots = FLAGS_slots;
-  settings.service.mean = FromMicros(FLAGS_service_time * kMicrosPerMilli);
+  settings.service.mean = *service_time;
   settings.service.distribution = *distribution;
   settings.service.straggler = FLAGS_straggler;
   settings.service.noise_factor = FLAGS_noise_factor;
   settings.service.noise_share = FLAGS_noise_share;
-  settings.service.noise_length =
-      FromMicros(FLAGS_noise_length * kMicrosPerMilli);
+  settings.service.noise_length = *noise_length;
   settings.service.cold_factor = FLAGS_cold_factor;
-  settings.service.cold_length =
-      FromMicros(FLAGS_cold_start * kMicrosPerSecond);
+  settings.service.cold_length = *cold_start;
   settings.fail_fast = FLAGS_fail_fast;
   settings.crash_on = FLAGS_crash_on;
   settings.run_log = FLAGS_run_log;
--- a/bench/target/run.cc
+++ b/bench/target/run.cc
@@ -112,7 +112,8 @@
 }
 
 void Run::AnswerText() {
-  nlohmann::json answer = {{"method", facts_.method},
+  nlohmann::json answer = {{"request", facts_.method + " " + facts_.path},
+                           {"method", facts_.method},
                            {"path", facts_.path},
                            {"name", facts_.name},
                            {"run", facts_.run},
--- a/tests/bench/target_test.cc
+++ b/tests/bench/target_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bench/common/byte_stream.h"
+#include "bench/common/duration_text.h"
 #include "bench/common/service_model.h"
 #include "bench/target/target_server.h"
 #include "gtest/gtest.h"
@@ -27,6 +28,15 @@
   EXPECT_EQ(joined, expected);
 }
 
+TEST(DurationTextTest, NeedsAUnit) {
+  EXPECT_EQ(ParseDuration("2.5ms"), Duration(2500));
+  EXPECT_EQ(ParseDuration("3s"), Duration(3'000'000));
+  EXPECT_EQ(ParseDuration("7us"), Duration(7));
+  for (const char* text : {"", "5", "ms", "-1s", "1 s", "1sec", "nans"}) {
+    EXPECT_EQ(ParseDuration(text), std::nullopt) << text;
+  }
+}
+
 TEST(ServiceModelTest, KeepsItsMeanAndItsFactors) {
   ServiceSettings settings;
   settings.mean = std::chrono::milliseconds(10);
@@ -125,6 +135,7 @@
   while (std::getline(log, line)) {
     const bool start = line.starts_with("start ");
     starts += start ? 1 : 0;
+    EXPECT_NE(line.find(" key=- "), std::string::npos) << line;
     running += start ? 1 : -1;
     EXPECT_LE(running, 2);
   }
@@ -137,6 +148,7 @@
   TargetServer server(loop_, settings_);
   const auto echo = Fetch(server, "POST", {"/echo"}, "text").at(0);
   const auto answer = nlohmann::json::parse(echo.body);
+  EXPECT_EQ(answer.at("request"), "POST /echo");
   EXPECT_EQ(answer.at("size"), 4);
   EXPECT_EQ(answer.at("digest"), ToHex(DigestOf("text")));
   const auto bytes = Fetch(server, "GET", {"/bytes?size=300000&seed=9"}).at(0);
