Announce nodes and learn of others by gossip

The pure Gossip machine (direct and indirect pings, suspicion and refutation, changes passed on a bounded number of times, comparison of tables by digests of buckets) with a token bucket of 5,000 bytes a second, and the service around it on a UDP socket and a timer.

Failures met on the way, each now held by a test: - 300 machines that start together with two seeds never converged (after 120 s 275 of them still knew nobody): the seeds spent their whole budget on acks to lone nodes. Ruled out: the table sync itself, it was never answered. A lone node now gets one datagram of members in place of an ack, pings its seeds less and less often, and asks for tables without sending digests. - A datagram of 1,208 bytes: numbers of empty buckets were added after a message was full.

--- /dev/null
+++ b/src/membership/member_table.cc
@@ -0,0 +1,219 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ibisvalve::membership {
+namespace {
+
+using world::Member;
+using world::MemberState;
+
+// Of two announcements with the same version, the higher rank holds.
+int Rank(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return 0;
+    case MemberState::kSuspect:
+      return 1;
+    case MemberState::kUnreachable:
+    case MemberState::kDead:
+      return 2;
+    case MemberState::kLeft:
+      return 3;
+  }
+  return 0;
+}
+
+size_t BucketOf(const NodeId& id) {
+  return DigestOf(id.value).value % MemberTable::kBuckets;
+}
+
+uint64_t HashOf(const Member& member) {
+  std::string bytes = member.id.value;
+  bytes += '\0';
+  bytes += std::to_string(member.incarnation.value);
+  bytes += ':';
+  bytes += std::to_string(member.version);
+  bytes += member.state == MemberState::kSuspect ? 's' : 'a';
+  return DigestOf(bytes).value;
+}
+
+}  // namespace
+
+bool Overrides(const Member& a, const Member& b) {
+  return std::tuple(a.incarnation, a.version, Rank(a.state)) >
+         std::tuple(b.incarnation, b.version, Rank(b.state));
+}
+
+bool IsLive(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
+bool MemberTable::Merge(const Member& heard, Time now) {
+  const auto found = members_.find(heard.id);
+  if (found == members_.end()) {
+    if (!IsLive(heard)) {
+      return false;
+    }
+    if (members_.size() >= settings_.max_members) {
+      overflowed_ = true;
+      return false;
+    }
+    buckets_[BucketOf(heard.id)].push_back(heard.id);
+  } else {
+    if (!Overrides(heard, found->second)) {
+      return false;
+    }
+    CountOut(found->second);
+  }
+  Member& member = members_[heard.id];
+  member = heard;
+  CountIn(member);
+  const bool dead = heard.state == MemberState::kDead ||
+                    heard.state == MemberState::kUnreachable;
+  if (dead) {
+    SetState(
+        member,
+        IsCut(heard.location) ? MemberState::kUnreachable : MemberState::kDead,
+        now);
+  } else {
+    SetState(member, heard.state, now);
+  }
+  return true;
+}
+
+std::vector<Member> MemberTable::Sweep(Time now, Duration suspicion) {
+  CountGroups();
+  std::vector<Member> changed;
+  std::vector<NodeId> old;
+  for (auto& [id, member] : members_) {
+    if (member.state == MemberState::kAlive) {
+      continue;
+    }
+    if (IsCut(member.location)) {
+      silences_[id].cut_last = now;
+    }
+    if (const auto next = Expired(member, now, suspicion)) {
+      SetState(member, *next, now);
+      changed.push_back(member);
+    } else if (IsOld(member, now)) {
+      old.push_back(id);
+    }
+  }
+  for (const NodeId& id : old) {
+    Forget(id);
+  }
+  return changed;
+}
+
+const Member* MemberTable::Find(const NodeId& id) const {
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+const std::vector<NodeId>& MemberTable::Bucket(size_t bucket) const {
+  return buckets_.at(bucket);
+}
+
+void MemberTable::CountGroups() {
+  zones_.clear();
+  regions_.clear();
+  for (const auto& [id, member] : members_) {
+    if (member.state == MemberState::kLeft) {
+      continue;
+    }
+    const uint32_t silent = member.state == MemberState::kAlive ? 0 : 1;
+    Count& zone = zones_[member.location.zone];
+    Count& region = regions_[member.location.region];
+    ++zone.members;
+    ++region.members;
+    zone.silent += silent;
+    region.silent += silent;
+  }
+}
+
+bool MemberTable::IsCut(const world::Location& location) const {
+  const auto zone = zones_.find(location.zone);
+  const auto region = regions_.find(location.region);
+  return (zone != zones_.end() && zone->second.MostlySilent()) ||
+         (region != regions_.end() && region->second.MostlySilent());
+}
+
+void MemberTable::SetState(Member& member, MemberState state, Time now) {
+  CountOut(member);
+  member.state = state;
+  CountIn(member);
+  if (state == MemberState::kAlive) {
+    silences_.erase(member.id);
+  } else {
+    silences_[member.id].since = now;
+  }
+}
+
+// Returns the state that follows by the passing of time, if any.
+std::optional<MemberState> MemberTable::Expired(const Member& member,
+                                                Time now,
+                                                Duration suspicion) const {
+  const Silence& silence = silences_.at(member.id);
+  const bool cut = silence.cut_last == now;
+  if (member.state == MemberState::kSuspect &&
+      now - silence.since >= suspicion) {
+    return cut ? MemberState::kUnreachable : MemberState::kDead;
+  }
+  if (member.state == MemberState::kDead && cut) {
+    return MemberState::kUnreachable;
+  }
+  // Some of its zone came back; it gets time to follow.
+  if (member.state == MemberState::kUnreachable && !cut &&
+      now - silence.cut_last >= settings_.return_grace) {
+    return MemberState::kDead;
+  }
+  return std::nullopt;
+}
+
+bool MemberTable::IsOld(const Member& member, Time now) const {
+  const Duration age = now - silences_.at(member.id).since;
+  switch (member.state) {
+    case MemberState::kAlive:
+    case MemberState::kSuspect:
+      return false;
+    case MemberState::kUnreachable:
+      return age >= settings_.hold;
+    case MemberState::kDead:
+    case MemberState::kLeft:
+      return age >= settings_.forget_after;
+  }
+  return false;
+}
+
+void MemberTable::CountIn(const Member& member) {
+  if (IsLive(member)) {
+    ++live_;
+    ToggleDigests(member);
+  }
+}
+
+void MemberTable::CountOut(const Member& member) {
+  if (IsLive(member)) {
+    --live_;
+    ToggleDigests(member);
+  }
+}
+
+// Adds a live member to the digests, or takes it out again.
+void MemberTable::ToggleDigests(const Member& member) {
+  const uint64_t hash = HashOf(member);
+  digests_[BucketOf(member.id)] ^= static_cast<uint32_t>(hash);
+  digest_.value ^= hash;
+}
+
+void MemberTable::Forget(const NodeId& id) {
+  auto& bucket = buckets_[BucketOf(id)];
+  bucket.erase(std::find(bucket.begin(), bucket.end(), id));
+  members_.erase(id);
+  silences_.erase(id);
+}
+
+}  // namespace ibisvalve::membership
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -5,21 +5,12 @@
 #include <memory>
 #include <vector>
 
+#include "membership/membership_settings.h"  // IWYU pragma: export
 #include "net/net.h"
 #include "world/world.h"
 
 namespace ibisvalve::membership {
 
-/// Settings of membership; the defaults suit 1,000 nodes.
-struct MembershipSettings {
-  std::vector<world::Endpoint> seeds;  // gossip endpoints of some nodes
-  Duration period = std::chrono::milliseconds(500);  // between rounds
-  uint32_t bytes_per_second = 5000;  // sent, on average, at most
-  uint32_t datagram_bytes = 1200;    // largest datagram
-
-  auto operator<=>(const MembershipSettings&) const = default;
-};
-
 /// Announces this node and learns of all others by gossip.
 class MembershipService {
  public:
@@ -43,6 +34,9 @@
   const std::map<NodeId, world::Member>& members() const;
   /// Returns this node as announced, with its real gossip port.
   const world::Member& self() const;
+  /// Returns whether a newer process with the same id has taken over; this one
+  /// announces itself no more.
+  bool replaced() const;
   /// Returns how many bytes were sent so far.
   uint64_t sent_bytes() const;
   /// Appends what /metrics shows of this part to `out`.
--- /dev/null
+++ b/src/membership/peer_order.cc
@@ -0,0 +1,61 @@
+#include "membership/peer_order.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ibisvalve::membership {
+
+void PeerOrder::Add(const NodeId& id) {
+  if (id != self_) {
+    ids_.push_back(id);
+    std::swap(ids_.back(), ids_[Below(ids_.size())]);
+  }
+}
+
+const world::Member* PeerOrder::Next(const MemberTable& table) {
+  // Twice, because the first pass may end before the list's end.
+  for (int pass = 0; pass < 2; ++pass) {
+    while (position_ < ids_.size()) {
+      const world::Member* member = table.Find(ids_[position_++]);
+      if (member != nullptr && IsLive(*member)) {
+        return member;
+      }
+    }
+    Shuffle(table);
+  }
+  return nullptr;
+}
+
+std::vector<const world::Member*> PeerOrder::Some(const MemberTable& table,
+                                                  size_t count,
+                                                  const NodeId& except) {
+  std::vector<const world::Member*> chosen;
+  if (ids_.empty()) {
+    return chosen;
+  }
+  const size_t start = Below(ids_.size());
+  for (size_t i = 0; i < ids_.size() && chosen.size() < count; ++i) {
+    const world::Member* member = table.Find(ids_[(start + i) % ids_.size()]);
+    const bool fits =
+        member != nullptr && IsLive(*member) && member->id != except &&
+        member->id != self_ &&
+        std::find(chosen.begin(), chosen.end(), member) == chosen.end();
+    if (fits) {
+      chosen.push_back(member);
+    }
+  }
+  return chosen;
+}
+
+void PeerOrder::Shuffle(const MemberTable& table) {
+  ids_.clear();
+  position_ = 0;
+  for (const auto& [id, member] : table.members()) {
+    if (id != self_ && IsLive(member)) {
+      ids_.push_back(id);
+    }
+  }
+  std::shuffle(ids_.begin(), ids_.end(), random_);
+}
+
+}  // namespace ibisvalve::membership
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -3,7 +3,8 @@
 /// Public header of the wire library: messages between the system's own
 /// processes, their framing and their limits.
 
-#include "wire/archive.h"         // IWYU pragma: export
-#include "wire/claim_messages.h"  // IWYU pragma: export
-#include "wire/frame.h"           // IWYU pragma: export
-#include "wire/mesh_messages.h"   // IWYU pragma: export
+#include "wire/archive.h"          // IWYU pragma: export
+#include "wire/claim_messages.h"   // IWYU pragma: export
+#include "wire/frame.h"            // IWYU pragma: export
+#include "wire/gossip_messages.h"  // IWYU pragma: export
+#include "wire/mesh_messages.h"    // IWYU pragma: export
--- /dev/null
+++ b/tests/membership/gossip_fleet.h
@@ -0,0 +1,256 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/gossip.h"
+
+namespace ibisvalve::membership {
+
+/// What the network does to datagrams, as chances from 0 to 1.
+struct Weather {
+  double loss = 0;
+  double doubling = 0;
+  Duration min_delay = std::chrono::milliseconds(1);
+  Duration max_delay = std::chrono::milliseconds(1);  // spread reorders
+};
+
+/// Protocol machines of many nodes joined by an in-memory network.
+class GossipFleet {
+ public:
+  GossipFleet(uint64_t seed,
+              const Weather& weather,
+              const TableSettings& table_settings = {})
+      : weather_(weather), table_settings_(table_settings), random_(seed) {}
+
+  /// Returns the announcement of node `index` in one of `zones` zones.
+  static world::Member MakeMember(size_t index, size_t zones) {
+    world::Member member;
+    member.id = NodeId("node-" + std::to_string(index));
+    member.incarnation = Incarnation(1000 + index);
+    member.location = {RegionName("viti-levu"),
+                       ZoneName("zone-" + std::to_string(index % zones))};
+    member.gossip = {"10.0." + std::to_string(index / 250) + "." +
+                         std::to_string(index % 250),
+                     7000};
+    member.mesh = {member.gossip.ip, 7001};
+    member.admin = {"127.0.0.1", 7002};
+    member.service = ServiceName("roomfinder");
+    member.target = world::TargetState::kReady;
+    member.slots = 20;
+    return member;
+  }
+
+  /// Starts a node; one that has the same endpoint is replaced.
+  void Start(const world::Member& self, const MembershipSettings& settings) {
+    nodes_[self.gossip] =
+        std::make_unique<Gossip>(settings, self, random_(), table_settings_);
+    tick_ = settings.period / 4;
+    ticking_[self.gossip] = sequence_;
+    PushTick(self.gossip, sequence_,
+             now_ + Duration(random_() % settings.period.count()));
+  }
+
+  /// Starts `count` nodes that have the first two as seeds.
+  void StartMany(size_t count, size_t zones) {
+    MembershipSettings settings;
+    settings.seeds = {MakeMember(0, zones).gossip, MakeMember(1, zones).gossip};
+    for (size_t i = 0; i < count; ++i) {
+      Start(MakeMember(i, zones), settings);
+    }
+  }
+
+  /// Ends a node without a word.
+  void Kill(const world::Endpoint& node) {
+    nodes_.erase(node);
+    ticking_.erase(node);
+  }
+
+  /// Runs for `span`.
+  void Run(Duration span) {
+    const Time end = now_ + span;
+    RunUntil(end, [] { return false; });
+  }
+
+  /// Runs until `done`, which is asked every 100 ms, or for `limit`; returns
+  /// how long it took, or nothing.
+  std::optional<Duration> RunUntil(const std::function<bool()>& done,
+                                   Duration limit) {
+    const Time start = now_;
+    return RunUntil(now_ + limit, done) ? std::optional<Duration>(now_ - start)
+                                        : std::nullopt;
+  }
+
+  /// Decides which datagrams pass; all by default.
+  void SetPasses(std::function<bool(const world::Endpoint& from,
+                                    const world::Endpoint& to)> passes) {
+    passes_ = std::move(passes);
+  }
+  void SetWeather(const Weather& weather) { weather_ = weather; }
+
+  /// Lets `bytes` arrive late.
+  void Inject(const world::Endpoint& from,
+              const world::Endpoint& to,
+              const std::string& bytes,
+              Duration delay) {
+    queue_.push({now_ + delay, sequence_++, from, to, bytes, 0});
+  }
+
+  Gossip& At(const world::Endpoint& node) { return *nodes_.at(node); }
+  Gossip& At(size_t index) { return At(MakeMember(index, 1).gossip); }
+  const std::map<world::Endpoint, std::unique_ptr<Gossip>>& nodes() const {
+    return nodes_;
+  }
+  Time now() const { return now_; }
+  /// Takes in what a call on a node asked for.
+  void Perform(const world::Endpoint& node, const GossipActions& actions) {
+    for (const Datagram& datagram : actions.datagrams) {
+      largest_ = std::max(largest_, datagram.bytes.size());
+      SendOne(node, datagram);
+    }
+    for (const world::Member& member : actions.changed) {
+      ++changes_;
+      if (on_change_) {
+        on_change_(node, member);
+      }
+    }
+    for (const IdentityClash& clash : actions.clashes) {
+      clashes_.emplace_back(node, clash);
+    }
+    if (actions.left) {
+      left_.insert(node);
+    }
+  }
+
+  /// Returns whether every node sees exactly the running nodes as live.
+  bool Converged() const {
+    for (const auto& [endpoint, node] : nodes_) {
+      if (node->table().live() != nodes_.size() ||
+          node->table().digest() != nodes_.begin()->second->table().digest()) {
+        return false;
+      }
+    }
+    return true;
+  }
+  /// Returns whether every node but `id` itself sees it in `state`.
+  bool AllSee(const NodeId& id, world::MemberState state) const {
+    for (const auto& [endpoint, node] : nodes_) {
+      const world::Member* seen = node->table().Find(id);
+      if (node->self().id != id && (seen == nullptr || seen->state != state)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  size_t largest_datagram() const { return largest_; }
+  uint64_t changes() const { return changes_; }
+  const std::vector<std::pair<world::Endpoint, IdentityClash>>& clashes()
+      const {
+    return clashes_;
+  }
+  bool HasLeft(const world::Endpoint& node) const {
+    return left_.contains(node);
+  }
+  void OnChange(
+      std::function<void(const world::Endpoint&, const world::Member&)> told) {
+    on_change_ = std::move(told);
+  }
+
+ private:
+  struct Flight {
+    Time due;
+    uint64_t sequence;
+    world::Endpoint from;
+    world::Endpoint to;
+    std::string bytes;  // empty: a tick of `to`
+    uint64_t run = 0;   // of the node that ticks
+
+    bool operator>(const Flight& other) const {
+      return std::tie(due, sequence) > std::tie(other.due, other.sequence);
+    }
+  };
+
+  bool Chance(double chance) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < chance;
+  }
+
+  void SendOne(const world::Endpoint& from, const Datagram& datagram) {
+    if (passes_ && !passes_(from, datagram.to)) {
+      return;
+    }
+    const int copies = Chance(weather_.doubling) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (Chance(weather_.loss)) {
+        continue;
+      }
+      const auto spread = (weather_.max_delay - weather_.min_delay).count();
+      const Duration delay =
+          weather_.min_delay +
+          Duration(spread > 0 ? random_() % static_cast<uint64_t>(spread) : 0);
+      queue_.push(
+          {now_ + delay, sequence_++, from, datagram.to, datagram.bytes, 0});
+    }
+  }
+
+  bool RunUntil(Time end, const std::function<bool()>& done) {
+    Time next_check = now_;
+    while (!queue_.empty() && queue_.top().due < end) {
+      if (now_ >= next_check) {
+        if (done()) {
+          return true;
+        }
+        next_check = now_ + std::chrono::milliseconds(100);
+      }
+      Step();
+    }
+    now_ = end;
+    return done();
+  }
+
+  // Moves the time on to the next event, and does it.
+  void Step() {
+    const Flight flight = queue_.top();
+    queue_.pop();
+    now_ = std::max(now_, flight.due);
+    const auto node = nodes_.find(flight.to);
+    if (node == nodes_.end()) {
+      return;
+    }
+    if (!flight.bytes.empty()) {
+      Perform(flight.to,
+              node->second->Receive(flight.from, flight.bytes, now_));
+    } else if (ticking_.at(flight.to) == flight.run) {
+      PushTick(flight.to, flight.run, now_ + tick_);
+      Perform(flight.to, node->second->Tick(now_));
+    }
+  }
+
+  void PushTick(const world::Endpoint& node, uint64_t run, Time due) {
+    queue_.push({due, sequence_++, {}, node, {}, run});
+  }
+
+  Weather weather_;
+  TableSettings table_settings_;
+  std::mt19937_64 random_;
+  Time now_{std::chrono::seconds(100)};
+  Duration tick_{0};
+  std::map<world::Endpoint, std::unique_ptr<Gossip>> nodes_;
+  std::map<world::Endpoint, uint64_t> ticking_;  // present run of each node
+  std::priority_queue<Flight, std::vector<Flight>, std::greater<>> queue_;
+  uint64_t sequence_ = 0;
+  std::function<bool(const world::Endpoint&, const world::Endpoint&)> passes_;
+  std::function<void(const world::Endpoint&, const world::Member&)> on_change_;
+  size_t largest_ = 0;
+  uint64_t changes_ = 0;
+  std::vector<std::pair<world::Endpoint, IdentityClash>> clashes_;
+  std::set<world::Endpoint> left_;
+};
+
+}  // namespace ibisvalve::membership
--- /dev/null
+++ b/tests/membership/gossip_test.cc
@@ -0,0 +1,255 @@
+#include "membership/gossip.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "membership/gossip_fleet.h"
+
+namespace ibisvalve::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using world::MemberState;
+using world::TargetState;
+
+constexpr Weather kFine;
+constexpr Weather kRough{0.15, 0.1, milliseconds(1), milliseconds(60)};
+
+uint64_t Seed() {
+  return *rc::gen::arbitrary<uint64_t>();
+}
+
+RC_GTEST_PROP(GossipTest, ConvergesUnderLossDoublingAndReordering, ()) {
+  const auto count = *rc::gen::inRange<size_t>(2, 25);
+  GossipFleet fleet(Seed(), kRough);
+  fleet.StartMany(count, 3);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(60)));
+}
+
+RC_GTEST_PROP(GossipTest, EverySuspicionOfARunningNodeHeals, ()) {
+  const auto count = *rc::gen::inRange<size_t>(3, 20);
+  GossipFleet fleet(Seed(), kRough);
+  fleet.StartMany(count, 3);
+  fleet.Run(seconds(30));
+  fleet.SetWeather({0.5, 0.1, milliseconds(1), milliseconds(300)});
+  fleet.Run(seconds(20));
+  fleet.SetWeather(kFine);
+  RC_ASSERT(fleet.RunUntil(
+      [&] {
+        for (const auto& [endpoint, node] : fleet.nodes()) {
+          if (!fleet.AllSee(node->self().id, MemberState::kAlive)) {
+            return false;
+          }
+        }
+        return true;
+      },
+      seconds(90)));
+}
+
+RC_GTEST_PROP(GossipTest, LateAnnouncementsNeverWin, ()) {
+  GossipFleet fleet(Seed(), kFine);
+  fleet.StartMany(5, 3);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  // Keep an old announcement of node 2, which then drains.
+  wire::GossipMembers old;
+  const world::Member before = fleet.At(2).self();
+  old.sender = {fleet.At(3).self().id, fleet.At(3).self().incarnation, 5, {}};
+  old.members.Add(before, 1000);
+  fleet.Perform(before.gossip,
+                fleet.At(2).SetTarget(before.service, TargetState::kDraining,
+                                      before.slots, fleet.now()));
+  const auto drained = [&] {
+    for (const auto& [endpoint, node] : fleet.nodes()) {
+      if (node->table().Find(before.id)->target != TargetState::kDraining) {
+        return false;
+      }
+    }
+    return true;
+  };
+  RC_ASSERT(fleet.RunUntil(drained, seconds(10)));
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    fleet.Inject(fleet.At(3).self().gossip, endpoint, wire::EncodeFrame(old),
+                 milliseconds(*rc::gen::inRange(1, 3000)));
+  }
+  for (int i = 0; i < 40; ++i) {
+    fleet.Run(milliseconds(100));
+    RC_ASSERT(drained());
+  }
+}
+
+TEST(GossipTest, ADeadNodeIsKnownEverywhereInSeconds) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(12, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  const world::Member victim = fleet.At(5).self();
+  fleet.Kill(victim.gossip);
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return fleet.AllSee(victim.id, MemberState::kDead); },
+      seconds(10)));
+}
+
+TEST(GossipTest, ARestartedNodeReplacesItsFormerRunAtOnce) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(9, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  world::Member again = fleet.At(5).self();
+  again.incarnation = Incarnation(again.incarnation.value + 1000);
+  MembershipSettings settings;
+  settings.seeds = {fleet.At(0).self().gossip};
+  fleet.Start(again, settings);
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] {
+        for (const auto& [endpoint, node] : fleet.nodes()) {
+          const world::Member* seen = node->table().Find(again.id);
+          if (seen == nullptr || seen->incarnation != again.incarnation) {
+            return false;
+          }
+        }
+        return true;
+      },
+      seconds(5)));
+  EXPECT_TRUE(fleet.clashes().empty());
+}
+
+TEST(GossipTest, TwoProcessesWithOneIdAreNoticedByBoth) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(9, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  const world::Member older = fleet.At(5).self();
+  world::Member newer = older;
+  newer.incarnation = Incarnation(older.incarnation.value + 1000);
+  newer.gossip.ip = "10.9.9.9";
+  MembershipSettings settings;
+  settings.seeds = {fleet.At(0).self().gossip};
+  fleet.Start(newer, settings);
+  ASSERT_TRUE(
+      fleet.RunUntil([&] { return fleet.clashes().size() >= 2; }, seconds(10)));
+  EXPECT_TRUE(fleet.At(older.gossip).replaced());
+  EXPECT_FALSE(fleet.At(newer.gossip).replaced());
+  for (const auto& [endpoint, clash] : fleet.clashes()) {
+    EXPECT_EQ(clash.lost, endpoint == older.gossip);
+  }
+  fleet.Run(seconds(5));
+  EXPECT_EQ(fleet.At(0).table().Find(older.id)->incarnation, newer.incarnation);
+}
+
+TEST(GossipTest, ANodeThatLeavesIsKnownAsLeftAndNotResurrected) {
+  GossipFleet fleet(1, kRough);
+  fleet.StartMany(9, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  const world::Member leaver = fleet.At(5).self();
+  fleet.Perform(leaver.gossip, fleet.At(5).Leave(fleet.now()));
+  ASSERT_TRUE(
+      fleet.RunUntil([&] { return fleet.HasLeft(leaver.gossip); }, seconds(3)));
+  fleet.Kill(leaver.gossip);
+  ASSERT_TRUE(fleet.RunUntil(
+      [&] { return fleet.AllSee(leaver.id, MemberState::kLeft); },
+      seconds(10)));
+  // A late announcement of the time before.
+  wire::GossipMembers old;
+  old.sender = {fleet.At(3).self().id, fleet.At(3).self().incarnation, 9, {}};
+  old.members.Add(leaver, 1000);
+  fleet.Inject(fleet.At(3).self().gossip, fleet.At(1).self().gossip,
+               wire::EncodeFrame(old), milliseconds(500));
+  fleet.Run(seconds(5));
+  EXPECT_TRUE(fleet.AllSee(leaver.id, MemberState::kLeft));
+}
+
+class CutZoneTest : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(CutZoneTest, IsHeldAsAWholeAndReturnsWithoutAStorm) {
+  constexpr size_t kNodes = 18;
+  TableSettings table;
+  table.forget_after = seconds(20);
+  GossipFleet fleet(GetParam(), kFine, table);
+  fleet.StartMany(kNodes, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  std::set<world::Endpoint> cut;
+  for (size_t i = 0; i < kNodes; i += 3) {
+    cut.insert(GossipFleet::MakeMember(i, 3).gossip);
+  }
+  fleet.SetPasses([&](const auto& from, const auto& to) {
+    return cut.contains(from) == cut.contains(to);
+  });
+  // Nobody of the cut zone may be given up one by one.
+  size_t given_up = 0;
+  fleet.OnChange([&](const world::Endpoint&, const world::Member& member) {
+    given_up += member.state == MemberState::kDead ? 1 : 0;
+  });
+  const auto held = [&] {
+    for (const auto& [endpoint, node] : fleet.nodes()) {
+      for (const auto& [id, member] : node->table().members()) {
+        const bool same = cut.contains(endpoint) == cut.contains(member.gossip);
+        if (member.state !=
+            (same ? MemberState::kAlive : MemberState::kUnreachable)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  ASSERT_TRUE(fleet.RunUntil(held, seconds(20)));
+  fleet.Run(
+      seconds(1200));  // long past the time after which dead are forgotten
+  ASSERT_TRUE(held());
+  EXPECT_EQ(given_up, 0U);
+  fleet.SetPasses(nullptr);
+  const uint64_t changes = fleet.changes();
+  std::map<world::Endpoint, uint64_t> sent;
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    sent[endpoint] = node->sent_bytes();
+  }
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  fleet.Run(seconds(10));
+  ASSERT_TRUE(fleet.Converged());
+  // Each node hears of the return of each member it held, about once.
+  ASSERT_TRUE(fleet.changes() - changes <= 3 * kNodes * kNodes);
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    ASSERT_TRUE(node->sent_bytes() - sent[endpoint] < 5000U * 40 + 20000U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CutZoneTest, testing::Range<uint64_t>(1, 11));
+
+TEST(GossipTest, AJoiningNodeGetsALargeTableInSecondsWithinTheBudget) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(300, 3);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(120)));
+  fleet.Run(seconds(10));
+  MembershipSettings settings;
+  settings.seeds = {fleet.At(0).self().gossip};
+  const world::Member joiner = GossipFleet::MakeMember(300, 3);
+  std::map<world::Endpoint, uint64_t> before;
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    before[endpoint] = node->sent_bytes();
+  }
+  fleet.Start(joiner, settings);
+  const auto took =
+      fleet.RunUntil([&] { return fleet.Converged(); }, seconds(15));
+  ASSERT_TRUE(took.has_value());
+  fleet.Run(seconds(20) - *took);
+  // The burst of a bucket is four seconds of the budget.
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    EXPECT_LE(node->sent_bytes() - before[endpoint], 5000U * 24);
+  }
+  EXPECT_LE(fleet.largest_datagram(), 1200U);
+}
+
+RC_GTEST_PROP(GossipTest,
+              RandomBytesNeverDoMoreThanThrow,
+              (const std::string& bytes)) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(1, 1);
+  for (const uint8_t type : {128, 129, 130, 131, 132}) {
+    const std::string frame =
+        wire::EncodeHeader({type, static_cast<uint32_t>(bytes.size())}) + bytes;
+    try {
+      fleet.At(0).Receive({"10.0.0.9", 1}, frame, fleet.now());
+    } catch (const wire::WireError&) {
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ibisvalve::membership
