Implement admission, choice, budgets, ejection, quarantine and subsets

Cause: the data plane needs pure decisions about load. Ruled out: a concurrency limit that falls with service time alone, since a target slowed by a neighbour at any concurrency would lose capacity for nothing; a lower limit is now tried and kept only if it helps.

--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -3,10 +3,12 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/base.h"
+#include "policy/concurrency_limit.h"
+#include "policy/service_times.h"
 #include "world/world.h"
 
 namespace ibisvalve::policy {
@@ -43,7 +45,8 @@
 
   explicit Admission(const AdmissionSettings& settings);
 
-  /// Decides on attempt `id`, which must end by `deadline`.
+  /// Decides on attempt `id`, which must end by `deadline`. Refuses at once
+  /// what cannot finish in time by the recent service times.
   Decision Arrive(const AttemptId& id, Time deadline, Time now);
   /// A running attempt ended after `service_time`; `failed` when the target
   /// refused or broke. Returns the attempts that may run now or are too late.
@@ -53,7 +56,8 @@
                               Time now);
   /// A waiting attempt was cancelled.
   void Forget(const AttemptId& id);
-  /// Returns the waiting attempts that are too late by now.
+  /// Returns the waiting attempts that are too late by now, or may run since
+  /// the limit rose.
   std::vector<Release> Expire(Time now);
   /// Replaces the settings; running attempts go on.
   void Configure(const AdmissionSettings& settings);
@@ -73,17 +77,19 @@
     Time deadline;
     Time since;
   };
-  void Adapt(Duration service_time, Time now);
+  Duration WaitAhead() const;
+  Decision DecideOn(Time deadline, Time now) const;
+  world::Reason TooLate(const Waiting& waiting, Time now) const;
   std::vector<Release> Fill(Time now);
+  void DecayFailures(Time now);
 
   AdmissionSettings settings_;
+  ConcurrencyLimit limit_;
+  ServiceTimes times_;
+  std::unordered_set<AttemptId> running_;
   std::deque<Waiting> queue_;
-  uint32_t in_flight_ = 0;
-  double limit_ = 1;
-  double service_us_ = 0;
-  double base_us_ = 0;
   double failure_share_ = 0;
-  Time last_adapted_{};
+  Time failures_decayed_{};
 };
 
 }  // namespace ibisvalve::policy
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -2,5 +2,15 @@
 
 /// Public header of the policy library: pure decisions about load.
 
-#include "policy/admission.h"  // IWYU pragma: export
-#include "policy/choice.h"     // IWYU pragma: export
+#include "policy/admission.h"          // IWYU pragma: export
+#include "policy/any_chooser.h"        // IWYU pragma: export
+#include "policy/baseline_choosers.h"  // IWYU pragma: export
+#include "policy/choice.h"             // IWYU pragma: export
+#include "policy/ejection.h"           // IWYU pragma: export
+#include "policy/events.h"             // IWYU pragma: export
+#include "policy/hedge.h"              // IWYU pragma: export
+#include "policy/probe_budget.h"       // IWYU pragma: export
+#include "policy/quarantine.h"         // IWYU pragma: export
+#include "policy/retry_budget.h"       // IWYU pragma: export
+#include "policy/subset.h"             // IWYU pragma: export
+#include "policy/weighed_chooser.h"    // IWYU pragma: export
--- /dev/null
+++ b/src/policy/quarantine.cc
@@ -0,0 +1,95 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+
+namespace ibisvalve::policy {
+
+Quarantine::Quarantine(const QuarantineSettings& settings)
+    : settings_(settings) {}
+
+std::vector<Digest> Quarantine::OnCrash(const CrashId& crash,
+                                        const std::vector<Digest>& in_flight,
+                                        Time now) {
+  Forget(now);
+  const Time remembered =
+      now + std::max(settings_.suspicion, settings_.quarantine);
+  if (!known_crashes_.emplace(crash, remembered).second) {
+    return {};
+  }
+  std::vector<Digest> quarantined;
+  for (const Digest& fingerprint : in_flight) {
+    Suspect& suspect = suspects_[fingerprint];
+    const bool before = IsQuarantined(suspect);
+    // The same request twice in flight at one crash counts once.
+    suspect.crashes.insert(crash);
+    const bool after = IsQuarantined(suspect);
+    suspect.until = now + (after ? settings_.quarantine : settings_.suspicion);
+    if (after && !before) {
+      quarantined.push_back(fingerprint);
+    }
+  }
+  return quarantined;
+}
+
+void Quarantine::OnAnswer(Digest fingerprint, Time now) {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end()) {
+    return;
+  }
+  // A quarantine stays until it ends or is lifted: an answer that was under
+  // way proves nothing about the runs that crashed.
+  if (!IsQuarantined(found->second) || now >= found->second.until) {
+    suspects_.erase(found);
+  }
+}
+
+Verdict Quarantine::Check(Digest fingerprint, Time now) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end() || now >= found->second.until) {
+    return Verdict::kClear;
+  }
+  return IsQuarantined(found->second) ? Verdict::kQuarantined
+                                      : Verdict::kSuspect;
+}
+
+bool Quarantine::Lift(Digest fingerprint, Time now) {
+  const bool quarantined = Check(fingerprint, now) == Verdict::kQuarantined;
+  if (quarantined) {
+    suspects_.erase(fingerprint);
+  }
+  return quarantined;
+}
+
+std::vector<QuarantineEntry> Quarantine::List(Time now) const {
+  std::vector<QuarantineEntry> entries;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (now < suspect.until && IsQuarantined(suspect)) {
+      entries.push_back({fingerprint,
+                         static_cast<uint32_t>(suspect.crashes.size()),
+                         suspect.until});
+    }
+  }
+  return entries;
+}
+
+bool Quarantine::IsQuarantined(const Suspect& suspect) const {
+  return suspect.crashes.size() >= settings_.crashes;
+}
+
+void Quarantine::Forget(Time now) {
+  std::erase_if(known_crashes_,
+                [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(suspects_,
+                [&](const auto& entry) { return now >= entry.second.until; });
+  // Past the bound, the suspects that would be forgotten first go.
+  while (suspects_.size() > settings_.max_fingerprints) {
+    suspects_.erase(std::min_element(
+        suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
+          const bool first = IsQuarantined(a.second);
+          const bool second = IsQuarantined(b.second);
+          return first != second ? second : a.second.until < b.second.until;
+        }));
+  }
+}
+
+}  // namespace ibisvalve::policy
--- /dev/null
+++ b/tests/policy/admission_test.cc
@@ -0,0 +1,216 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace ibisvalve::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kService = milliseconds(5);
+
+AttemptId Id(uint64_t counter) {
+  return {Incarnation(1), counter};
+}
+
+AdmissionSettings Slots(uint32_t slots) {
+  AdmissionSettings settings;
+  settings.slots = slots;
+  return settings;
+}
+
+// Runs `count` requests one after the other, each taking `service`.
+Time Teach(Admission& admission, Time now, Duration service, int count) {
+  for (int i = 0; i < count; ++i) {
+    const AttemptId id = Id(1'000'000 + static_cast<uint64_t>(i));
+    EXPECT_EQ(admission.Arrive(id, now + seconds(60), now).admit, Admit::kRun);
+    now += service;
+    admission.Finish(id, service, /*failed=*/false, now);
+  }
+  return now;
+}
+
+TEST(AdmissionTest, RunsUpToItsSlotsThenQueuesThenRefuses) {
+  AdmissionSettings settings = Slots(2);
+  settings.max_queue = 1;
+  Admission admission(settings);
+  const Time now{seconds(1)};
+  const Time deadline = now + seconds(1);
+  EXPECT_EQ(admission.Arrive(Id(1), deadline, now).admit, Admit::kRun);
+  EXPECT_EQ(admission.Arrive(Id(2), deadline, now).admit, Admit::kRun);
+  EXPECT_EQ(admission.Arrive(Id(3), deadline, now).admit, Admit::kQueue);
+  EXPECT_EQ(admission.Arrive(Id(4), deadline, now),
+            (Admission::Decision{Admit::kRefuse, world::Reason::kBusy}));
+  const auto released = admission.Finish(Id(1), kService, false, now);
+  EXPECT_EQ(released, (std::vector<Admission::Release>{
+                          {Id(3), {Admit::kRun, world::Reason::kNone}}}));
+  EXPECT_EQ(admission.in_flight(), 2U);
+  EXPECT_EQ(admission.queued(), 0U);
+}
+
+TEST(AdmissionTest, RefusesAtOnceWhatCannotFinish) {
+  Admission admission(Slots(1));
+  const Time now = Teach(admission, Time{seconds(1)}, kService, 20);
+  EXPECT_EQ(admission.Arrive(Id(1), now + milliseconds(4), now),
+            (Admission::Decision{Admit::kRefuse, world::Reason::kDeadline}));
+  EXPECT_EQ(admission.Arrive(Id(2), now + milliseconds(8), now).admit,
+            Admit::kRun);
+  // One runs for 5 ms, so this one would end after 10 ms.
+  EXPECT_EQ(admission.Arrive(Id(3), now + milliseconds(8), now),
+            (Admission::Decision{Admit::kRefuse, world::Reason::kDeadline}));
+}
+
+TEST(AdmissionTest, RefusesByServiceTimesOnlyWhileTheyAreFresh) {
+  Admission admission(Slots(1));
+  Time now = Teach(admission, Time{seconds(1)}, seconds(1), 20);
+  EXPECT_EQ(admission.Arrive(Id(1), now + milliseconds(500), now).admit,
+            Admit::kRefuse);
+  now += seconds(3);
+  EXPECT_EQ(admission.Arrive(Id(2), now + milliseconds(500), now).admit,
+            Admit::kRun);
+}
+
+TEST(AdmissionTest, RefusesWaitersThatAreTooLate) {
+  AdmissionSettings settings = Slots(1);
+  settings.max_wait = milliseconds(20);
+  Admission admission(settings);
+  Time now{seconds(1)};
+  admission.Arrive(Id(1), now + seconds(1), now);
+  EXPECT_EQ(admission.Arrive(Id(2), now + seconds(1), now).admit,
+            Admit::kQueue);
+  EXPECT_EQ(admission.Arrive(Id(3), now + milliseconds(5), now).admit,
+            Admit::kQueue);
+  EXPECT_EQ(admission.Expire(now + milliseconds(6)),
+            (std::vector<Admission::Release>{
+                {Id(3), {Admit::kRefuse, world::Reason::kDeadline}}}));
+  EXPECT_EQ(admission.Expire(now + milliseconds(21)),
+            (std::vector<Admission::Release>{
+                {Id(2), {Admit::kRefuse, world::Reason::kBusy}}}));
+}
+
+TEST(AdmissionTest, ForgetsACancelledWaiter) {
+  Admission admission(Slots(1));
+  const Time now{seconds(1)};
+  admission.Arrive(Id(1), now + seconds(1), now);
+  admission.Arrive(Id(2), now + seconds(1), now);
+  admission.Forget(Id(2));
+  EXPECT_TRUE(admission.Finish(Id(1), kService, false, now).empty());
+  EXPECT_EQ(admission.in_flight(), 0U);
+}
+
+TEST(AdmissionTest, FailuresCountAndFade) {
+  Admission admission(Slots(1));
+  Time now{seconds(1)};
+  for (uint64_t i = 0; i < 40; ++i) {
+    admission.Arrive(Id(i), now + seconds(1), now);
+    admission.Finish(Id(i), Duration(10), /*failed=*/true, now);
+  }
+  EXPECT_GT(admission.failure_share(), 0.9);
+  EXPECT_EQ(admission.service_time(), Duration(0));
+  admission.Expire(now + seconds(10));
+  EXPECT_LT(admission.failure_share(), 0.1);
+}
+
+TEST(ConcurrencyLimitTest, FallsWhenFewerAtOnceAreQuicker) {
+  // Slots of one processor: each run takes as long as there are others.
+  ConcurrencyLimit limit(20);
+  Time now{seconds(1)};
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(1);
+    limit.Add(milliseconds(1), /*saturated=*/false, now);
+  }
+  for (int i = 0; i < 2000; ++i) {
+    now += milliseconds(1);
+    limit.Add(milliseconds(limit.limit()), /*saturated=*/true, now);
+  }
+  EXPECT_LT(limit.limit(), 12U);
+  EXPECT_GE(limit.limit(), 1U);
+}
+
+TEST(ConcurrencyLimitTest, StaysWhenConcurrencyIsNotTheCause) {
+  ConcurrencyLimit limit(20);
+  Time now{seconds(1)};
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(1);
+    limit.Add(milliseconds(1), /*saturated=*/false, now);
+  }
+  double sum = 0;
+  constexpr int kRuns = 20'000;
+  for (int i = 0; i < kRuns; ++i) {
+    now += milliseconds(1);
+    limit.Add(milliseconds(10), /*saturated=*/true, now);
+    sum += limit.limit();
+  }
+  EXPECT_GT(sum / kRuns, 0.97 * 20);
+}
+
+// Any order of events: the count is exact, the limit within 1 and the slots,
+// each waiter is released once, and nothing runs that was not admitted.
+RC_GTEST_PROP(AdmissionProperty, CountsExactly, ()) {
+  const auto slots = *rc::gen::inRange<uint32_t>(1, 9);
+  AdmissionSettings settings = Slots(slots);
+  settings.max_queue = *rc::gen::inRange<uint32_t>(0, 6);
+  Admission admission(settings);
+  Time now{seconds(1)};
+  std::set<AttemptId> running;
+  std::set<AttemptId> waiting;
+  uint64_t next = 0;
+  uint32_t most_slots = slots;
+  const auto apply = [&](const std::vector<Admission::Release>& releases) {
+    for (const auto& release : releases) {
+      RC_ASSERT(waiting.erase(release.id) == 1U);
+      if (release.decision.admit == Admit::kRun) {
+        running.insert(release.id);
+      } else {
+        RC_ASSERT(release.decision.admit == Admit::kRefuse);
+      }
+    }
+  };
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 60)));
+  for (const auto& [action, amount] : steps) {
+    now += milliseconds(amount);
+    if (action <= 3) {
+      const AttemptId id = Id(++next);
+      const auto decision =
+          admission.Arrive(id, now + milliseconds(10 * amount), now);
+      if (decision.admit == Admit::kRun) {
+        running.insert(id);
+      } else if (decision.admit == Admit::kQueue) {
+        waiting.insert(id);
+      } else {
+        RC_ASSERT(decision.reason != world::Reason::kNone);
+      }
+    } else if (action <= 6 && !running.empty()) {
+      const AttemptId id = *running.begin();
+      running.erase(id);
+      apply(admission.Finish(id, milliseconds(amount), amount % 3 == 0, now));
+    } else if (action == 7 && !waiting.empty()) {
+      const AttemptId id = *waiting.begin();
+      waiting.erase(id);
+      admission.Forget(id);
+    } else if (action == 8) {
+      settings.slots = 1 + static_cast<uint32_t>(amount) % 8;
+      most_slots = std::max(most_slots, settings.slots);
+      admission.Configure(settings);
+    } else {
+      apply(admission.Expire(now));
+    }
+    RC_ASSERT(admission.in_flight() == running.size());
+    RC_ASSERT(admission.queued() == waiting.size());
+    RC_ASSERT(admission.limit() >= 1U);
+    RC_ASSERT(admission.limit() <= settings.slots);
+    RC_ASSERT(admission.in_flight() <= most_slots);
+    RC_ASSERT(admission.queued() <= settings.max_queue);
+  }
+}
+
+}  // namespace
+}  // namespace ibisvalve::policy
