--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace ibisvalve::policy {
 namespace {
@@ -48,7 +49,7 @@
 }
 
 uint32_t ConcurrencyLimit::limit() const {
-  return std::clamp(static_cast<uint32_t>(limit_ + 0.5), 1u, slots_);
+  return std::clamp(static_cast<uint32_t>(std::lround(limit_)), 1U, slots_);
 }
 
 void ConcurrencyLimit::OnWindow(double mean_us, bool saturated, Time now) {
--- a/src/policy/subset.cc
+++ b/src/policy/subset.cc
@@ -21,7 +21,7 @@
 
 std::vector<NodeId> ChooseSubset(const NodeId& ingress,
                                  const ZoneName& own_zone,
-                                 std::vector<SubsetMember> members,
+                                 const std::vector<SubsetMember>& members,
                                  size_t size) {
   std::vector<Ranked> own;
   std::vector<Ranked> others;
--- a/src/policy/subset.h
+++ b/src/policy/subset.h
@@ -22,7 +22,7 @@
 /// hashing, so that ingresses spread over the members.
 std::vector<NodeId> ChooseSubset(const NodeId& ingress,
                                  const ZoneName& own_zone,
-                                 std::vector<SubsetMember> members,
+                                 const std::vector<SubsetMember>& members,
                                  size_t size);
 
 }  // namespace ibisvalve::policy
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -173,6 +173,7 @@
 std::vector<SubsetMember> Members(int count) {
   const std::vector<std::string> zones = {"suva", "nadi", "lautoka"};
   std::vector<SubsetMember> members;
+  members.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     members.push_back({Node(i), ZoneName(zones[static_cast<size_t>(i) % 3])});
   }
