--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -4,12 +4,8 @@
 /// processes, their framing and their limits.
 
 #include "wire/archive.h"           // IWYU pragma: export
-#include "wire/archive.h"           // IWYU pragma: export
-#include "wire/claim_messages.h"    // IWYU pragma: export
 #include "wire/claim_messages.h"    // IWYU pragma: export
 #include "wire/control_messages.h"  // IWYU pragma: export
 #include "wire/frame.h"             // IWYU pragma: export
-#include "wire/frame.h"             // IWYU pragma: export
 #include "wire/gossip_messages.h"   // IWYU pragma: export
 #include "wire/mesh_messages.h"     // IWYU pragma: export
-#include "wire/mesh_messages.h"     // IWYU pragma: export
