Serve a request end to end through separate processes

FleetView asks for the lease at each request, because a process that was frozen may handle a request before the timer that says its lease is lost.

--- a/src/dataplane/fleet_view.cc
+++ b/src/dataplane/fleet_view.cc
@@ -11,8 +11,8 @@
   revision_ = revision;
 }
 
-void FleetView::SetLease(bool held) {
-  lease_held_ = held;
+void FleetView::SetLeaseCheck(std::function<bool()> held) {
+  lease_held_ = std::move(held);
 }
 
 void FleetView::SetMember(const world::Member& member) {
@@ -31,7 +31,7 @@
   if (fleet_ == nullptr) {
     return false;
   }
-  if (lease_held_) {
+  if (lease_held_ && lease_held_()) {
     return true;
   }
   return repeat == world::Repeat::kAllowed &&
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -15,8 +16,10 @@
  public:
   /// Puts `fleet` in force as `revision`.
   void SetFleet(std::shared_ptr<const world::Fleet> fleet, Revision revision);
-  /// Tells whether the revision is confirmed within its lease.
-  void SetLease(bool held);
+  /// Sets what tells whether the revision is confirmed within its lease. It is
+  /// asked for each request, because a process that was frozen may handle one
+  /// before the lease's timer. Without it, no lease is held.
+  void SetLeaseCheck(std::function<bool()> held);
   /// Takes in a member that is new or changed.
   void SetMember(const world::Member& member);
 
@@ -33,7 +36,7 @@
  private:
   std::shared_ptr<const world::Fleet> fleet_;
   Revision revision_;
-  bool lease_held_ = false;
+  std::function<bool()> lease_held_;
   std::map<NodeId, world::Member> members_;
   std::map<ServiceName, std::vector<NodeId>> by_service_;
 };
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Public header of the node library: the parts of a process on one loop.
+
+#include "node/events.h"          // IWYU pragma: export
+#include "node/keeper_process.h"  // IWYU pragma: export
+#include "node/node_process.h"    // IWYU pragma: export
--- /dev/null
+++ b/src/node/node_process.cc
@@ -0,0 +1,204 @@
+#include "node/node_process.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "node/admin_pages.h"
+#include "node/events.h"
+
+namespace ibisvalve::node {
+namespace {
+
+dataplane::PlaneSettings ToPlaneSettings(const config::Settings& settings,
+                                         Incarnation incarnation) {
+  dataplane::PlaneSettings plane;
+  plane.id = settings.id;
+  plane.incarnation = incarnation;
+  plane.location = settings.location;
+  plane.callers = settings.callers;
+  plane.mesh = settings.mesh;
+  plane.choice = ToChoiceKind(settings.policy);
+  plane.body_memory = settings.limits.body_memory;
+  plane.caller_connections = settings.limits.caller_connections;
+  plane.link_silence = settings.limits.link_silence;
+  if (settings.target) {
+    plane.target = settings.target->endpoint;
+    plane.service = settings.target->service;
+    plane.slots = settings.target->slots;
+    plane.health_path = settings.target->health_path;
+    plane.target_announces = settings.target->announces;
+  }
+  return plane;
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(net::EventLoop& loop, const config::Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(NewIncarnation()),
+      admin_(loop, settings.admin) {
+  plane_ = std::make_unique<dataplane::NodePlane>(
+      loop_, ToPlaneSettings(settings_, incarnation_), view_, MakeClaimPort(),
+      MakePlaneHandlers());
+  membership::MembershipSettings gossip;
+  gossip.seeds = settings_.seeds;
+  membership_ = std::make_unique<membership::MembershipService>(
+      loop_, gossip, MakeSelf(),
+      [this](const world::Member& member) { view_.SetMember(member); });
+  agent_ = std::make_unique<control::NodeAgent>(
+      loop_, settings_.keepers, membership_->self(), MakeAgentHandlers());
+  view_.SetLeaseCheck([this] { return agent_->lease_held(); });
+  ServePages();
+  LogEvent(kProcessStarted,
+           {{"role", "node"},
+            {"id", settings_.id.value},
+            {"incarnation", incarnation_.value},
+            {"zone", settings_.location.zone.value},
+            {"callers", world::ToString(plane_->callers())},
+            {"mesh", world::ToString(plane_->mesh())},
+            {"gossip", world::ToString(membership_->self().gossip)},
+            {"admin", world::ToString(admin_.local())}});
+}
+
+NodeProcess::~NodeProcess() = default;
+
+void NodeProcess::Stop(std::function<void()> done) {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  LogEvent(kProcessStopping, {{"id", settings_.id.value}});
+  // Peers hear of the drain before the gate starts to refuse their requests.
+  OnTarget(world::TargetState::kDraining, 0);
+  plane_->Stop(settings_.limits.drain_limit, [this, done = std::move(done)] {
+    membership_->Leave([this, done] {
+      agent_->Leave([this, done] {
+        LogEvent(kProcessStopped, {{"id", settings_.id.value}});
+        done();
+      });
+    });
+  });
+}
+
+world::Member NodeProcess::MakeSelf() const {
+  world::Member self;
+  self.id = settings_.id;
+  self.incarnation = incarnation_;
+  self.location = settings_.location;
+  self.gossip = settings_.gossip;
+  self.mesh = plane_->mesh();
+  self.admin = admin_.local();
+  if (settings_.target) {
+    self.service = settings_.target->service;
+    self.slots = settings_.target->slots;
+    self.target = target_state_;
+  }
+  return self;
+}
+
+dataplane::ClaimPort NodeProcess::MakeClaimPort() {
+  dataplane::ClaimPort port;
+  port.claim = [this](const wire::ClaimRequest& request, Duration timeout,
+                      std::function<void(const wire::ClaimReply&)> done) {
+    agent_->Claim(request, timeout, std::move(done));
+  };
+  port.settle = [this](const wire::ClaimSettle& settle) {
+    agent_->Settle(settle);
+  };
+  return port;
+}
+
+dataplane::PlaneHandlers NodeProcess::MakePlaneHandlers() {
+  dataplane::PlaneHandlers handlers;
+  handlers.on_request = [](const dataplane::RequestRecord&) {};
+  handlers.on_target = [this](world::TargetState state, uint32_t slots) {
+    OnTarget(state, slots);
+  };
+  handlers.on_newer_revision = [this](Revision seen) { agent_->CatchUp(seen); };
+  return handlers;
+}
+
+control::NodeAgent::Handlers NodeProcess::MakeAgentHandlers() {
+  control::NodeAgent::Handlers handlers;
+  handlers.check = [this](const control::ConfigFile& file) {
+    return CheckFile(file);
+  };
+  handlers.activate = [this](const control::ConfigFile& file) {
+    Activate(file);
+  };
+  handlers.on_lease = [this](bool held) { OnLease(held); };
+  handlers.status = [this] { return StatusJson(); };
+  return handlers;
+}
+
+std::string NodeProcess::CheckFile(const control::ConfigFile& file) const {
+  try {
+    const world::Fleet fleet = config::ParseFleet(file.text, "staged");
+    const world::Region* region =
+        world::FindRegionOf(fleet, settings_.location.zone);
+    if (region == nullptr || region->name != settings_.location.region) {
+      return "node " + settings_.id.value + " stands in zone " +
+             settings_.location.zone.value + " of region " +
+             settings_.location.region.value + ", which the file does not name";
+    }
+  } catch (const InvalidInput& error) {
+    return error.what();
+  }
+  return "";
+}
+
+void NodeProcess::Activate(const control::ConfigFile& file) {
+  try {
+    view_.SetFleet(std::make_shared<const world::Fleet>(
+                       config::ParseFleet(file.text, "active")),
+                   file.revision);
+  } catch (const InvalidInput& error) {
+    // Every member checks a file before it is in force, so only a node of
+    // another release gets here; it must not go on with the older file.
+    view_.SetFleet(nullptr, file.revision);
+    LogEvent(kRevisionRefused,
+             {{"revision", file.revision.value}, {"why", error.what()}});
+    return;
+  }
+  in_force_since_us_ = WallMicros();
+  LogEvent(kRevisionInForce,
+           {{"revision", file.revision.value}, {"digest", ToHex(file.digest)}});
+}
+
+void NodeProcess::OnLease(bool held) {
+  LogEvent(held ? kLeaseGained : kLeaseLost,
+           {{"revision", view_.revision().value}});
+}
+
+void NodeProcess::OnTarget(world::TargetState state, uint32_t slots) {
+  target_state_ = stopping_ && state == world::TargetState::kReady
+                      ? world::TargetState::kDraining
+                      : state;
+  if (membership_ != nullptr && settings_.target) {
+    membership_->SetTarget(settings_.target->service, target_state_,
+                           slots > 0 ? slots : settings_.target->slots);
+  }
+}
+
+void NodeProcess::ServePages() {
+  plane_->Serve(admin_);
+  ServeNodePages(admin_, *membership_, *plane_, *agent_,
+                 [this] { return StatusJson(); });
+}
+
+std::string NodeProcess::StatusJson() const {
+  nlohmann::json status = nlohmann::json::parse(plane_->StatusJson());
+  status["id"] = settings_.id.value;
+  status["incarnation"] = incarnation_.value;
+  status["region"] = settings_.location.region.value;
+  status["zone"] = settings_.location.zone.value;
+  status["callers"] = world::ToString(plane_->callers());
+  status["revision"] = view_.revision().value;
+  status["since_us"] = in_force_since_us_;
+  status["lease"] = agent_ != nullptr && agent_->lease_held();
+  status["target"] = world::ToString(target_state_);
+  status["stopping"] = stopping_;
+  return status.dump();
+}
+
+}  // namespace ibisvalve::node
--- a/tests/dataplane/node_plane_test.cc
+++ b/tests/dataplane/node_plane_test.cc
@@ -84,7 +84,7 @@
   gate.plane->Undrain();
   EXPECT_EQ(Fetch(ingress, {"POST", "/bookings", {}, "a"}).status, 200);
 
-  ingress.view.SetLease(false);
+  ingress.view.SetLeaseCheck([] { return false; });
   EXPECT_EQ(Fetch(ingress, {"GET", "/", {}, ""}).Get("Ibis-Reason"),
             "isolated");
   EXPECT_EQ(target.seen().size(), 1U);
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -167,7 +167,7 @@
     fleet->services = {service_};
     for (const auto& node : nodes_) {
       node->view.SetFleet(fleet, Revision(revision));
-      node->view.SetLease(true);
+      node->view.SetLeaseCheck([] { return true; });
     }
   }
 
