Count how requests end, by service and window

Cause: nothing measured service-level burn. Ruled out: one ring of minutes over 3 days (4,320 histograms a service), and quantile sketches, whose merge is not exact.

--- /dev/null
+++ b/src/observe/burn_report.cc
@@ -0,0 +1,97 @@
+#include "observe/burn_report.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace ibisvalve::observe {
+namespace {
+
+// Names kept of a merged report, so that a large fleet gives a short table.
+constexpr size_t kMergedNames = 64;
+
+std::vector<WorstEntry> MergeWorst(const std::vector<WorstEntry>& one,
+                                   const std::vector<WorstEntry>& other) {
+  WorstList list(kMergedNames);
+  for (const auto* entries : {&one, &other}) {
+    for (const WorstEntry& entry : *entries) {
+      list.Add(entry);
+    }
+  }
+  return list.Sorted();
+}
+
+void MergeWindows(std::vector<BurnWindow>& windows,
+                  const std::vector<BurnWindow>& others) {
+  for (const BurnWindow& other : others) {
+    const auto found = std::find_if(
+        windows.begin(), windows.end(),
+        [&](const BurnWindow& window) { return window.name == other.name; });
+    if (found == windows.end()) {
+      windows.push_back(other);
+    } else {
+      found->counts.Merge(other.counts);
+    }
+  }
+  std::stable_sort(windows.begin(), windows.end(),
+                   [](const BurnWindow& one, const BurnWindow& other) {
+                     return one.span < other.span;
+                   });
+}
+
+void MergeService(ServiceBurn& service, const ServiceBurn& other) {
+  service.objectives_differ = service.objectives_differ ||
+                              other.objectives_differ ||
+                              service.objective != other.objective;
+  if (!service.objective) {
+    service.objective = other.objective;
+  }
+  MergeWindows(service.windows, other.windows);
+  service.zones = MergeWorst(service.zones, other.zones);
+  service.targets = MergeWorst(service.targets, other.targets);
+}
+
+}  // namespace
+
+void MergeReport(BurnReport& report, const BurnReport& other) {
+  auto& services = report.services;
+  for (const ServiceBurn& theirs : other.services) {
+    const auto place =
+        std::lower_bound(services.begin(), services.end(), theirs,
+                         [](const ServiceBurn& one, const ServiceBurn& two) {
+                           return one.service < two.service;
+                         });
+    if (place != services.end() && place->service == theirs.service) {
+      MergeService(*place, theirs);
+    } else {
+      services.insert(place, theirs);
+    }
+  }
+}
+
+std::optional<double> BudgetLeft(const BurnWindow& window,
+                                 const world::Objective& objective) {
+  const std::optional<double> rate = BurnRate(window.counts, objective);
+  return rate ? std::optional(1.0 - *rate) : std::nullopt;
+}
+
+std::string ToString(Ending ending) {
+  switch (ending) {
+    case Ending::kInTime:
+      return "in_time";
+    case Ending::kLate:
+      return "late";
+    case Ending::kFailed:
+      return "failed";
+    case Ending::kRefused:
+      return "refused";
+    case Ending::kUnknown:
+      return "unknown";
+    case Ending::kLost:
+      return "lost";
+    case Ending::kRejected:
+      return "rejected";
+  }
+  return "invalid";
+}
+
+}  // namespace ibisvalve::observe
--- /dev/null
+++ b/src/observe/latency_histogram.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/base.h"
+
+namespace ibisvalve::observe {
+
+/// Layout of the buckets of every histogram: eight of the same width within
+/// each power of two, from 128 us to 134 s, one below and one above. The
+/// bounds of a bucket are at most an eighth apart.
+struct LatencyBuckets {
+  static constexpr int kFirstBits = 7;  // 128 us
+  static constexpr int kLastBits = 27;  // 134 s
+  static constexpr int kStepBits = 3;   // eight steps a power of two
+  static constexpr size_t kSteps = size_t{1} << kStepBits;
+  static constexpr size_t kCount = (kLastBits - kFirstBits) * kSteps + 2;
+
+  /// Returns the bucket of `latency`.
+  static size_t IndexOf(Duration latency) {
+    const auto micros =
+        static_cast<uint64_t>(std::max<Duration::rep>(latency.count(), 0));
+    if (micros < (uint64_t{1} << kFirstBits)) {
+      return 0;
+    }
+    if (micros >= (uint64_t{1} << kLastBits)) {
+      return kCount - 1;
+    }
+    const int bits = static_cast<int>(std::bit_width(micros)) - 1;
+    const uint64_t step = (micros >> (bits - kStepBits)) & (kSteps - 1);
+    return 1 + static_cast<size_t>(bits - kFirstBits) * kSteps + step;
+  }
+  /// Returns the least latency beyond bucket `index`; for the last bucket, its
+  /// own least latency.
+  static Duration UpperBound(size_t index) {
+    if (index >= kCount - 1) {
+      return Duration(Duration::rep{1} << kLastBits);
+    }
+    // The end of a bucket is the beginning of the next.
+    const size_t bits = index / kSteps + kFirstBits;
+    const size_t step = index % kSteps;
+    return Duration(static_cast<Duration::rep>(
+        (kSteps + step) << (bits - static_cast<size_t>(kStepBits))));
+  }
+};
+
+/// Counts of latencies by bucket. Merging two gives the histogram of all their
+/// samples, exactly.
+template <std::unsigned_integral Count>
+class LatencyHistogram {
+ public:
+  /// Counts one latency.
+  void Add(Duration latency) { ++counts_[LatencyBuckets::IndexOf(latency)]; }
+  /// Counts `count` latencies of bucket `index`, which must exist.
+  void AddBucket(size_t index, Count count) { counts_.at(index) += count; }
+  /// Adds the counts of `other`.
+  template <std::unsigned_integral Other>
+  void Merge(const LatencyHistogram<Other>& other) {
+    for (size_t i = 0; i < counts_.size(); ++i) {
+      counts_[i] += other.counts()[i];
+    }
+  }
+  /// Returns how many latencies were counted.
+  uint64_t total() const {
+    uint64_t sum = 0;
+    for (const Count count : counts_) {
+      sum += count;
+    }
+    return sum;
+  }
+  /// Returns the latency that the share `quantile` (0 to 1) of the samples
+  /// does not exceed, rounded up to the end of its bucket; 0 without samples.
+  Duration Quantile(double quantile) const {
+    const uint64_t all = total();
+    const double rank = quantile * static_cast<double>(all);
+    uint64_t seen = 0;
+    for (size_t i = 0; i < counts_.size(); ++i) {
+      seen += counts_[i];
+      if (seen > 0 && static_cast<double>(seen) >= rank) {
+        return LatencyBuckets::UpperBound(i);
+      }
+    }
+    return Duration(0);
+  }
+  const std::array<Count, LatencyBuckets::kCount>& counts() const {
+    return counts_;
+  }
+
+  auto operator<=>(const LatencyHistogram&) const = default;
+
+ private:
+  std::array<Count, LatencyBuckets::kCount> counts_{};
+};
+
+}  // namespace ibisvalve::observe
--- /dev/null
+++ b/src/observe/worst_list.cc
@@ -0,0 +1,82 @@
+#include "observe/worst_list.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace ibisvalve::observe {
+namespace {
+
+constexpr char kOthers[] = "others";
+
+bool IsWorse(const WorstEntry& one, const WorstEntry& other) {
+  if (one.bad != other.bad) {
+    return one.bad > other.bad;
+  }
+  return one.requests > other.requests;
+}
+
+}  // namespace
+
+WorstList::WorstList(size_t limit) : limit_(limit) {
+  CHECK_GT(limit, 0U) << "a list that keeps nothing is of no use";
+  others_.name = kOthers;
+}
+
+void WorstList::Add(const std::string& name, bool bad) {
+  Add(WorstEntry{name, 1, bad ? 1U : 0U});
+}
+
+void WorstList::Add(const WorstEntry& entry) {
+  if (entry.name == kOthers) {
+    others_.requests += entry.requests;
+    others_.bad += entry.bad;
+    return;
+  }
+  const auto found = std::find_if(
+      entries_.begin(), entries_.end(),
+      [&](const WorstEntry& known) { return known.name == entry.name; });
+  if (found != entries_.end()) {
+    found->requests += entry.requests;
+    found->bad += entry.bad;
+    return;
+  }
+  entries_.push_back(entry);
+  if (entries_.size() <= limit_) {
+    return;
+  }
+  // The new name stays, so that a target that has just gone bad can rise; of
+  // the older ones the least bad makes room.
+  const auto least =
+      std::max_element(entries_.begin(), entries_.end() - 1, IsWorse);
+  others_.requests += least->requests;
+  others_.bad += least->bad;
+  entries_.erase(least);
+}
+
+void WorstList::Merge(const WorstList& other) {
+  for (const WorstEntry& entry : other.entries_) {
+    Add(entry);
+  }
+  Add(other.others_);
+}
+
+void WorstList::Clear() {
+  entries_.clear();
+  others_ = WorstEntry{kOthers, 0, 0};
+}
+
+std::vector<WorstEntry> WorstList::Sorted() const {
+  std::vector<WorstEntry> sorted = entries_;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const WorstEntry& one, const WorstEntry& other) {
+              return IsWorse(one, other) ||
+                     (!IsWorse(other, one) && one.name < other.name);
+            });
+  if (others_.requests > 0) {
+    sorted.push_back(others_);
+  }
+  return sorted;
+}
+
+}  // namespace ibisvalve::observe
