Count burn in every node and show it at /burn; tell since when in wall time

Cause: /fleet gave the age of a revision where ibisctl expects the time since when, so status showed 1970; the burn meter was not fed by the data plane. Conclusion: both mended.

--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -281,6 +281,7 @@
   const ReplicaDriver& driver = parts_.driver;
   const ConfigLedger& config = driver.state().config();
   const Time now = parts_.loop.Now();
+  const uint64_t wall_us = WallMicros();
   Json nodes = Json::array();
   for (const auto& [key, session] : parts_.duties.tracker().sessions()) {
     const bool lease = now < session.lease_until;
@@ -291,7 +292,8 @@
                      {"admin", world::ToString(session.node.admin)},
                      {"revision", session.report.active.value},
                      {"staged", session.report.staged.value},
-                     {"since_us", (now - session.since).count()},
+                     {"since_us", wall_us - static_cast<uint64_t>(
+                                                (now - session.since).count())},
                      {"lease", lease},
                      {"status", StatusJson(session.status)}});
   }
--- a/src/node/admin_pages.cc
+++ b/src/node/admin_pages.cc
@@ -4,13 +4,14 @@
 #include <utility>
 #include <vector>
 
-#include "observe/observe.h"
-
 namespace ibisvalve::node {
 namespace {
 
 using nlohmann::json;
 
+constexpr char kJson[] = "application/json";
+constexpr char kMetricsText[] = "text/plain; version=0.0.4";
+
 json ToJson(const world::Member& member) {
   return json{{"id", member.id.value},
               {"incarnation", member.incarnation.value},
@@ -39,35 +40,36 @@
 }  // namespace
 
 void ServeNodePages(net::AdminServer& admin,
-                    const membership::MembershipService& membership,
-                    const dataplane::NodePlane& plane,
-                    const control::NodeAgent& agent,
+                    const NodeParts& parts,
                     std::function<std::string()> status) {
-  admin.Handle("GET", "/healthz", [&agent](const auto&, const auto& reply) {
-    const bool ready = agent.lease_held() && agent.active() > Revision(0);
-    const json body{{"ready", ready}, {"revision", agent.active().value}};
-    reply({ready ? 200 : 503, "application/json", body.dump()});
+  admin.Handle("GET", "/healthz", [parts](const auto&, const auto& reply) {
+    const Revision active = parts.agent.active();
+    const bool ready = parts.agent.lease_held() && active > Revision(0);
+    const json body{{"ready", ready}, {"revision", active.value}};
+    reply({ready ? 200 : 503, kJson, body.dump()});
   });
   admin.Handle("GET", "/status",
                [status = std::move(status)](const auto&, const auto& reply) {
-                 reply({200, "application/json", status()});
-               });
-  admin.Handle("GET", "/members",
-               [&membership](const auto&, const auto& reply) {
-                 const json body{{"members", MembersJson(membership, false)}};
-                 reply({200, "application/json", body.dump()});
-               });
-  admin.Handle("GET", "/targets",
-               [&membership](const auto&, const auto& reply) {
-                 const json body{{"targets", MembersJson(membership, true)}};
-                 reply({200, "application/json", body.dump()});
+                 reply({200, kJson, status()});
                });
-  admin.Handle("GET", "/metrics", [&](const auto&, const auto& reply) {
+  admin.Handle("GET", "/members", [parts](const auto&, const auto& reply) {
+    const json body{{"members", MembersJson(parts.membership, false)}};
+    reply({200, kJson, body.dump()});
+  });
+  admin.Handle("GET", "/targets", [parts](const auto&, const auto& reply) {
+    const json body{{"targets", MembersJson(parts.membership, true)}};
+    reply({200, kJson, body.dump()});
+  });
+  admin.Handle("GET", "/burn", [parts](const auto&, const auto& reply) {
+    reply({200, kJson, parts.burn.Json(WallMicros())});
+  });
+  admin.Handle("GET", "/metrics", [parts](const auto&, const auto& reply) {
     std::vector<MetricSample> samples;
-    membership.Collect(samples);
-    plane.Collect(samples);
-    agent.Collect(samples);
-    reply({200, "text/plain; version=0.0.4", observe::RenderMetrics(samples)});
+    parts.membership.Collect(samples);
+    parts.plane.Collect(samples);
+    parts.agent.Collect(samples);
+    parts.burn.Collect(samples);
+    reply({200, kMetricsText, observe::RenderMetrics(samples)});
   });
 }
 
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -31,6 +31,12 @@
   return plane;
 }
 
+observe::RequestSample ToSample(const dataplane::RequestRecord& record) {
+  return {record.service, record.gate,     record.gate_zone,
+          record.outcome, record.reason,   record.status,
+          record.took,    record.deadline, record.hung_up};
+}
+
 }  // namespace
 
 NodeProcess::NodeProcess(net::EventLoop& loop, const config::Settings& settings)
@@ -110,7 +116,9 @@
 
 dataplane::PlaneHandlers NodeProcess::MakePlaneHandlers() {
   dataplane::PlaneHandlers handlers;
-  handlers.on_request = [](const dataplane::RequestRecord&) {};
+  handlers.on_request = [this](const dataplane::RequestRecord& record) {
+    burn_.Add(ToSample(record), WallMicros());
+  };
   handlers.on_target = [this](world::TargetState state, uint32_t slots) {
     OnTarget(state, slots);
   };
@@ -149,9 +157,10 @@
 
 void NodeProcess::Activate(const control::ConfigFile& file) {
   try {
-    view_.SetFleet(std::make_shared<const world::Fleet>(
-                       config::ParseFleet(file.text, "active")),
-                   file.revision);
+    const auto fleet = std::make_shared<const world::Fleet>(
+        config::ParseFleet(file.text, "active"));
+    burn_.Configure(*fleet);
+    view_.SetFleet(fleet, file.revision);
   } catch (const InvalidInput& error) {
     // Every member checks a file before it is in force, so only a node of
     // another release gets here; it must not go on with the older file.
@@ -182,7 +191,7 @@
 
 void NodeProcess::ServePages() {
   plane_->Serve(admin_);
-  ServeNodePages(admin_, *membership_, *plane_, *agent_,
+  ServeNodePages(admin_, NodeParts{*membership_, *plane_, *agent_, burn_},
                  [this] { return StatusJson(); });
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -10,6 +10,7 @@
 #include "dataplane/dataplane.h"
 #include "membership/membership.h"
 #include "net/net.h"
+#include "observe/observe.h"
 
 namespace ibisvalve::node {
 
@@ -46,6 +47,7 @@
   uint64_t in_force_since_us_ = 0;  // wall clock, for display
   world::TargetState target_state_ = world::TargetState::kNone;
   dataplane::FleetView view_;
+  observe::BurnMeter burn_;
   net::AdminServer admin_;
   std::unique_ptr<dataplane::NodePlane> plane_;
   std::unique_ptr<membership::MembershipService> membership_;
