--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -207,6 +207,11 @@
   status["lease"] = agent_ != nullptr && agent_->lease_held();
   status["target"] = world::ToString(target_state_);
   status["stopping"] = stopping_;
+  // Flat, as the table of `ibisctl status` shows them.
+  if (status.contains("gate")) {
+    status["in_flight"] = status["gate"].value("in_flight", 0);
+    status["limit"] = status["gate"].value("limit", 0);
+  }
   return status.dump();
 }
 
