--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -12,12 +12,15 @@
               std::hash<std::string>()(settings.id.value)) {}
 
 std::optional<NodeId> CandidateTable::Choose(const world::Service& service,
+                                             ServicePolicy& policy,
                                              const std::set<NodeId>& tried,
                                              Time now) {
   std::vector<policy::Candidate> candidates;
   for (const world::Member* member : view_.Targets(service.name)) {
     if (!tried.contains(member->id)) {
+      policy.ejection.Add(member->id);
       candidates.push_back(CandidateFor(service, *member, now));
+      candidates.back().ejected = policy.ejection.Factor(member->id, now);
     }
   }
   // Another region is used only where the own one has nothing left.
@@ -30,7 +33,7 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  return candidates[chooser_.Choose(candidates, now, random_)].id;
+  return candidates[policy.chooser.Choose(candidates, now, random_)].id;
 }
 
 void CandidateTable::OnHint(const NodeId& gate,
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -7,7 +7,7 @@
 
 #include "dataplane/fleet_view.h"
 #include "dataplane/node_plane.h"
-#include "dataplane/simple_chooser.h"
+#include "dataplane/service_policies.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
 
@@ -19,8 +19,10 @@
   /// Both references must outlive the table.
   CandidateTable(const PlaneSettings& settings, const FleetView& view);
 
-  /// Picks a target of `service` outside `tried`; nothing where none is left.
+  /// Picks a target of `service` outside `tried` by `policy`; nothing where
+  /// none is left.
   std::optional<NodeId> Choose(const world::Service& service,
+                               ServicePolicy& policy,
                                const std::set<NodeId>& tried,
                                Time now);
   /// A gate has told its load.
@@ -45,7 +47,6 @@
   const FleetView& view_;
   std::map<NodeId, Known> known_;
   policy::Random random_;
-  SimpleChooser chooser_;
 };
 
 }  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/crash_watch.cc
@@ -0,0 +1,61 @@
+#include "dataplane/crash_watch.h"
+
+#include <utility>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+// Connections that break so close together broke in one crash.
+constexpr Duration kSameCrash = std::chrono::milliseconds(100);
+
+}  // namespace
+
+CrashWatch::CrashWatch(net::EventLoop& loop,
+                       const PlaneSettings& settings,
+                       Tell tell)
+    : loop_(loop), settings_(settings), tell_(std::move(tell)) {}
+
+void CrashWatch::OnBroke(Digest fingerprint) {
+  const Time now = loop_.Now();
+  if (crash_number_ == 0 || now - last_crash_ > kSameCrash) {
+    ++crash_number_;
+  }
+  last_crash_ = now;
+  const wire::CrashNotice notice{
+      settings_.id, settings_.incarnation, crash_number_, {fingerprint}};
+  OnNotice(notice);
+  tell_(notice);
+}
+
+void CrashWatch::OnAnswer(Digest fingerprint) {
+  quarantine_.OnAnswer(fingerprint, loop_.Now());
+}
+
+void CrashWatch::OnNotice(const wire::CrashNotice& notice) {
+  const policy::CrashId crash{notice.gate, notice.incarnation, notice.number};
+  for (const Digest& quarantined :
+       quarantine_.OnCrash(crash, notice.in_flight, loop_.Now())) {
+    LogEvent(policy::kRequestQuarantined,
+             {{"fingerprint", ToHex(quarantined)},
+              {"service", settings_.service.value}});
+  }
+}
+
+bool CrashWatch::IsQuarantined(Digest fingerprint) const {
+  return quarantine_.Check(fingerprint, loop_.Now()) ==
+         policy::Verdict::kQuarantined;
+}
+
+bool CrashWatch::Lift(Digest fingerprint) {
+  const bool lifted = quarantine_.Lift(fingerprint, loop_.Now());
+  if (lifted) {
+    LogEvent(policy::kQuarantineLifted, {{"fingerprint", ToHex(fingerprint)}});
+  }
+  return lifted;
+}
+
+std::vector<policy::QuarantineEntry> CrashWatch::List() const {
+  return quarantine_.List(loop_.Now());
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "dataplane/events.h"
+#include "dataplane/gate_checks.h"
+#include "dataplane/gate_frames.h"
 #include "dataplane/http_headers.h"
 
 namespace ibisvalve::dataplane {
@@ -17,28 +19,8 @@
 using world::Reason;
 
 constexpr Duration kQueueTick = std::chrono::milliseconds(2);
-constexpr uint32_t kQueuePerSlot = 4;
 constexpr uint16_t kFirstServerError = 500;
 
-policy::AdmissionSettings AdmissionFor(const FleetView& view,
-                                       const ServiceName& service,
-                                       uint32_t slots) {
-  policy::AdmissionSettings settings;
-  settings.slots = std::max(slots, 1U);
-  settings.max_queue = settings.slots * kQueuePerSlot;
-  if (view.fleet() != nullptr) {
-    const world::Service* known = world::FindService(*view.fleet(), service);
-    if (known != nullptr) {
-      settings.max_wait = known->limits.queue;
-    }
-  }
-  return settings;
-}
-
-uint16_t Clamped(uint32_t number) {
-  return static_cast<uint16_t>(std::min(number, 0xFFFFU));
-}
-
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
@@ -53,6 +35,7 @@
       claims_(claims),
       memory_(memory),
       handlers_(std::move(handlers)),
+      crashes_(loop, settings, handlers_.on_crash),
       admission_(AdmissionFor(view, settings.service, settings.slots)),
       attempts_(claims::AttemptTableLimits{}),
       queue_timer_(loop, [this] { ExpireQueue(); }) {
@@ -61,9 +44,7 @@
   }
 }
 
-Gate::~Gate() {
-  *alive_ = false;
-}
+Gate::~Gate() = default;
 
 void Gate::Open(const wire::OpenAttempt& open, const ReplyPort& port) {
   if (open.gate != settings_.incarnation) {
@@ -78,10 +59,18 @@
     ReplyKnown(open.id, open.id, phase, port);
     return;
   }
-  if (const std::optional<Reason> reason = RefusalFor(open)) {
+  if (open.revision > view_.revision()) {
+    handlers_.on_newer_revision(open.revision);
+  }
+  if (const std::optional<Reason> reason =
+          RefusalFor(open, settings_, view_, target_state_)) {
     Refuse(open, port, *reason);
     return;
   }
+  if (crashes_.IsQuarantined(open.fingerprint)) {
+    Refuse(open, port, Reason::kQuarantined);
+    return;
+  }
   auto made = std::make_unique<GateRun>();
   if (!made->memory.Take(
           memory_, std::max<uint64_t>(open.body_bytes, open.body.size()))) {
@@ -102,49 +91,13 @@
   }
 }
 
-std::optional<Reason> Gate::RefusalFor(const wire::OpenAttempt& open) const {
-  if (view_.fleet() == nullptr) {
-    return Reason::kRevision;
-  }
-  if (open.revision != view_.revision()) {
-    if (open.revision > view_.revision() && handlers_.on_newer_revision) {
-      handlers_.on_newer_revision(open.revision);
-    }
-    return Reason::kRevision;
-  }
-  if (!view_.MayServe(open.may_repeat ? world::Repeat::kAllowed
-                                      : world::Repeat::kNever)) {
-    return Reason::kIsolated;
-  }
-  if (client_ == nullptr || open.service != settings_.service) {
-    return Reason::kNoTarget;
-  }
-  switch (target_state_) {
-    case world::TargetState::kReady:
-      break;
-    case world::TargetState::kDraining:
-      return Reason::kDraining;
-    default:
-      return Reason::kTargetDown;
-  }
-  const world::Service* service =
-      world::FindService(*view_.fleet(), open.service);
-  if (service == nullptr) {
-    return Reason::kUnknownService;
-  }
-  if (open.body_bytes > service->limits.request_body) {
-    return Reason::kTooLarge;
-  }
-  return std::nullopt;
-}
-
 void Gate::Refuse(const wire::OpenAttempt& open,
                   const ReplyPort& port,
                   Reason reason) {
   const FinishedAttempt finished{Outcome::kNotRun, reason, 0, nullptr};
   attempts_.Finish(open.id, finished, false);
   Count(finished);
-  SendFinished(finished, open.id, port);
+  Send(finished, open.id, port);
 }
 
 void Gate::AddBody(const wire::BodyPart& part) {
@@ -234,28 +187,10 @@
     return;
   }
   const FinishedAttempt* known = attempts_.Find(id);
-  SendFinished(known != nullptr
-                   ? *known
-                   : FinishedAttempt{Outcome::kUnknown, Reason::kFenced, 0, {}},
-               reply_as, port);
-}
-
-void Gate::SendFinished(const FinishedAttempt& finished,
-                        const AttemptId& reply_as,
-                        const ReplyPort& port) {
-  if (finished.outcome != Outcome::kAnswered || finished.answer == nullptr) {
-    const bool lost_answer = finished.outcome == Outcome::kAnswered;
-    port.send(wire::AttemptFailed{
-        reply_as, lost_answer ? Outcome::kUnknown : finished.outcome,
-        lost_answer ? Reason::kLinkLost : finished.reason, view_.revision(),
-        Hint(), std::nullopt, finished.status});
-    return;
-  }
-  AnswerSender sender(reply_as, port.send);
-  const claims::KeptAnswer& answer = *finished.answer;
-  sender.OnHead(answer.status, answer.headers, answer.body.size());
-  sender.OnData(answer.body);
-  sender.OnEnd(Hint());
+  Send(known != nullptr
+           ? *known
+           : FinishedAttempt{Outcome::kUnknown, Reason::kFenced, 0, {}},
+       reply_as, port);
 }
 
 void Gate::OnLinkLost(uint64_t link) {
@@ -312,15 +247,13 @@
 }
 
 wire::LoadHint Gate::Hint() const {
-  wire::LoadHint hint;
-  hint.in_flight = Clamped(admission_.in_flight());
-  hint.queued = Clamped(admission_.queued());
-  hint.limit = Clamped(admission_.limit());
-  hint.service_us = static_cast<uint32_t>(
-      std::min<int64_t>(admission_.service_time().count(), UINT32_MAX));
-  hint.error_permille =
-      static_cast<uint32_t>(admission_.failure_share() * 1000);
-  return hint;
+  return HintOf(admission_);
+}
+
+void Gate::Send(const FinishedAttempt& finished,
+                const AttemptId& reply_as,
+                const ReplyPort& port) const {
+  SendFinished(finished, reply_as, port, view_.revision(), Hint());
 }
 
 void Gate::Admit(GateRun& run) {
@@ -328,15 +261,15 @@
   Decide(run, admission_.Arrive(run.open.id, run.deadline, loop_.Now()));
 }
 
-void Gate::Apply(const std::vector<SimpleAdmission::Release>& released) {
-  for (const SimpleAdmission::Release& release : released) {
+void Gate::Apply(const std::vector<policy::Admission::Release>& released) {
+  for (const policy::Admission::Release& release : released) {
     if (GateRun* run = Find(release.id)) {
       Decide(*run, release.decision);
     }
   }
 }
 
-void Gate::Decide(GateRun& run, const SimpleAdmission::Decision& decision) {
+void Gate::Decide(GateRun& run, const policy::Admission::Decision& decision) {
   switch (decision.admit) {
     case policy::Admit::kQueue:
       if (!queue_timer_.running()) {
@@ -359,42 +292,31 @@
 }
 
 void Gate::Claim(GateRun& run) {
-  if (!claims_.claim) {
-    Fail(run, Outcome::kNotRun, Reason::kNoQuorum);
-    return;
-  }
   const world::Service* service =
       world::FindService(*view_.fleet(), run.open.service);
   wire::ClaimRequest request;
-  request.key = {run.open.service, run.open.key};
+  request.key = KeyOf(run);
   request.body = run.open.fingerprint;
   request.holder = HolderOf(run);
-  request.retention_us = static_cast<uint64_t>(service->key_retention.count());
-  claims_.claim(request, run.deadline - loop_.Now(),
-                [this, request, alive = alive_](const wire::ClaimReply& reply) {
-                  if (*alive) {
-                    OnClaimed(request, reply);
-                  }
+  if (service != nullptr) {
+    request.retention_us =
+        static_cast<uint64_t>(service->key_retention.count());
+  }
+  claims_.Claim(request, run.deadline - loop_.Now(),
+                [this, id = run.open.id](const wire::ClaimReply& reply) {
+                  return OnClaimed(id, reply);
                 });
 }
 
-void Gate::OnClaimed(const wire::ClaimRequest& request,
-                     const wire::ClaimReply& reply) {
-  const AttemptId& id = request.holder.attempt;
-  const bool held = reply.verdict == wire::ClaimVerdict::kGranted ||
-                    reply.verdict == wire::ClaimVerdict::kUnavailable;
+bool Gate::OnClaimed(const AttemptId& id, const wire::ClaimReply& reply) {
   GateRun* run = Find(id);
   if (run == nullptr || run->stage != RunStage::kClaiming) {
-    // It ended while it waited and never runs: the key is free again.
-    if (held) {
-      Settle(request.key, request.holder, 0);
-    }
-    return;
+    return false;  // it ended while it waited, and never runs
   }
   switch (reply.verdict) {
     case wire::ClaimVerdict::kGranted:
       Dispatch(*run);
-      return;
+      break;
     case wire::ClaimVerdict::kTaken:
       if (run->port.send) {
         run->port.send(wire::AttemptFailed{
@@ -403,23 +325,15 @@
         run->port.send = nullptr;
       }
       Fail(*run, Outcome::kNotRun, Reason::kKeyClaimed);
-      return;
+      break;
     case wire::ClaimVerdict::kMismatch:
       Fail(*run, Outcome::kNotRun, Reason::kKeyMismatch);
-      return;
+      break;
     case wire::ClaimVerdict::kUnavailable:
-      Settle(request.key, request.holder, 0);
       Fail(*run, Outcome::kNotRun, Reason::kNoQuorum);
-      return;
-  }
-}
-
-void Gate::Settle(const wire::RequestKey& key,
-                  const wire::ClaimHolder& holder,
-                  uint16_t status) {
-  if (claims_.settle) {
-    claims_.settle(wire::ClaimSettle{key, holder, status});
+      break;
   }
+  return true;
 }
 
 void Gate::Dispatch(GateRun& run) {
@@ -489,6 +403,7 @@
   run->call = nullptr;
   const uint16_t status = run->answer->status();
   run->answer->OnEnd(Hint());
+  crashes_.OnAnswer(run->open.fingerprint);
   EndCall(*run, status, status >= kFirstServerError);
   FinishIfSent(id);
 }
@@ -502,7 +417,7 @@
   const FinishedAttempt finished{Outcome::kAnswered, Reason::kNone,
                                  run->answer->status(), run->kept};
   for (const RunFollower& follower : run->followers) {
-    SendFinished(finished, follower.reply_as, follower.port);
+    Send(finished, follower.reply_as, follower.port);
   }
   Finish(*run, finished);
 }
@@ -518,11 +433,12 @@
     --counts_.dispatched;
   }
   run->call = nullptr;
+  if (reached) {
+    crashes_.OnBroke(run->open.fingerprint);
+  }
   Fail(*run, reached ? Outcome::kUnknown : Outcome::kNotRun,
        reached ? Reason::kTargetBroke : Reason::kTargetDown);
-  if (handlers_.on_target_fault) {
-    handlers_.on_target_fault();
-  }
+  handlers_.on_target_fault();
 }
 
 void Gate::OnDeadline(const AttemptId& id) {
@@ -539,10 +455,10 @@
 void Gate::Fail(GateRun& run, Outcome outcome, Reason reason) {
   const FinishedAttempt finished{outcome, reason, 0, nullptr};
   if (run.port.send) {
-    SendFinished(finished, run.open.id, run.port);
+    Send(finished, run.open.id, run.port);
   }
   for (const RunFollower& follower : run.followers) {
-    SendFinished(finished, follower.reply_as, follower.port);
+    Send(finished, follower.reply_as, follower.port);
   }
   Finish(run, finished);
 }
@@ -555,7 +471,7 @@
                             : Duration(0);
   run.stage = RunStage::kSending;
   if (run.keyed() && status != 0) {
-    Settle({run.open.service, run.open.key}, HolderOf(run), status);
+    claims_.Record(KeyOf(run), HolderOf(run), status);
   }
   Apply(admission_.Finish(id, took, failed, loop_.Now()));
 }
@@ -568,7 +484,7 @@
   const bool release_key =
       run.keyed() && run.reached() && finished.outcome == Outcome::kNotRun;
   if (release_key) {
-    Settle({run.open.service, run.open.key}, HolderOf(run), 0);
+    claims_.Release(KeyOf(run), HolderOf(run));
   }
   Count(finished);
   const bool failed = finished.outcome == Outcome::kUnknown ||
@@ -596,6 +512,10 @@
   }
 }
 
+wire::RequestKey Gate::KeyOf(const GateRun& run) const {
+  return {run.open.service, run.open.key};
+}
+
 wire::ClaimHolder Gate::HolderOf(const GateRun& run) const {
   return {run.open.id, settings_.id, settings_.incarnation};
 }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -9,12 +9,14 @@
 #include <vector>
 
 #include "claims/claims.h"
+#include "dataplane/crash_watch.h"
 #include "dataplane/gate_reply.h"
 #include "dataplane/gate_run.h"
+#include "dataplane/key_claims.h"
 #include "dataplane/memory_budget.h"
 #include "dataplane/node_plane.h"
-#include "dataplane/simple_admission.h"
 #include "dataplane/target_client.h"
+#include "policy/policy.h"
 
 namespace ibisvalve::dataplane {
 
@@ -40,6 +42,8 @@
     std::function<void(Revision seen)> on_newer_revision;
     /// The target could not be reached or broke off.
     std::function<void()> on_target_fault;
+    /// The target broke off: the other gates of its service must know.
+    std::function<void(const wire::CrashNotice& notice)> on_crash;
   };
 
   /// All references must outlive the gate.
@@ -76,11 +80,12 @@
   /// Returns how many attempts are not over.
   size_t in_flight() const { return runs_.size(); }
   uint32_t running() const { return admission_.in_flight(); }
+  /// Returns what is known of requests that broke targets.
+  CrashWatch& crashes() { return crashes_; }
   const GateCounts& counts() const { return counts_; }
   const claims::AttemptTable& attempts() const { return attempts_; }
 
  private:
-  std::optional<world::Reason> RefusalFor(const wire::OpenAttempt& open) const;
   void Refuse(const wire::OpenAttempt& open,
               const ReplyPort& port,
               world::Reason reason);
@@ -88,18 +93,14 @@
                   const AttemptId& reply_as,
                   claims::AttemptPhase phase,
                   const ReplyPort& port);
-  void SendFinished(const claims::FinishedAttempt& finished,
-                    const AttemptId& reply_as,
-                    const ReplyPort& port);
+  void Send(const claims::FinishedAttempt& finished,
+            const AttemptId& reply_as,
+            const ReplyPort& port) const;
   void Admit(GateRun& run);
-  void Apply(const std::vector<SimpleAdmission::Release>& released);
-  void Decide(GateRun& run, const SimpleAdmission::Decision& decision);
+  void Apply(const std::vector<policy::Admission::Release>& released);
+  void Decide(GateRun& run, const policy::Admission::Decision& decision);
   void Claim(GateRun& run);
-  void OnClaimed(const wire::ClaimRequest& request,
-                 const wire::ClaimReply& reply);
-  void Settle(const wire::RequestKey& key,
-              const wire::ClaimHolder& holder,
-              uint16_t status);
+  bool OnClaimed(const AttemptId& id, const wire::ClaimReply& reply);
   void Dispatch(GateRun& run);
   TargetRequest RequestFor(const GateRun& run) const;
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
@@ -112,6 +113,7 @@
   void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
   void Finish(GateRun& run, claims::FinishedAttempt finished);
   void Count(const claims::FinishedAttempt& finished);
+  wire::RequestKey KeyOf(const GateRun& run) const;
   wire::ClaimHolder HolderOf(const GateRun& run) const;
   void ExpireQueue();
   GateRun* Find(const AttemptId& id);
@@ -119,17 +121,17 @@
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
   const FleetView& view_;
-  ClaimPort& claims_;
+  KeyClaims claims_;
   MemoryBudget& memory_;
   Handlers handlers_;
+  CrashWatch crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
-  SimpleAdmission admission_;
+  policy::Admission admission_;
   claims::AttemptTable attempts_;
   std::unique_ptr<TargetClient> client_;  // null without a target
   std::unordered_map<AttemptId, std::unique_ptr<GateRun>> runs_;
   net::Timer queue_timer_;
   GateCounts counts_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/gate_checks.cc
@@ -0,0 +1,60 @@
+#include "dataplane/gate_checks.h"
+
+#include <algorithm>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+using world::Reason;
+
+constexpr uint32_t kQueuePerSlot = 4;
+
+}  // namespace
+
+std::optional<Reason> RefusalFor(const wire::OpenAttempt& open,
+                                 const PlaneSettings& settings,
+                                 const FleetView& view,
+                                 world::TargetState state) {
+  if (view.fleet() == nullptr || open.revision != view.revision()) {
+    return Reason::kRevision;
+  }
+  if (!view.MayServe(open.may_repeat ? world::Repeat::kAllowed
+                                     : world::Repeat::kNever)) {
+    return Reason::kIsolated;
+  }
+  if (!settings.target || open.service != settings.service) {
+    return Reason::kNoTarget;
+  }
+  if (state == world::TargetState::kDraining) {
+    return Reason::kDraining;
+  }
+  if (state != world::TargetState::kReady) {
+    return Reason::kTargetDown;
+  }
+  const world::Service* service =
+      world::FindService(*view.fleet(), open.service);
+  if (service == nullptr) {
+    return Reason::kUnknownService;
+  }
+  if (open.body_bytes > service->limits.request_body) {
+    return Reason::kTooLarge;
+  }
+  return std::nullopt;
+}
+
+policy::AdmissionSettings AdmissionFor(const FleetView& view,
+                                       const ServiceName& service,
+                                       uint32_t slots) {
+  policy::AdmissionSettings settings;
+  settings.slots = std::max(slots, 1U);
+  settings.max_queue = settings.slots * kQueuePerSlot;
+  if (view.fleet() != nullptr) {
+    const world::Service* known = world::FindService(*view.fleet(), service);
+    if (known != nullptr) {
+      settings.max_wait = known->limits.queue;
+    }
+  }
+  return settings;
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/gate_frames.cc
@@ -0,0 +1,54 @@
+#include "dataplane/gate_frames.h"
+
+#include <algorithm>
+
+#include "dataplane/answer_sender.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+using world::Outcome;
+using world::Reason;
+
+uint16_t Clamped(uint32_t number) {
+  return static_cast<uint16_t>(std::min(number, 0xFFFFU));
+}
+
+}  // namespace
+
+wire::LoadHint HintOf(const policy::Admission& admission) {
+  constexpr double kPermille = 1000;
+  wire::LoadHint hint;
+  hint.in_flight = Clamped(admission.in_flight());
+  hint.queued = Clamped(admission.queued());
+  hint.limit = Clamped(admission.limit());
+  hint.service_us = static_cast<uint32_t>(
+      std::min<int64_t>(admission.service_time().count(), UINT32_MAX));
+  hint.error_permille =
+      static_cast<uint32_t>(admission.failure_share() * kPermille);
+  return hint;
+}
+
+void SendFinished(const claims::FinishedAttempt& finished,
+                  const AttemptId& reply_as,
+                  const ReplyPort& port,
+                  Revision revision,
+                  const wire::LoadHint& hint) {
+  const bool answered = finished.outcome == Outcome::kAnswered;
+  if (answered && finished.answer != nullptr) {
+    AnswerSender sender(reply_as, port.send);
+    const claims::KeptAnswer& answer = *finished.answer;
+    sender.OnHead(answer.status, answer.headers, answer.body.size());
+    sender.OnData(answer.body);
+    sender.OnEnd(hint);
+    return;
+  }
+  // An answer that is no longer kept can't be given: what is known is that it
+  // ran, and its status.
+  port.send(wire::AttemptFailed{reply_as,
+                                answered ? Outcome::kUnknown : finished.outcome,
+                                answered ? Reason::kLinkLost : finished.reason,
+                                revision, hint, std::nullopt, finished.status});
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/gate_frames.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "claims/claims.h"
+#include "dataplane/gate_reply.h"
+#include "policy/policy.h"
+#include "wire/wire.h"
+
+namespace ibisvalve::dataplane {
+
+/// Returns the load of a target by its gate's admission.
+wire::LoadHint HintOf(const policy::Admission& admission);
+
+/// Sends how an attempt ended to `port`, in frames that carry `reply_as`: the
+/// kept answer, or that there is none.
+void SendFinished(const claims::FinishedAttempt& finished,
+                  const AttemptId& reply_as,
+                  const ReplyPort& port,
+                  Revision revision,
+                  const wire::LoadHint& hint);
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -7,6 +7,8 @@
 
 #include "dataplane/events.h"
 #include "dataplane/http_headers.h"
+#include "dataplane/request_messages.h"
+#include "dataplane/retry_rules.h"
 
 namespace ibisvalve::dataplane {
 namespace {
@@ -21,37 +23,9 @@
 constexpr Duration kStallLimit = std::chrono::seconds(10);
 // Between attempts while revisions or incarnations are still spreading.
 constexpr Duration kSpreadPause = std::chrono::milliseconds(10);
-// Refusals that cost no target anything may be retried a little further.
-constexpr uint32_t kExtraFreeAttempts = 5;
-
-// The gate and the ingress are not yet of one mind; it passes by itself.
-bool IsSpreading(Reason reason) {
-  return reason == Reason::kRevision || reason == Reason::kGateRestarted;
-}
-
-// The refusal is no sign of load.
-bool IsFree(Reason reason) {
-  return reason == Reason::kDraining || reason == Reason::kTargetDown ||
-         reason == Reason::kIsolated || reason == Reason::kNoTarget;
-}
-
-// Another gate would say the same.
-bool IsFinal(Reason reason) {
-  switch (reason) {
-    case Reason::kKeyMismatch:
-    case Reason::kKeyClaimed:
-    case Reason::kNoQuorum:
-    case Reason::kQuarantined:
-    case Reason::kTooLarge:
-    case Reason::kDeadline:
-    case Reason::kCancelled:
-    case Reason::kBadRequest:
-    case Reason::kUnknownService:
-      return true;
-    default:
-      return false;
-  }
-}
+// A request that broke so many targets is not tried at another one.
+constexpr uint32_t kMaxBroken = 2;
+constexpr uint16_t kFirstServerError = 500;
 
 }  // namespace
 
@@ -64,13 +38,14 @@
     : loop_(loop),
       settings_(settings),
       view_(view),
-      gate_(gate),
       memory_(memory),
       handlers_(handlers),
       candidates_(settings, view),
-      peers_(loop,
+      policies_(settings.choice),
+      gates_(loop,
              settings,
              view,
+             gate,
              {[this](const NodeId& peer, GateReply reply) {
                 OnReply(peer, std::move(reply));
               },
@@ -78,30 +53,24 @@
                 candidates_.OnHint(peer, hint, loop_.Now());
               },
               [this](const NodeId& peer, uint64_t link, bool connected) {
-                OnLinkDown(peer, link, connected);
+                recovery_.OnLinkDown(peer, link, connected);
               },
               [this](Revision seen) {
                 if (handlers_.on_newer_revision) {
                   handlers_.on_newer_revision(seen);
                 }
               }}),
-      ask_timer_(loop, [this] { AskAgain(); }) {
-  // Posted, so that the gate never calls back from inside a call of its own.
-  local_port_ = {0, [this, alive = alive_](const GateReply& reply) {
-                   loop_.Post([this, alive, reply] {
-                     if (*alive) {
-                       OnReply(settings_.id, reply);
-                     }
-                   });
-                 }};
-  ask_timer_.StartPeriodic(settings.link_silence);
-}
+      recovery_(loop,
+                attempts_,
+                gates_,
+                settings.link_silence,
+                [this](const AttemptId& id, Outcome outcome, Reason reason) {
+                  FailAttempt(id, outcome, reason);
+                }) {}
 
-Ingress::~Ingress() {
-  *alive_ = false;
-}
+Ingress::~Ingress() = default;
 
-void Ingress::OnRequest(std::shared_ptr<CallerExchange> exchange) {
+void Ingress::OnRequest(const std::shared_ptr<CallerExchange>& exchange) {
   ++counts_.requests;
   if (view_.fleet() == nullptr) {
     RefuseEarly(exchange, {Reason::kRevision, "no file is in force yet"}, {});
@@ -112,116 +81,160 @@
       ParseTerms(exchange->request(), *view_.fleet(), refusal);
   if (!terms) {
     RefuseEarly(exchange, refusal, {});
-    return;
-  }
-  if (!view_.MayServe(terms->terms.repeat)) {
+  } else if (!view_.MayServe(terms->terms.repeat)) {
     RefuseEarly(exchange, {Reason::kIsolated, "no keeper confirms the file"},
                 terms->service->name);
-    return;
+  } else {
+    Accept(exchange, *terms);
+  }
+}
+
+void Ingress::RefuseEarly(const std::shared_ptr<CallerExchange>& exchange,
+                          const CallerRefusal& refusal,
+                          const ServiceName& service) {
+  const int status = ReplyWithoutAnswer(
+      *exchange,
+      {Outcome::kNotRun, refusal.reason, 0, 0, refusal.detail, refusal.close});
+  if (!service.empty() && handlers_.on_request) {
+    RequestRecord record;
+    record.service = service;
+    record.reason = refusal.reason;
+    record.status = static_cast<uint16_t>(status);
+    handlers_.on_request(record);
   }
+}
+
+void Ingress::Accept(const std::shared_ptr<CallerExchange>& exchange,
+                     const CallerTerms& terms) {
   auto request = std::make_shared<RequestState>();
   if (!request->memory.Take(memory_, exchange->request().body.size())) {
     RefuseEarly(exchange, {Reason::kMemory, "too many bytes are held"},
-                terms->service->name);
+                terms.service->name);
     return;
   }
   request->number = ++next_request_;
-  request->exchange = std::move(exchange);
+  request->exchange = exchange;
   request->fleet = view_.fleet();
-  request->terms = *terms;
+  request->terms = terms;
   request->arrived = loop_.Now();
-  request->deadline = request->arrived + terms->deadline;
+  request->deadline = request->arrived + terms.deadline;
   requests_[request->number] = request;
+  AddTimers(request);
+  if (request->repeatable()) {
+    PolicyOf(*request).hedge.OnRequest(request->arrived);
+  }
+  Try(request);
+}
+
+void Ingress::AddTimers(const RequestPtr& request) {
   const std::weak_ptr<RequestState> weak = request;
-  const auto call = [weak](auto action) {
-    if (const Request standing = weak.lock()) {
-      action(standing);
-    }
+  const auto bind = [this, weak](void (Ingress::*method)(const RequestPtr&)) {
+    return [this, weak, method] {
+      if (const RequestPtr standing = weak.lock()) {
+        (this->*method)(standing);
+      }
+    };
   };
-  request->deadline_timer = std::make_unique<net::Timer>(loop_, [this, call] {
-    call([this](const Request& late) { OnDeadline(late); });
-  });
-  request->deadline_timer->StartOnce(terms->deadline);
-  request->retry_timer = std::make_unique<net::Timer>(loop_, [this, call] {
-    call([this](const Request& waiting) { Try(waiting); });
-  });
-  request->exchange->SetOnGone(
-      [this, call] { call([this](const Request& gone) { OnHungUp(gone); }); });
-  Try(request);
+  request->deadline_timer =
+      std::make_unique<net::Timer>(loop_, bind(&Ingress::OnDeadline));
+  request->deadline_timer->StartOnce(request->terms.deadline);
+  request->retry_timer =
+      std::make_unique<net::Timer>(loop_, bind(&Ingress::Try));
+  request->hedge_timer =
+      std::make_unique<net::Timer>(loop_, bind(&Ingress::OnHedgeDue));
+  request->exchange->SetOnGone(bind(&Ingress::OnHungUp));
 }
 
-void Ingress::RefuseEarly(const std::shared_ptr<CallerExchange>& exchange,
-                          const CallerRefusal& refusal,
-                          const ServiceName& service) {
-  const int status = StatusFor(Outcome::kNotRun, refusal.reason);
-  wire::Headers headers = {{kOutcomeHeader, world::ToString(Outcome::kNotRun)},
-                           {kReasonHeader, world::ToString(refusal.reason)},
-                           {kAttemptsHeader, "0"},
-                           {"Content-Type", "text/plain"}};
-  if (refusal.close) {
-    headers.emplace_back("Connection", "close");
-  }
-  exchange->Reply(status, headers, refusal.detail + "\n");
-  if (!service.empty() && handlers_.on_request) {
-    RequestRecord record;
-    record.service = service;
-    record.reason = refusal.reason;
-    record.status = static_cast<uint16_t>(status);
-    handlers_.on_request(record);
-  }
+ServicePolicy& Ingress::PolicyOf(const RequestState& request) {
+  return policies_.For(request.fleet, *request.terms.service);
 }
 
 // Picks a target and asks its gate, or concludes where none is left.
-void Ingress::Try(const Request& request) {
-  const std::optional<NodeId> gate =
-      candidates_.Choose(*request->terms.service, request->tried, loop_.Now());
-  if (!gate) {
+void Ingress::Try(const RequestPtr& request) {
+  if (!TryOnce(request, false)) {
     Conclude(
         request, Outcome::kNotRun,
         request->reason == Reason::kNone ? Reason::kNoTarget : request->reason);
     return;
   }
-  StartAttempt(request, *gate);
+  const std::optional<Duration> delay =
+      request->repeatable() && !request->terms.retry && !request->hedged
+          ? PolicyOf(*request).hedge.Delay(loop_.Now())
+          : std::nullopt;
+  if (delay) {
+    request->hedge_timer->StartOnce(*delay);
+  }
 }
 
-void Ingress::StartAttempt(const Request& request, const NodeId& gate) {
-  IngressAttempt& attempt = AddAttempt(request, gate);
+bool Ingress::TryOnce(const RequestPtr& request, bool hedge) {
+  const std::optional<NodeId> gate = candidates_.Choose(
+      *request->terms.service, PolicyOf(*request), request->tried, loop_.Now());
+  if (!gate) {
+    return false;
+  }
+  IngressAttempt& attempt = AddAttempt(request, *gate);
+  attempt.hedge = hedge;
   ++request->made;
   ++counts_.attempts;
-  request->tried.insert(gate);
-  const wire::OpenAttempt open = OpenFor(*request, attempt);
+  request->tried.insert(*gate);
+  const wire::OpenAttempt open =
+      OpenFor(*request, attempt, view_.revision(), loop_.Now());
   attempt.body_sent = open.body.size();
   attempt.body_credit -= open.body.size();
-  const AttemptId id = attempt.id;
-  Send(attempt, open);
-  // A gate of this node may have refused from inside the call, but its reply
-  // comes later from the loop, so the attempt still stands.
-  CHECK(by_attempt_.contains(id));
+  gates_.Send(attempt, open);
   SendBody(*request, attempt);
+  return true;
 }
 
-wire::OpenAttempt Ingress::OpenFor(const RequestState& request,
-                                   const IngressAttempt& attempt) const {
-  const CallerRequest& asked = request.exchange->request();
-  wire::OpenAttempt open;
-  open.id = attempt.id;
-  open.gate = attempt.gate_incarnation;
-  open.revision = view_.revision();
-  open.service = request.terms.service->name;
-  open.method = asked.method;
-  open.uri = asked.uri;
-  open.headers = EndToEnd(asked.headers);
-  open.remaining_us = static_cast<uint64_t>(
-      std::max<int64_t>((request.deadline - loop_.Now()).count(), 0));
-  open.depth = request.terms.depth;
-  open.retry = request.terms.retry || request.made > 1;
-  open.may_repeat = request.repeatable();
-  open.key = request.terms.key;
-  open.fingerprint = request.terms.fingerprint;
-  open.body_bytes = asked.body.size();
-  open.body = asked.body.substr(0, kPartBytes);
-  open.body_complete = open.body.size() == asked.body.size();
-  return open;
+// The answer takes longer than most: asks a second target, if the budget lets.
+void Ingress::OnHedgeDue(const RequestPtr& request) {
+  const bool waiting = request->attempts.size() == 1 && !request->committed &&
+                       request->attempts.front()->relay->received() == 0;
+  if (!waiting || request->broke > 0 ||
+      !PolicyOf(*request).hedge.TryTake(loop_.Now())) {
+    return;
+  }
+  if (TryOnce(request, true)) {
+    ++counts_.hedges;
+    request->hedged = true;
+  }
+}
+
+IngressAttempt& Ingress::AddAttempt(const RequestPtr& request,
+                                    const NodeId& gate) {
+  auto made = std::make_unique<IngressAttempt>();
+  made->id = {settings_.incarnation, ++next_attempt_};
+  made->gate = gate;
+  made->started = loop_.Now();
+  made->relay = std::make_unique<AnswerRelay>(request->exchange,
+                                              RelayHandlers(request, made->id));
+  gates_.Begin(*made);
+  candidates_.Begin(gate);
+  return attempts_.Add(request, std::move(made));
+}
+
+AnswerRelay::Handlers Ingress::RelayHandlers(const RequestPtr& request,
+                                             const AttemptId& id) {
+  const std::weak_ptr<RequestState> weak = request;
+  AnswerRelay::Handlers handlers;
+  handlers.outcome_headers = [weak] {
+    const RequestPtr standing = weak.lock();
+    return OutcomeHeaders(Outcome::kAnswered, Reason::kNone,
+                          standing == nullptr ? 0 : standing->made);
+  };
+  handlers.on_taken = [this, id](uint32_t bytes) {
+    const AttemptIndex::Found found = attempts_.Find(id);
+    if (found.attempt != nullptr) {
+      gates_.Send(*found.attempt, wire::Credit{id, bytes});
+    }
+  };
+  handlers.on_committed = [this, weak, id] {
+    if (const RequestPtr standing = weak.lock()) {
+      standing->committed = true;
+      CancelAttempts(standing, &id);
+    }
+  };
+  return handlers;
 }
 
 void Ingress::SendBody(const RequestState& request, IngressAttempt& attempt) {
@@ -235,195 +248,131 @@
     attempt.body_sent += size;
     attempt.body_credit -= size;
     part.last = attempt.body_sent == body.size();
-    Send(attempt, part);
-  }
-}
-
-IngressAttempt& Ingress::AddAttempt(const Request& request,
-                                    const NodeId& gate) {
-  auto made = std::make_unique<IngressAttempt>();
-  IngressAttempt& attempt = *made;
-  attempt.id = {settings_.incarnation, ++next_attempt_};
-  attempt.gate = gate;
-  attempt.started = loop_.Now();
-  attempt.relay = RelayFor(request, attempt.id);
-  if (gate == settings_.id) {
-    attempt.gate_incarnation = settings_.incarnation;
-  } else {
-    attempt.gate_incarnation = peers_.IncarnationOf(gate);
-    attempt.link = peers_.LinkTo(gate).value_or(0);
-    peers_.BeginAttempt(gate, attempt.link);
+    gates_.Send(attempt, part);
   }
-  candidates_.Begin(gate);
-  request->attempts.push_back(std::move(made));
-  by_attempt_[attempt.id] = request;
-  return attempt;
-}
-
-std::unique_ptr<AnswerRelay> Ingress::RelayFor(const Request& request,
-                                               const AttemptId& id) {
-  const std::weak_ptr<RequestState> weak = request;
-  return std::make_unique<AnswerRelay>(
-      request->exchange,
-      AnswerRelay::Handlers{[this, weak] {
-                              const Request standing = weak.lock();
-                              return standing == nullptr
-                                         ? wire::Headers()
-                                         : OutcomeHeaders(*standing,
-                                                          Outcome::kAnswered,
-                                                          Reason::kNone);
-                            },
-                            [this, weak, id](uint32_t bytes) {
-                              const Request standing = weak.lock();
-                              if (standing == nullptr) {
-                                return;
-                              }
-                              for (const auto& attempt : standing->attempts) {
-                                if (attempt->id == id) {
-                                  Send(*attempt, wire::Credit{id, bytes});
-                                }
-                              }
-                            },
-                            [this, weak, id] {
-                              if (const Request standing = weak.lock()) {
-                                OnCommitted(standing, id);
-                              }
-                            }});
-}
-
-wire::Headers Ingress::OutcomeHeaders(const RequestState& request,
-                                      Outcome outcome,
-                                      Reason reason) const {
-  return {{kOutcomeHeader, world::ToString(outcome)},
-          {kReasonHeader, world::ToString(reason)},
-          {kAttemptsHeader, std::to_string(request.made)}};
 }
 
 void Ingress::OnReply(const NodeId& gate, GateReply reply) {
   const AttemptId id =
       std::visit([](const auto& frame) { return frame.id; }, reply);
-  const auto found = by_attempt_.find(id);
-  if (found == by_attempt_.end()) {
+  const AttemptIndex::Found found = attempts_.Find(id);
+  if (found.attempt == nullptr || found.attempt->gate != gate) {
     return;  // late: that attempt is over
   }
-  const Request request = found->second;
-  const auto attempt =
-      std::find_if(request->attempts.begin(), request->attempts.end(),
-                   [&](const auto& one) { return one->id == id; });
-  if (attempt == request->attempts.end() || (*attempt)->gate != gate) {
-    return;
-  }
   try {
-    std::visit([&](auto& frame) { Take(request, **attempt, std::move(frame)); },
-               reply);
-  } catch (const wire::WireError& error) {
+    std::visit([&](auto& frame) { Take(found, std::move(frame)); }, reply);
+  } catch (const wire::WireError&) {
     // What came is no whole answer and is never passed on as one.
-    FailAttempt(request, id, Outcome::kUnknown, Reason::kTargetBroke);
+    FailAttempt(id, Outcome::kUnknown, Reason::kTargetBroke);
   }
 }
 
-void Ingress::Take(const Request& request,
-                   IngressAttempt& attempt,
-                   wire::AnswerHead head) {
-  candidates_.OnHint(attempt.gate, head.hint, loop_.Now());
-  const AttemptId id = attempt.id;
-  if (attempt.relay->OnHead(std::move(head))) {
-    OnAnswered(request, id);
+void Ingress::Take(const AttemptIndex::Found& found, wire::AnswerHead head) {
+  candidates_.OnHint(found.attempt->gate, head.hint, loop_.Now());
+  const AttemptId id = found.attempt->id;
+  if (found.attempt->relay->OnHead(std::move(head))) {
+    OnAnswered(found.request, id);
   }
 }
 
-void Ingress::Take(const Request& request,
-                   IngressAttempt& attempt,
+void Ingress::Take(const AttemptIndex::Found& found,
                    const wire::AnswerPart& part) {
-  const AttemptId id = attempt.id;
-  if (attempt.relay->OnPart(part)) {
-    OnAnswered(request, id);
+  const AttemptId id = found.attempt->id;
+  if (found.attempt->relay->OnPart(part)) {
+    OnAnswered(found.request, id);
   }
 }
 
-void Ingress::Take(const Request& request,
-                   IngressAttempt& attempt,
+void Ingress::Take(const AttemptIndex::Found& found,
                    const wire::AttemptFailed& failed) {
+  const IngressAttempt& attempt = *found.attempt;
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
   if (failed.revision > view_.revision() && handlers_.on_newer_revision) {
     handlers_.on_newer_revision(failed.revision);
   }
   if (failed.claimed_status != 0) {
-    request->first_status = failed.claimed_status;
+    found.request->first_status = failed.claimed_status;
   }
   if (failed.reason == Reason::kKeyClaimed && failed.holder &&
       !attempt.follows) {
-    const wire::ClaimHolder holder = *failed.holder;
-    DropAttempt(*request, attempt.id);
-    Follow(request, holder, failed.claimed_status);
+    DropAttempt(AttemptId(attempt.id));
+    Follow(found.request, *failed.holder, failed.claimed_status);
     return;
   }
-  FailAttempt(request, attempt.id, failed.outcome, failed.reason);
+  FailAttempt(AttemptId(attempt.id), failed.outcome, failed.reason);
 }
 
-void Ingress::Take(const Request&,
-                   IngressAttempt& attempt,
+void Ingress::Take(const AttemptIndex::Found& found,
                    const wire::AttemptRunning&) {
-  attempt.needs_query = false;
+  found.attempt->needs_query = false;
 }
 
-void Ingress::Take(const Request& request,
-                   IngressAttempt& attempt,
+void Ingress::Take(const AttemptIndex::Found& found,
                    const wire::Credit& credit) {
-  attempt.body_credit += credit.bytes;
-  SendBody(*request, attempt);
+  found.attempt->body_credit += credit.bytes;
+  SendBody(*found.request, *found.attempt);
 }
 
-void Ingress::OnAnswered(const Request& request, const AttemptId& id) {
-  const auto winner =
-      std::find_if(request->attempts.begin(), request->attempts.end(),
-                   [&](const auto& one) { return one->id == id; });
-  CHECK(winner != request->attempts.end());
+void Ingress::OnAnswered(const RequestPtr& request, const AttemptId& id) {
+  const IngressAttempt& winner = *attempts_.Find(id).attempt;
+  const Time now = loop_.Now();
   RequestRecord record;
-  record.gate = (*winner)->gate;
+  record.gate = winner.gate;
   record.outcome = Outcome::kAnswered;
-  record.status = (*winner)->relay->status();
-  CancelAttempts(request, &id);
-  const auto budget = retry_budgets_.find(request->terms.service->name);
-  if (budget != retry_budgets_.end()) {
-    budget->second.OnSuccess();
+  record.status = winner.relay->status();
+  ServicePolicy& policy = PolicyOf(*request);
+  policy.retries.Earn(now);
+  policy.hedge.OnAnswer(now - winner.started, now);
+  const bool failed = record.status >= kFirstServerError;
+  if (policy.ejection.OnResult(winner.gate, failed, now)) {
+    LogEvent(policy::kTargetEjected, {{"target", winner.gate.value}});
   }
+  CancelAttempts(request, &id);
   End(request, record);
 }
 
-void Ingress::OnCommitted(const Request& request, const AttemptId& winner) {
-  request->committed = true;
-  CancelAttempts(request, &winner);
-}
-
-// One attempt is over without an answer: tries another where that is allowed.
-void Ingress::FailAttempt(const Request& request,
-                          const AttemptId& id,
-                          Outcome outcome,
-                          Reason reason) {
-  const auto failed =
-      std::find_if(request->attempts.begin(), request->attempts.end(),
-                   [&](const auto& one) { return one->id == id; });
-  CHECK(failed != request->attempts.end());
-  const bool followed = (*failed)->follows.has_value();
-  const bool was_committed = (*failed)->relay->committed();
-  const NodeId gate = (*failed)->gate;
-  DropAttempt(*request, id);
+// One attempt is over without an answer.
+void Ingress::FailAttempt(const AttemptId& id, Outcome outcome, Reason reason) {
+  const AttemptIndex::Found found = attempts_.Find(id);
+  const RequestPtr request = found.request;
+  const bool followed = found.attempt->follows.has_value();
+  const bool was_committed = found.attempt->relay->committed();
+  const NodeId gate = found.attempt->gate;
+  DropAttempt(id);
   request->reason = reason;
   request->maybe_ran |= outcome == Outcome::kUnknown;
-  if (was_committed) {
-    Conclude(request, Outcome::kUnknown, reason);
-    return;
+  request->broke += reason == Reason::kTargetBroke ? 1 : 0;
+  if (outcome == Outcome::kUnknown && reason != Reason::kDeadline &&
+      PolicyOf(*request).ejection.OnResult(gate, true, loop_.Now())) {
+    LogEvent(policy::kTargetEjected, {{"target", gate.value}});
   }
-  if (!request->attempts.empty()) {
-    return;  // a hedge is still in flight
+  if (was_committed || followed) {
+    Conclude(request, was_committed ? Outcome::kUnknown : outcome, reason);
+  } else if (request->attempts.empty()) {  // no hedge is in flight
+    Continue(request, gate, outcome, reason);
   }
-  if (followed || !MayRetry(*request, outcome, reason)) {
+}
+
+// Tries again where that is allowed, else tells the caller.
+void Ingress::Continue(const RequestPtr& request,
+                       const NodeId& gate,
+                       Outcome outcome,
+                       Reason reason) {
+  const Time now = loop_.Now();
+  RetryRule rule =
+      RuleFor(outcome, reason, request->repeatable(), request->terms.retry,
+              request->made, request->terms.service->retry.max_attempts);
+  if (now >= request->deadline || request->broke >= kMaxBroken ||
+      (rule == RetryRule::kBudgeted &&
+       !PolicyOf(*request).retries.TryTake(now))) {
+    rule = RetryRule::kNever;
+  }
+  if (rule == RetryRule::kNever) {
     Conclude(request, outcome, reason);
     return;
   }
   ++counts_.retries;
-  if (IsSpreading(reason)) {
+  if (rule == RetryRule::kSoon) {
     request->tried.erase(gate);
     request->retry_timer->StartOnce(kSpreadPause);
   } else {
@@ -431,119 +380,23 @@
   }
 }
 
-bool Ingress::MayRetry(const RequestState& request,
-                       Outcome outcome,
-                       Reason reason) {
-  if (IsFinal(reason) || loop_.Now() >= request.deadline) {
-    return false;
-  }
-  if (outcome == Outcome::kUnknown &&
-      (!request.repeatable() || request.terms.retry)) {
-    return false;
-  }
-  if (IsSpreading(reason) && outcome == Outcome::kNotRun) {
-    return true;
-  }
-  const world::RetryPolicy& policy = request.terms.service->retry;
-  if (IsFree(reason) && outcome == Outcome::kNotRun) {
-    return request.made < policy.max_attempts + kExtraFreeAttempts;
-  }
-  if (request.made >= policy.max_attempts || request.terms.retry) {
-    return false;
-  }
-  const auto budget =
-      retry_budgets_.try_emplace(request.terms.service->name, policy.budget);
-  return budget.first->second.Take();
-}
-
 // The key is held by an earlier attempt: waits for that one's answer.
-void Ingress::Follow(const Request& request,
+void Ingress::Follow(const RequestPtr& request,
                      const wire::ClaimHolder& holder,
                      uint16_t status) {
   request->first_status = status;
   if (view_.Find(holder.gate) == nullptr && holder.gate != settings_.id) {
-    request->maybe_ran = true;
     Conclude(request, Outcome::kUnknown, Reason::kKeyClaimed);
     return;
   }
   IngressAttempt& attempt = AddAttempt(request, holder.gate);
   attempt.gate_incarnation = holder.gate_incarnation;
   attempt.follows = holder.attempt;
-  Send(attempt,
-       wire::QueryAttempt{holder.attempt, holder.gate_incarnation, attempt.id});
+  gates_.Send(attempt, wire::QueryAttempt{holder.attempt,
+                                          holder.gate_incarnation, attempt.id});
 }
 
-void Ingress::OnLinkDown(const NodeId& gate, uint64_t link, bool connected) {
-  std::vector<std::pair<Request, AttemptId>> cut;
-  for (const auto& [id, request] : by_attempt_) {
-    for (const auto& attempt : request->attempts) {
-      if (attempt->id == id && attempt->gate == gate && attempt->link == link) {
-        cut.emplace_back(request, id);
-      }
-    }
-  }
-  for (const auto& [request, id] : cut) {
-    const auto found = std::find_if(
-        request->attempts.begin(), request->attempts.end(),
-        [wanted = id](const auto& one) { return one->id == wanted; });
-    if (found == request->attempts.end()) {
-      continue;
-    }
-    IngressAttempt& attempt = **found;
-    attempt.link = 0;
-    const bool never_left =
-        !connected && attempt.queries == 0 && !attempt.follows;
-    const bool asked_enough = attempt.queries > 0 && request->repeatable();
-    if (never_left) {
-      FailAttempt(request, id, Outcome::kNotRun, Reason::kTargetDown);
-    } else if (attempt.relay->committed() || asked_enough) {
-      // What the caller has been sent can't be continued.
-      FailAttempt(request, id, Outcome::kUnknown, Reason::kLinkLost);
-    } else if (attempt.queries > 0) {
-      attempt.needs_query = true;  // again, at the next tick
-    } else {
-      Ask(request, attempt);
-    }
-  }
-}
-
-// Asks the gate over a new link what became of an attempt.
-void Ingress::Ask(const Request& request, IngressAttempt& attempt) {
-  ++counts_.queries;
-  ++attempt.queries;
-  attempt.needs_query = false;
-  attempt.relay->Restart();
-  const std::optional<uint64_t> link = peers_.LinkTo(attempt.gate);
-  if (!link) {
-    FailAttempt(request, attempt.id, Outcome::kUnknown, Reason::kLinkLost);
-    return;
-  }
-  attempt.link = *link;
-  peers_.BeginAttempt(attempt.gate, attempt.link);
-  Send(attempt, wire::QueryAttempt{attempt.follows.value_or(attempt.id),
-                                   attempt.gate_incarnation, attempt.id});
-}
-
-void Ingress::AskAgain() {
-  std::vector<std::pair<Request, AttemptId>> waiting;
-  for (const auto& [id, request] : by_attempt_) {
-    for (const auto& attempt : request->attempts) {
-      if (attempt->id == id && attempt->needs_query && attempt->link == 0) {
-        waiting.emplace_back(request, id);
-      }
-    }
-  }
-  for (const auto& [request, id] : waiting) {
-    for (size_t i = 0; i < request->attempts.size(); ++i) {
-      if (request->attempts[i]->id == id) {
-        Ask(request, *request->attempts[i]);
-        break;
-      }
-    }
-  }
-}
-
-void Ingress::OnDeadline(const Request& request) {
+void Ingress::OnDeadline(const RequestPtr& request) {
   if (request->committed) {
     uint64_t progress = 0;
     for (const auto& attempt : request->attempts) {
@@ -566,7 +419,7 @@
   Conclude(request, Outcome::kNotRun, Reason::kDeadline);
 }
 
-void Ingress::OnHungUp(const Request& request) {
+void Ingress::OnHungUp(const RequestPtr& request) {
   ++counts_.hung_up;
   RequestRecord record;
   record.hung_up = true;
@@ -579,39 +432,31 @@
 }
 
 // Cancels every attempt in flight but `but`.
-void Ingress::CancelAttempts(const Request& request, const AttemptId* but) {
+void Ingress::CancelAttempts(const RequestPtr& request, const AttemptId* but) {
   for (size_t i = request->attempts.size(); i-- > 0;) {
     const IngressAttempt& attempt = *request->attempts[i];
     if (but != nullptr && attempt.id == *but) {
       continue;
     }
     if (!attempt.follows) {
-      Send(attempt, wire::CancelAttempt{attempt.id});
+      gates_.Send(attempt, wire::CancelAttempt{attempt.id});
     }
-    DropAttempt(*request, AttemptId(attempt.id));
+    DropAttempt(AttemptId(attempt.id));
   }
 }
 
-void Ingress::DropAttempt(RequestState& request, const AttemptId& id) {
-  const AttemptId dropped = id;
-  const auto found =
-      std::find_if(request.attempts.begin(), request.attempts.end(),
-                   [&](const auto& one) { return one->id == dropped; });
-  CHECK(found != request.attempts.end());
-  const IngressAttempt& attempt = **found;
-  candidates_.End(attempt.gate);
-  if (attempt.link != 0) {
-    peers_.EndAttempt(attempt.gate, attempt.link);
-  }
+void Ingress::DropAttempt(const AttemptId& id) {
   // Its relay may be what is calling, so it is destroyed from the loop.
-  std::shared_ptr<IngressAttempt> gone = std::move(*found);
-  loop_.Post([gone] {});
-  request.attempts.erase(found);
-  by_attempt_.erase(dropped);
+  std::shared_ptr<IngressAttempt> dropped = attempts_.Remove(id);
+  candidates_.End(dropped->gate);
+  gates_.End(*dropped);
+  loop_.Post([dropped] {});
 }
 
 // Tells the caller that there is no answer, and what is known instead.
-void Ingress::Conclude(const Request& request, Outcome outcome, Reason reason) {
+void Ingress::Conclude(const RequestPtr& request,
+                       Outcome outcome,
+                       Reason reason) {
   if (request->maybe_ran) {
     outcome = Outcome::kUnknown;
   }
@@ -624,21 +469,14 @@
     End(request, record);
     return;
   }
-  const int status = StatusFor(outcome, reason);
-  record.status = static_cast<uint16_t>(status);
-  wire::Headers headers = OutcomeHeaders(*request, outcome, reason);
-  headers.emplace_back("Content-Type", "text/plain");
-  if (request->first_status != 0) {
-    headers.emplace_back(kFirstStatusHeader,
-                         std::to_string(request->first_status));
-  }
-  request->exchange->Reply(
-      status, headers,
-      world::ToString(outcome) + ": " + world::ToString(reason) + "\n");
+  record.status = static_cast<uint16_t>(ReplyWithoutAnswer(
+      *request->exchange,
+      {outcome, reason, request->made, request->first_status,
+       world::ToString(outcome) + ": " + world::ToString(reason), false}));
   End(request, record);
 }
 
-void Ingress::End(const Request& request, RequestRecord record) {
+void Ingress::End(const RequestPtr& request, RequestRecord record) {
   record.service = request->terms.service->name;
   if (const world::Member* gate = view_.Find(record.gate)) {
     record.gate_zone = gate->location.zone;
@@ -649,10 +487,11 @@
   record.hedged = request->hedged;
   request->exchange->SetOnGone(nullptr);
   while (!request->attempts.empty()) {
-    DropAttempt(*request, request->attempts.back()->id);
+    DropAttempt(AttemptId(request->attempts.back()->id));
   }
   request->deadline_timer->Stop();
   request->retry_timer->Stop();
+  request->hedge_timer->Stop();
   requests_.erase(request->number);
   // Timers and callbacks of the request may be running.
   loop_.Post([request] {});
@@ -661,33 +500,4 @@
   }
 }
 
-template <typename Message>
-void Ingress::Send(const IngressAttempt& attempt, const Message& message) {
-  if (attempt.gate == settings_.id) {
-    SendLocal(message);
-  } else {
-    peers_.Send(attempt.gate, attempt.link, message);
-  }
-}
-
-void Ingress::SendLocal(const wire::OpenAttempt& message) {
-  gate_.Open(message, local_port_);
-}
-
-void Ingress::SendLocal(const wire::BodyPart& message) {
-  gate_.AddBody(message);
-}
-
-void Ingress::SendLocal(const wire::CancelAttempt& message) {
-  gate_.Cancel(message.id);
-}
-
-void Ingress::SendLocal(const wire::Credit& message) {
-  gate_.AddCredit(message);
-}
-
-void Ingress::SendLocal(const wire::QueryAttempt& message) {
-  gate_.Query(message, local_port_);
-}
-
 }  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/link_recovery.cc
@@ -0,0 +1,78 @@
+#include "dataplane/link_recovery.h"
+
+#include <utility>
+
+namespace ibisvalve::dataplane {
+
+using world::Outcome;
+using world::Reason;
+
+LinkRecovery::LinkRecovery(net::EventLoop& loop,
+                           AttemptIndex& attempts,
+                           GatePort& gates,
+                           Duration interval,
+                           Fail fail)
+    : attempts_(attempts),
+      gates_(gates),
+      fail_(std::move(fail)),
+      timer_(loop, [this] { AskAgain(); }) {
+  timer_.StartPeriodic(interval);
+}
+
+void LinkRecovery::OnLinkDown(const NodeId& gate,
+                              uint64_t link,
+                              bool connected) {
+  const auto cut = attempts_.Select([&](const IngressAttempt& attempt) {
+    return attempt.gate == gate && attempt.link == link;
+  });
+  for (const AttemptId& id : cut) {
+    const AttemptIndex::Found found = attempts_.Find(id);
+    if (found.attempt == nullptr) {
+      continue;
+    }
+    IngressAttempt& attempt = *found.attempt;
+    attempt.link = 0;
+    const bool never_left =
+        !connected && attempt.queries == 0 && !attempt.follows;
+    const bool asked_enough =
+        attempt.queries > 0 && found.request->repeatable();
+    if (never_left) {
+      fail_(id, Outcome::kNotRun, Reason::kTargetDown);
+    } else if (attempt.relay->committed() || asked_enough) {
+      // What the caller has been sent can't be continued.
+      fail_(id, Outcome::kUnknown, Reason::kLinkLost);
+    } else if (attempt.queries > 0) {
+      attempt.needs_query = true;  // again, at the next tick
+    } else {
+      Ask(id);
+    }
+  }
+}
+
+void LinkRecovery::Ask(const AttemptId& id) {
+  IngressAttempt& attempt = *attempts_.Find(id).attempt;
+  ++queries_;
+  ++attempt.queries;
+  attempt.needs_query = false;
+  attempt.relay->Restart();
+  if (!gates_.BeginAgain(attempt)) {
+    fail_(id, Outcome::kUnknown, Reason::kLinkLost);
+    return;
+  }
+  gates_.Send(attempt,
+              wire::QueryAttempt{attempt.follows.value_or(attempt.id),
+                                 attempt.gate_incarnation, attempt.id});
+}
+
+void LinkRecovery::AskAgain() {
+  const auto waiting = attempts_.Select([](const IngressAttempt& attempt) {
+    return attempt.needs_query && attempt.link == 0;
+  });
+  for (const AttemptId& id : waiting) {
+    if (attempts_.Find(id).attempt != nullptr) {
+      Ask(id);
+    }
+  }
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/mesh_server.cc
+++ b/src/dataplane/mesh_server.cc
@@ -77,6 +77,12 @@
     case wire::QueryAttempt::kType:
       gate_.Query(wire::Decode<wire::QueryAttempt>(payload), PortOf(number));
       return;
+    case wire::CrashNotice::kType:
+      gate_.crashes().OnNotice(wire::Decode<wire::CrashNotice>(payload));
+      return;
+    case wire::LiftNotice::kType:
+      gate_.crashes().Lift(wire::Decode<wire::LiftNotice>(payload).fingerprint);
+      return;
     case wire::Ping::kType:
       link.frames->Send(wire::Pong{wire::Decode<wire::Ping>(payload).number,
                                    view_.revision(), false, gate_.Hint()});
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -90,13 +90,16 @@
                  handlers_.on_newer_revision(seen);
                }
              },
-             [this] { monitor_.OnFault(); }}),
+             [this] { monitor_.OnFault(); },
+             [this](const wire::CrashNotice& notice) {
+               ingress_.gates().Broadcast(settings_.service, notice);
+             }}),
       ingress_(loop, settings_, view, gate_, memory_, handlers_),
       mesh_(loop, settings_, view, gate_),
       callers_(loop,
                settings_.callers,
-               [this](std::shared_ptr<CallerExchange> exchange) {
-                 ingress_.OnRequest(std::move(exchange));
+               [this](const std::shared_ptr<CallerExchange>& exchange) {
+                 ingress_.OnRequest(exchange);
                }),
       monitor_(loop,
                settings_,
@@ -142,12 +145,20 @@
 }
 
 void NodePlane::Impl::Serve(net::AdminServer& admin) {
-  ServePages(admin, {[this](bool draining) { SetDraining(draining); },
-                     [this](const TargetAnnouncement& announcement) {
-                       monitor_.Announce(announcement.state,
-                                         announcement.slots);
-                     },
-                     [this] { return StatusJson(); }});
+  PageActions actions;
+  actions.set_draining = [this](bool draining) { SetDraining(draining); };
+  actions.announce = [this](const TargetAnnouncement& announcement) {
+    monitor_.Announce(announcement.state, announcement.slots);
+  };
+  actions.quarantined = [this] { return gate_.crashes().List(); };
+  actions.lift = [this](Digest fingerprint) {
+    ingress_.gates().Broadcast(settings_.service,
+                               wire::LiftNotice{fingerprint});
+    return gate_.crashes().Lift(fingerprint);
+  };
+  actions.status = [this] { return StatusJson(); };
+  actions.now = [this] { return loop_.Now(); };
+  ServePages(admin, actions);
 }
 
 std::string NodePlane::Impl::StatusJson() const {
@@ -158,7 +169,7 @@
   status.gate_in_flight = gate_.in_flight();
   status.gate_hint = gate_.Hint();
   status.ingress_in_flight = ingress_.in_flight();
-  status.links = ingress_.peers().links();
+  status.links = ingress_.gates().peers().links();
   status.memory_used = memory_.used();
   status.memory_limit = memory_.limit();
   return ToJson(status);
@@ -192,18 +203,18 @@
       true);
   Add(out, "ibis_ingress_hedges_total", static_cast<double>(ingress.hedges),
       true);
-  Add(out, "ibis_ingress_queries_total", static_cast<double>(ingress.queries),
-      true);
+  Add(out, "ibis_ingress_queries_total",
+      static_cast<double>(ingress_.queries()), true);
   Add(out, "ibis_ingress_hung_up_total", static_cast<double>(ingress.hung_up),
       true);
   Add(out, "ibis_ingress_in_flight", static_cast<double>(ingress_.in_flight()),
       false);
-  Add(out, "ibis_mesh_links", static_cast<double>(ingress_.peers().links()),
-      false);
+  Add(out, "ibis_mesh_links",
+      static_cast<double>(ingress_.gates().peers().links()), false);
   Add(out, "ibis_mesh_sent_bytes_total",
-      static_cast<double>(ingress_.peers().sent_bytes()), true);
+      static_cast<double>(ingress_.gates().peers().sent_bytes()), true);
   Add(out, "ibis_measuring_heartbeats_total",
-      static_cast<double>(ingress_.peers().pings()), true);
+      static_cast<double>(ingress_.gates().peers().pings()), true);
   Add(out, "ibis_measuring_target_checks_total",
       static_cast<double>(monitor_.checks()), true);
   Add(out, "ibis_body_memory_bytes", static_cast<double>(memory_.used()),
--- a/src/dataplane/plane_pages.cc
+++ b/src/dataplane/plane_pages.cc
@@ -1,5 +1,6 @@
 #include "dataplane/plane_pages.h"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
@@ -22,6 +23,32 @@
   return std::nullopt;
 }
 
+std::optional<Digest> ParseDigest(const std::string& text) {
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  constexpr int kHexadecimal = 16;
+  const auto [stop, error] =
+      std::from_chars(text.data(), end, value, kHexadecimal);
+  if (text.empty() || error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return Digest(value);
+}
+
+std::string QuarantinePage(const std::vector<policy::QuarantineEntry>& entries,
+                           Time now) {
+  json list = json::array();
+  for (const policy::QuarantineEntry& entry : entries) {
+    list.push_back(
+        {{"fingerprint", ToHex(entry.fingerprint)},
+         {"crashes", entry.crashes},
+         {"seconds_left",
+          std::chrono::duration_cast<std::chrono::seconds>(entry.until - now)
+              .count()}});
+  }
+  return json{{"quarantined", list}}.dump();
+}
+
 net::AdminResponse ErrorPage(int status, const std::string& error) {
   return {status, "application/json", json{{"error", error}}.dump()};
 }
@@ -94,6 +121,27 @@
   };
   admin.Handle("POST", "/drain", drain(true));
   admin.Handle("POST", "/undrain", drain(false));
+  admin.Handle("GET", "/quarantine",
+               [actions](const net::AdminRequest&,
+                         const net::AdminServer::Reply& reply) {
+                 reply({200, "application/json",
+                        QuarantinePage(actions.quarantined(), actions.now())});
+               });
+  admin.Handle(
+      "POST", "/quarantine/lift",
+      [actions](const net::AdminRequest& request,
+                const net::AdminServer::Reply& reply) {
+        const auto given = request.query.find("fingerprint");
+        const auto fingerprint = given == request.query.end()
+                                     ? std::nullopt
+                                     : ParseDigest(given->second);
+        if (!fingerprint) {
+          reply(ErrorPage(400, "fingerprint is no 16 hex digits"));
+          return;
+        }
+        const bool lifted = actions.lift(*fingerprint);
+        reply({200, "application/json", json{{"lifted", lifted}}.dump()});
+      });
   admin.Handle("POST", "/announce",
                [actions](const net::AdminRequest& request,
                          const net::AdminServer::Reply& reply) {
--- a/src/dataplane/plane_pages.h
+++ b/src/dataplane/plane_pages.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "net/net.h"
+#include "policy/policy.h"
 #include "wire/wire.h"
 #include "world/world.h"
 
@@ -44,10 +46,15 @@
 struct PageActions {
   std::function<void(bool draining)> set_draining;
   std::function<void(const TargetAnnouncement& announcement)> announce;
+  std::function<std::vector<policy::QuarantineEntry>()> quarantined;
+  /// Returns whether there was such a quarantine here.
+  std::function<bool(Digest fingerprint)> lift;
   std::function<std::string()> status;
+  std::function<Time()> now;
 };
 
-/// Adds POST /drain, /undrain and /announce to `admin`.
+/// Adds POST /drain, /undrain, /announce, GET /quarantine and
+/// POST /quarantine/lift?fingerprint=HEX to `admin`.
 void ServePages(net::AdminServer& admin, const PageActions& actions);
 
 }  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/request_messages.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "dataplane/request_state.h"
+#include "wire/wire.h"
+
+namespace ibisvalve::dataplane {
+
+/// Returns the frame that asks a gate to run `attempt` of `request`.
+wire::OpenAttempt OpenFor(const RequestState& request,
+                          const IngressAttempt& attempt,
+                          Revision revision,
+                          Time now);
+
+/// Returns the headers that tell a caller what became of its request.
+wire::Headers OutcomeHeaders(world::Outcome outcome,
+                             world::Reason reason,
+                             uint32_t attempts);
+
+/// What a caller is told in place of an answer.
+struct NoAnswer {
+  world::Outcome outcome = world::Outcome::kNotRun;
+  world::Reason reason = world::Reason::kNone;
+  uint32_t attempts = 0;
+  uint16_t first_status = 0;  // of the first run of its key, if known
+  std::string detail;
+  bool close = false;  // the connection can't be trusted any more
+};
+
+/// Tells the caller and returns the HTTP status.
+int ReplyWithoutAnswer(CallerExchange& exchange, const NoAnswer& told);
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -45,9 +45,11 @@
   MemoryShare memory;
   std::unique_ptr<net::Timer> deadline_timer;
   std::unique_ptr<net::Timer> retry_timer;
+  std::unique_ptr<net::Timer> hedge_timer;
   std::vector<std::unique_ptr<IngressAttempt>> attempts;  // in flight
   std::set<NodeId> tried;
   uint32_t made = 0;       // attempts so far
+  uint32_t broke = 0;      // targets that broke off while they ran it
   bool maybe_ran = false;  // the outcome of one is unknown
   bool committed = false;  // the caller has been sent part of an answer
   bool hedged = false;
--- /dev/null
+++ b/src/dataplane/service_policies.cc
@@ -0,0 +1,34 @@
+#include "dataplane/service_policies.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+policy::BudgetSettings RetrySettings(const world::Service& service) {
+  policy::BudgetSettings settings;
+  settings.share = service.retry.budget;
+  return settings;
+}
+
+}  // namespace
+
+ServicePolicy& ServicePolicies::For(
+    const std::shared_ptr<const world::Fleet>& fleet,
+    const world::Service& service) {
+  auto found = entries_.find(service.name);
+  if (found == entries_.end()) {
+    ServicePolicy made{policy::AnyChooser(kind_, service.routing),
+                       policy::Ejection(),
+                       policy::RetryBudget(RetrySettings(service)),
+                       policy::Hedge(policy::HedgeSettingsFor(service.retry))};
+    found = entries_.emplace(service.name, Entry{fleet, std::move(made)}).first;
+  } else if (found->second.fleet != fleet) {
+    Entry& entry = found->second;
+    entry.fleet = fleet;
+    entry.policy.chooser = policy::AnyChooser(kind_, service.routing);
+    entry.policy.retries.Configure(RetrySettings(service));
+    entry.policy.hedge.Configure(policy::HedgeSettingsFor(service.retry));
+  }
+  return found->second.policy;
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -191,6 +191,32 @@
   }
 };
 
+/// A target broke off while these requests were in flight at it. Told to the
+/// other gates of its service.
+struct CrashNotice {
+  static constexpr FrameType kType = 13;
+  NodeId gate;
+  Incarnation incarnation;        // of the gate
+  uint64_t number = 0;            // of the crash, counted by the gate
+  std::vector<Digest> in_flight;  // fingerprints of the requests
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(gate, incarnation, number, in_flight);
+  }
+};
+
+/// Operators have lifted a quarantine.
+struct LiftNotice {
+  static constexpr FrameType kType = 14;
+  Digest fingerprint;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint);
+  }
+};
+
 /// Echo of Ping; also answers a probe, so it carries the load.
 struct Pong {
   static constexpr FrameType kType = 12;
