--- a/src/dataplane/caller_server.cc
+++ b/src/dataplane/caller_server.cc
@@ -30,6 +30,9 @@
   CHECK_NOTNULL(http_);
   SetLimits(world::Limits().request_body, world::Limits().header_bytes);
   evhttp_set_allowed_methods(http_, kMethods);
+  // A body over the limit is read and dropped before the refusal, which a
+  // caller that is still sending would not see otherwise.
+  evhttp_set_flags(http_, EVHTTP_SERVER_LINGERING_CLOSE);
   evhttp_set_default_content_type(http_, nullptr);
   evhttp_set_gencb(
       http_,
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -15,7 +15,7 @@
 namespace ibisvalve::dataplane {
 namespace {
 
-constexpr Duration kLimitsCheck = std::chrono::milliseconds(500);
+constexpr Duration kLimitsCheck = std::chrono::milliseconds(100);
 
 void Add(std::vector<MetricSample>& out,
          const std::string& name,
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -121,14 +121,23 @@
 
   /// Starts a node; with a target where `target` is given.
   Node& AddNode(const std::string& id, const FakeTarget* target) {
+    return AddNode(id, target == nullptr
+                           ? std::nullopt
+                           : std::optional<world::Endpoint>(target->local()));
+  }
+  Node& AddNode(const std::string& id, std::nullptr_t) {
+    return AddNode(id, std::optional<world::Endpoint>());
+  }
+  Node& AddNode(const std::string& id,
+                const std::optional<world::Endpoint>& target) {
     PlaneSettings settings;
     settings.id = NodeId(id);
     settings.incarnation = Incarnation(nodes_.size() + 100);
     settings.callers = settings.mesh = kAnyPort;
     settings.link_silence = silence_;
     settings.body_memory = body_memory_;
-    if (target != nullptr) {
-      settings.target = target->local();
+    if (target) {
+      settings.target = target;
       settings.service = service_.name;
       settings.slots = slots_;
     }
@@ -156,6 +165,18 @@
     return node;
   }
 
+  /// Returns one value of /metrics of a node; -1 where there is none.
+  static double Metric(const Node& node, const std::string& name) {
+    std::vector<MetricSample> samples;
+    node.plane->Collect(samples);
+    for (const MetricSample& sample : samples) {
+      if (sample.name == name) {
+        return sample.value;
+      }
+    }
+    return -1;
+  }
+
   void Spread(const world::Member& member) {
     for (const auto& node : nodes_) {
       node->view.SetMember(member);
--- /dev/null
+++ b/tests/dataplane/raw_socket.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "net/net.h"
+
+namespace ibisvalve::dataplane {
+
+/// A TCP connection whose bytes a test writes and reads itself.
+class RawClient {
+ public:
+  RawClient(net::EventLoop& loop, const world::Endpoint& server)
+      : end_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(
+        end_,
+        [](bufferevent* end, void* argument) {
+          auto* self = static_cast<RawClient*>(argument);
+          evbuffer* input = bufferevent_get_input(end);
+          std::string bytes(evbuffer_get_length(input), '\0');
+          evbuffer_remove(input, bytes.data(), bytes.size());
+          self->received_ += bytes;
+        },
+        nullptr,
+        [](bufferevent*, int16_t what, void* argument) {
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<RawClient*>(argument)->closed_ = true;
+          }
+        },
+        this);
+    bufferevent_enable(end_, EV_READ | EV_WRITE);
+    const net::SocketAddress address = net::ToSocketAddress(server);
+    bufferevent_socket_connect(end_, address.get(),
+                               static_cast<int>(address.length));
+  }
+  ~RawClient() { Close(); }
+
+  void Write(const std::string& bytes) {
+    bufferevent_write(end_, bytes.data(), bytes.size());
+  }
+  void Close() {
+    if (end_ != nullptr) {
+      bufferevent_free(std::exchange(end_, nullptr));
+    }
+  }
+  void Reset() {
+    const linger hard{1, 0};
+    setsockopt(bufferevent_getfd(end_), SOL_SOCKET, SO_LINGER, &hard,
+               sizeof(hard));
+    Close();
+  }
+  const std::string& received() const { return received_; }
+  bool closed() const { return closed_; }
+
+ private:
+  bufferevent* end_;
+  std::string received_;
+  bool closed_ = false;
+};
+
+/// A server that sends fixed bytes once a request's header has come, and then
+/// closes or waits.
+class RawServer {
+ public:
+  RawServer(net::EventLoop& loop, std::string answer, bool close)
+      : answer_(std::move(answer)),
+        close_(close),
+        listener_(loop, {"127.0.0.1", 0}, [this, &loop](int fd) {
+          Accept(loop, fd);
+        }) {}
+  ~RawServer() {
+    for (bufferevent* end : ends_) {
+      bufferevent_free(end);
+    }
+  }
+
+  world::Endpoint local() const { return listener_.local(); }
+  size_t requests() const { return requests_; }
+  /// Returns how many connections with a request were closed by the peer.
+  size_t closed() const { return closed_; }
+
+ private:
+  void Accept(net::EventLoop& loop, int fd) {
+    bufferevent* end =
+        bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    ends_.push_back(end);
+    bufferevent_setcb(
+        end,
+        [](bufferevent* readable, void* argument) {
+          static_cast<RawServer*>(argument)->OnReadable(readable);
+        },
+        [](bufferevent* written, void* argument) {
+          auto* self = static_cast<RawServer*>(argument);
+          if (self->close_ && self->requests_ > 0) {
+            shutdown(bufferevent_getfd(written), SHUT_RDWR);
+          }
+        },
+        [](bufferevent* closed, int16_t what, void* argument) {
+          auto* self = static_cast<RawServer*>(argument);
+          if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            self->closed_ += self->asked_.erase(closed);
+          }
+        },
+        this);
+    bufferevent_enable(end, EV_READ | EV_WRITE);
+  }
+
+  void OnReadable(bufferevent* end) {
+    evbuffer* input = bufferevent_get_input(end);
+    if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0) {
+      return;
+    }
+    evbuffer_drain(input, evbuffer_get_length(input));
+    ++requests_;
+    asked_.insert(end);
+    bufferevent_write(end, answer_.data(), answer_.size());
+  }
+
+  std::string answer_;
+  bool close_;
+  std::list<bufferevent*> ends_;
+  std::set<bufferevent*> asked_;
+  size_t requests_ = 0;
+  size_t closed_ = 0;
+  net::Listener listener_;
+};
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/tests/dataplane/silent_link_test.cc
@@ -0,0 +1,142 @@
+#include "dataplane/fault_relay.h"
+#include "dataplane/plane_fixture.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+// An ingress whose only way to the gate leads over a relay with faults.
+class SilentLinkTest : public PlaneTest {
+ protected:
+  SilentLinkTest() { silence_ = std::chrono::milliseconds(80); }
+
+  void Start(const FakeTarget& target) {
+    ingress_ = &AddNode("suva-1", nullptr);
+    gate_ = &AddNode("suva-2", &target);
+    relay_.SetTarget(gate_->plane->mesh());
+    gate_->member.mesh = relay_.local();
+    Spread(gate_->member);
+    WaitReady(*gate_);
+    // The link stands before the faults begin.
+    Fetch(*ingress_, {"GET", "/warm", {}, ""});
+  }
+
+  FaultRelay relay_{loop_};
+  Node* ingress_ = nullptr;
+  Node* gate_ = nullptr;
+};
+
+const TargetRequest kBooking{"POST", "/bookings", {}, "two seats"};
+
+size_t Bookings(const FakeTarget& target) {
+  return static_cast<size_t>(
+      std::count(target.seen().begin(), target.seen().end(), "/bookings"));
+}
+
+TEST_F(SilentLinkTest, ARunningAttemptIsFoundAgainOnANewLink) {
+  evhttp_request* held = nullptr;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) == "/warm") {
+      Answer(request, "warm");
+    } else {
+      held = request;
+    }
+  });
+  Start(target);
+  const auto answer = Send(*ingress_, kBooking);
+  RunUntil([&] { return held != nullptr; });
+  relay_.Hold(FaultRelay::Way::kBoth);
+  RunUntil([&] { return relay_.connections() == 2; });
+  Answer(held, "booked");
+  RunUntil([&] { return ended_ == sent_; });
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "booked");
+  EXPECT_EQ(answer->Get("Ibis-Attempts"), "1");
+  EXPECT_EQ(Bookings(target), 1U);
+  EXPECT_EQ(Metric(*ingress_, "ibis_ingress_queries_total"), 1);
+}
+
+TEST_F(SilentLinkTest, AnAnswerThatWasLostIsSentAgain) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "booked"); });
+  Start(target);
+  relay_.Hold(FaultRelay::Way::kBack);
+  const CallerAnswer answer = Fetch(*ingress_, kBooking);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "booked");
+  EXPECT_EQ(Bookings(target), 1U);
+}
+
+TEST_F(SilentLinkTest, WhatNeverCameIsFencedAndNeverRunsLater) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "booked"); });
+  Start(target);
+  relay_.Hold(FaultRelay::Way::kForward);
+  const CallerAnswer answer = Fetch(*ingress_, kBooking);
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_EQ(answer.Get("Ibis-Outcome"), "not-run");
+  EXPECT_EQ(answer.Get("Ibis-Reason"), "fenced");
+  EXPECT_EQ(Metric(*gate_, "ibis_gate_fenced_total"), 1);
+  // The held frame arrives after all.
+  relay_.Release();
+  Fetch(*ingress_, {"GET", "/later", {}, ""});
+  EXPECT_EQ(Bookings(target), 0U);
+}
+
+TEST_F(SilentLinkTest, AResetLinkIsAskedAboutToo) {
+  evhttp_request* held = nullptr;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) == "/warm") {
+      Answer(request, "warm");
+    } else {
+      held = request;
+    }
+  });
+  Start(target);
+  const auto answer = Send(*ingress_, kBooking);
+  RunUntil([&] { return held != nullptr; });
+  relay_.Reset();
+  RunUntil([&] { return relay_.connections() == 1; });
+  Answer(held, "booked");
+  RunUntil([&] { return ended_ == sent_; });
+  EXPECT_EQ(answer->body, "booked");
+  EXPECT_EQ(Bookings(target), 1U);
+}
+
+TEST_F(SilentLinkTest, AGateThatRestartedCannotVouch) {
+  evhttp_request* held = nullptr;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) == "/warm") {
+      Answer(request, "warm");
+    } else {
+      held = request;
+    }
+  });
+  Start(target);
+  const auto answer = Send(*ingress_, kBooking);
+  RunUntil([&] { return held != nullptr; });
+  // Another run of the same node takes its place.
+  Node& again = AddNode("suva-2", &target);
+  relay_.SetTarget(again.plane->mesh());
+  again.member.mesh = relay_.local();
+  Spread(again.member);
+  relay_.Hold(FaultRelay::Way::kBoth);
+  RunUntil([&] { return ended_ == sent_; });
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_EQ(answer->Get("Ibis-Outcome"), "unknown");
+  EXPECT_EQ(answer->Get("Ibis-Reason"), "gate-restarted");
+  EXPECT_EQ(Bookings(target), 1U);
+}
+
+TEST_F(SilentLinkTest, HeartbeatsOnlyWhileSomethingIsInFlight) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "x"); });
+  Start(target);
+  const double before = Metric(*ingress_, "ibis_measuring_heartbeats_total");
+  net::Timer quiet(loop_, [this] { loop_.Stop(); });
+  quiet.StartOnce(3 * silence_);
+  loop_.Run();
+  EXPECT_EQ(Metric(*ingress_, "ibis_measuring_heartbeats_total"), before);
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/tests/dataplane/streaming_test.cc
@@ -0,0 +1,188 @@
+#include <event2/bufferevent.h>
+
+#include "dataplane/gate_reply.h"
+#include "dataplane/plane_fixture.h"
+#include "dataplane/raw_socket.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr size_t kLarge = 64 << 20;
+
+std::string Pattern(size_t size) {
+  std::string bytes(size, '\0');
+  for (size_t i = 0; i < size; ++i) {
+    bytes[i] = static_cast<char>((i * 2654435761U) >> 13);
+  }
+  return bytes;
+}
+
+class StreamingTest : public PlaneTest {
+ protected:
+  StreamingTest() {
+    body_memory_ = 160 << 20;
+    service_.deadline = std::chrono::seconds(20);
+    service_.limits.request_body = kLarge;
+  }
+
+  // Waits until the callers' port knows the limits of the file.
+  void WaitLimits() {
+    net::Timer later(loop_, [this] { loop_.Stop(); });
+    later.StartOnce(std::chrono::milliseconds(150));
+    loop_.Run();
+  }
+};
+
+TEST_F(StreamingTest, LargeBodiesArriveWholeBothWays) {
+  FakeTarget target(
+      loop_, [](evhttp_request* request) { Answer(request, BodyOf(request)); });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  WaitLimits();
+  const std::string body = Pattern(kLarge);
+  const CallerAnswer answer = Fetch(ingress, {"POST", "/bookings", {}, body});
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body.size(), body.size());
+  EXPECT_EQ(DigestOf(answer.body), DigestOf(body));
+  EXPECT_EQ(Metric(ingress, "ibis_body_memory_bytes"), 0);
+  EXPECT_EQ(Metric(gate, "ibis_body_memory_bytes"), 0);
+}
+
+TEST_F(StreamingTest, ASmallRequestIsNotDelayedByALargeOne) {
+  const std::string large = Pattern(kLarge);
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    const bool small =
+        std::string(evhttp_request_get_uri(request)) == "/rooms/1";
+    Answer(request, small ? "small" : large);
+  });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  const auto recording = Send(ingress, {"GET", "/recording", {}, ""});
+  RunUntil([&] { return recording->body.size() > kPartBytes; });
+  const auto lookup = Send(ingress, {"GET", "/rooms/1", {}, ""});
+  RunUntil([&] { return lookup->whole; });
+  EXPECT_FALSE(recording->whole);
+  EXPECT_LT(recording->body.size(), kLarge / 2);
+  RunUntil([&] { return ended_ == sent_; });
+  EXPECT_EQ(DigestOf(recording->body), DigestOf(large));
+}
+
+// Sends an endless answer, a part at a time, and counts what it has produced.
+struct EndlessAnswer {
+  evhttp_request* request = nullptr;
+  size_t produced = 0;
+
+  void Start(evhttp_request* asked) {
+    request = asked;
+    evhttp_send_reply_start(request, 200, nullptr);
+    More();
+  }
+  void More() {
+    const std::string part(kPartBytes, 'x');
+    evbuffer* bytes = evbuffer_new();
+    evbuffer_add(bytes, part.data(), part.size());
+    produced += part.size();
+    evhttp_send_reply_chunk_with_cb(
+        request, bytes,
+        [](evhttp_connection*, void* argument) {
+          static_cast<EndlessAnswer*>(argument)->More();
+        },
+        this);
+    evbuffer_free(bytes);
+  }
+};
+
+TEST_F(StreamingTest, ACallerThatDoesNotReadSlowsTheTargetDown) {
+  EndlessAnswer endless;
+  FakeTarget target(loop_,
+                    [&](evhttp_request* request) { endless.Start(request); });
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  const auto answer = Send(ingress, {"GET", "/recording", {}, ""});
+  RunUntil([&] { return !answer->body.empty(); });
+  calls_.back()->SetReading(false);
+  // It stands still once the buffers of the system are full.
+  size_t before = 0;
+  do {
+    before = endless.produced;
+    net::Timer later(loop_, [this] { loop_.Stop(); });
+    later.StartOnce(std::chrono::milliseconds(200));
+    loop_.Run();
+    ASSERT_LT(endless.produced, 64U << 20);
+  } while (endless.produced != before);
+  // And moves on when the caller reads again.
+  calls_.back()->SetReading(true);
+  RunUntil([&] { return endless.produced > before + kLarge / 4; });
+}
+
+std::string Head(size_t length) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+         "\r\n\r\n";
+}
+
+TEST_F(StreamingTest, ALargeAnswerCutShortNeverLooksWhole) {
+  RawServer target(loop_, Head(1 << 20) + std::string(512 << 10, 'x'), true);
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", target.local());
+  WaitReady(gate);
+  const CallerAnswer answer = Fetch(ingress, {"GET", "/recording", {}, ""});
+  EXPECT_FALSE(answer.whole);
+  EXPECT_EQ(ingress.records.back().outcome, world::Outcome::kUnknown);
+}
+
+TEST_F(StreamingTest, ASmallAnswerCutShortIsTriedElsewhere) {
+  RawServer bad(loop_, Head(1000) + std::string(500, 'x'), true);
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& broken = AddNode("suva-2", bad.local());
+  WaitReady(broken);
+  const CallerAnswer booking = Fetch(ingress, {"POST", "/bookings", {}, "a"});
+  EXPECT_EQ(booking.status, 502);
+  EXPECT_EQ(booking.Get("Ibis-Outcome"), "unknown");
+
+  FakeTarget good(loop_,
+                  [](evhttp_request* request) { Answer(request, "whole"); });
+  Node& whole = AddNode("suva-3", &good);
+  WaitReady(whole);
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(
+        Fetch(ingress, {"GET", "/rooms/" + std::to_string(i), {}, ""}).body,
+        "whole");
+  }
+}
+
+TEST_F(StreamingTest, AnAnswerWithoutAnEndIsNeverPassedOn) {
+  RawServer target(loop_, "HTTP/1.1 200 OK\r\n\r\nhalf or whole?", true);
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", target.local());
+  WaitReady(gate);
+  const CallerAnswer answer = Fetch(ingress, {"GET", "/rooms", {}, ""});
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(answer.Get("Ibis-Outcome"), "unknown");
+}
+
+TEST_F(StreamingTest, BodiesOverTheLimitOrTheBudgetAreRefused) {
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { Answer(request, "x"); });
+  service_.limits.request_body = 1 << 20;
+  body_memory_ = 512 << 10;
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", &target);
+  WaitReady(gate);
+  WaitLimits();
+  EXPECT_EQ(Fetch(ingress, {"POST", "/bookings", {}, std::string(2 << 20, 'x')})
+                .status,
+            413);
+  const CallerAnswer over =
+      Fetch(ingress, {"POST", "/bookings", {}, std::string(1 << 20, 'x')});
+  EXPECT_EQ(over.status, 503);
+  EXPECT_EQ(over.Get("Ibis-Reason"), "memory");
+  EXPECT_EQ(over.Get("Ibis-Outcome"), "not-run");
+  EXPECT_TRUE(target.seen().empty());
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
