Test groups of keepers, the replica under faults, and damage to the log

LogStore: torn tail at every byte, with and without zeros; every bit of a small log and of the identity flipped.

--- /dev/null
+++ b/tests/control/log_store_test.cc
@@ -0,0 +1,170 @@
+#include "control/log_store.h"
+
+#include <fstream>
+
+#include "control/keeper_fixture.h"
+#include "control/record_file.h"
+
+namespace ibisvalve::control {
+namespace {
+
+wire::LogEntry EntryAt(uint64_t index, uint64_t term = 1) {
+  return {index, term, wire::EntryKind::kCommand,
+          "entry " + std::to_string(index)};
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void WriteFile(const std::string& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+class LogStoreTest : public testing::Test {
+ protected:
+  std::string data() const { return folder_.path() + "/data"; }
+  std::string log(int number) const {
+    return data() + "/log-0000000000000000000" + std::to_string(number);
+  }
+  // Writes three entries one by one; returns the log's size after each.
+  std::vector<size_t> WriteThree() {
+    LogStore store(data());
+    std::vector<size_t> sizes;
+    for (uint64_t index = 1; index <= 3; ++index) {
+      store.Append(HardState{index, wire::ReplicaId(9)}, {EntryAt(index)});
+      sizes.push_back(store.log_bytes());
+    }
+    return sizes;
+  }
+  RecoveredLog Recover() { return LogStore(data()).TakeRecovered(); }
+
+  TemporaryFolder folder_;
+};
+
+TEST_F(LogStoreTest, KeepsIdentityStateAndEntries) {
+  WriteThree();
+  const wire::ReplicaId first = LogStore(data()).replica();
+  EXPECT_EQ(LogStore(data()).replica(), first);
+  const RecoveredLog recovered = Recover();
+  EXPECT_EQ(recovered.hard, (HardState{3, wire::ReplicaId(9)}));
+  EXPECT_EQ(recovered.entries,
+            (std::vector{EntryAt(1), EntryAt(2), EntryAt(3)}));
+}
+
+TEST_F(LogStoreTest, AnEntryReplacesWhatItOverlaps) {
+  WriteThree();
+  LogStore(data()).Append(std::nullopt, {EntryAt(2, 5)});
+  EXPECT_EQ(Recover().entries, (std::vector{EntryAt(1), EntryAt(2, 5)}));
+}
+
+TEST_F(LogStoreTest, IsUsedByOneProcessAtATime) {
+  LogStore store(data());
+  EXPECT_THROW(LogStore{data()}, SystemError);
+}
+
+// A write cut short at any byte leaves the entries before it, and the log can
+// be written on.
+TEST_F(LogStoreTest, CutsATornTailAtEveryByte) {
+  const std::vector<size_t> sizes = WriteThree();
+  const std::string whole = ReadFile(log(1));
+  ASSERT_EQ(whole.size(), sizes.back());
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    for (const bool zeros : {false, true}) {
+      std::string torn = whole.substr(0, cut);
+      if (zeros) {  // the file had grown, but its bytes were not written
+        torn.resize(whole.size(), '\0');
+      }
+      WriteFile(log(1), torn);
+      const size_t expected = static_cast<size_t>(
+          std::count_if(sizes.begin(), sizes.end(),
+                        [&](size_t size) { return size <= cut; }));
+      const size_t kept = Recover().entries.size();
+      // The cut may fall behind the last byte that is not zero.
+      EXPECT_TRUE(kept == expected || (zeros && kept == expected + 1))
+          << "cut at " << cut << " kept " << kept;
+      LogStore(data()).Append(HardState{9, {}}, {EntryAt(kept + 1, 9)});
+      EXPECT_EQ(Recover().entries.size(), kept + 1) << "cut at " << cut;
+    }
+  }
+}
+
+TEST_F(LogStoreTest, RefusesABitFlipAtEveryByte) {
+  WriteThree();
+  for (const std::string& path : {log(1), data() + "/identity"}) {
+    const std::string whole = ReadFile(path);
+    for (size_t byte = 0; byte < whole.size(); ++byte) {
+      for (int bit = 0; bit < 8; ++bit) {
+        std::string flipped = whole;
+        flipped[byte] = static_cast<char>(flipped[byte] ^ (1 << bit));
+        WriteFile(path, flipped);
+        EXPECT_THROW(LogStore{data()}, InvalidInput)
+            << path << " byte " << byte << " bit " << bit;
+      }
+    }
+    WriteFile(path, whole);
+  }
+}
+
+TEST_F(LogStoreTest, RefusesAFolderThatLostAFile) {
+  WriteThree();
+  std::filesystem::remove(log(1));
+  EXPECT_THROW(LogStore{data()}, InvalidInput);
+}
+
+TEST_F(LogStoreTest, GoesOnAfterASnapshot) {
+  WriteThree();
+  const SnapshotMeta meta{2, 1, {wire::GroupId(4), {}}};
+  {
+    LogStore store(data());
+    store.Compact(meta, "state", HardState{3, {}}, {EntryAt(3)});
+    store.Append(std::nullopt, {EntryAt(4)});
+  }
+  LogStore store(data());
+  const RecoveredLog recovered = store.TakeRecovered();
+  EXPECT_EQ(recovered.snapshot, meta);
+  EXPECT_EQ(recovered.entries, (std::vector{EntryAt(3), EntryAt(4)}));
+  EXPECT_EQ(store.TakeState(), "state");
+  EXPECT_FALSE(std::filesystem::exists(log(1)));
+}
+
+// The process may end between the snapshot, the new log and the removal of the
+// old one, at each of which the files must still tell the same.
+TEST_F(LogStoreTest, SurvivesACrashWithinCompaction) {
+  WriteThree();
+  const std::string old_log = ReadFile(log(1));
+  {
+    LogStore store(data());
+    store.Compact({2, 1, {}}, "state", HardState{3, wire::ReplicaId(9)},
+                  {EntryAt(3)});
+  }
+  const std::string new_log = ReadFile(log(2));
+  const auto check = [&](const std::string& when) {
+    const RecoveredLog recovered = Recover();
+    EXPECT_EQ(recovered.snapshot.index, 2U) << when;
+    EXPECT_EQ(recovered.hard.term, 3U) << when;
+    EXPECT_EQ(recovered.entries, std::vector{EntryAt(3)}) << when;
+  };
+  WriteFile(log(1), old_log);
+  check("old log not removed");
+  std::filesystem::remove(log(2));
+  WriteFile(log(2) + ".tmp", new_log.substr(0, new_log.size() / 2));
+  check("new log not renamed");
+}
+
+// After a snapshot from the leader, what the old log held is another history.
+TEST_F(LogStoreTest, DropsALogThatASnapshotContradicts) {
+  WriteThree();
+  const std::string old_log = ReadFile(log(1));
+  {
+    LogStore store(data());
+    store.Compact({2, 7, {}}, "state", HardState{7, {}}, {});
+  }
+  std::filesystem::remove(log(2));
+  WriteFile(log(1), old_log);
+  EXPECT_TRUE(Recover().entries.empty());
+}
+
+}  // namespace
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/tests/control/replica_test.cc
@@ -0,0 +1,57 @@
+#include "control/replica.h"
+
+#include "control/replica_cluster.h"
+
+namespace ibisvalve::control {
+namespace {
+
+constexpr int kSteps = 1500;
+constexpr int kHealingSteps = 1500;
+
+// Returns whether the cluster converged after its faults were healed.
+bool RunSeed(uint64_t seed, size_t size, ReplicaCluster& cluster) {
+  for (int step = 0; step < kSteps && !testing::Test::HasFailure(); ++step) {
+    cluster.Step();
+  }
+  cluster.Heal();
+  for (int step = 0; step < kHealingSteps; ++step) {
+    cluster.Step();
+    if (cluster.Converged()) {
+      return true;
+    }
+  }
+  ADD_FAILURE() << "seed " << seed << " of " << size << " never converged";
+  return false;
+}
+
+class ReplicaPropertyTest : public testing::TestWithParam<size_t> {};
+
+// One leader a term, no committed entry lost, revisions only grow at readers,
+// one answer a change, one winner a key: checked inside the cluster.
+TEST_P(ReplicaPropertyTest, KeepsItsPromisesUnderFaults) {
+  size_t granted = 0, leaders = 0, lost_disks = 0;
+  uint64_t revisions = 0;
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    ReplicaCluster cluster(seed, GetParam());
+    if (!RunSeed(seed, GetParam(), cluster) || HasFailure()) {
+      return;
+    }
+    granted += cluster.granted();
+    leaders += cluster.leaders();
+    lost_disks += cluster.lost_disks();
+    revisions += cluster.highest_read().value;
+  }
+  // The faults did happen, and work was done in spite of them.
+  EXPECT_GT(granted, 100U);
+  EXPECT_GT(revisions, 100U);
+  EXPECT_GT(leaders, GetParam() > 1 ? 120U : 60U);
+  EXPECT_TRUE(GetParam() < 3 || lost_disks > 20) << lost_disks;
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes,
+                         ReplicaPropertyTest,
+                         testing::Values(1, 2, 3, 5));
+
+}  // namespace
+}  // namespace ibisvalve::control
