--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -397,6 +397,7 @@
       if (const auto index = replica.Propose(wire::Encode(command))) {
         host->proposals[*index] = {replica.term(), command};
       }
+      Perform(slot);  // often before the next tick can notice anything
     }
   }
 
