--- a/tests/membership/gossip_fleet.h
+++ b/bench/gossip/gossip_fleet.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "membership/gossip.h"
+#include "membership/membership.h"
 
-namespace ibisvalve::membership {
+namespace ibisvalve::bench {
 
 /// What the network does to datagrams, as chances from 0 to 1.
 struct Weather {
@@ -26,7 +26,7 @@
  public:
   GossipFleet(uint64_t seed,
               const Weather& weather,
-              const TableSettings& table_settings = {})
+              const membership::TableSettings& table_settings = {})
       : weather_(weather), table_settings_(table_settings), random_(seed) {}
 
   /// Returns the announcement of node `index` in one of `zones` zones.
@@ -48,9 +48,10 @@
   }
 
   /// Starts a node; one that has the same endpoint is replaced.
-  void Start(const world::Member& self, const MembershipSettings& settings) {
-    nodes_[self.gossip] =
-        std::make_unique<Gossip>(settings, self, random_(), table_settings_);
+  void Start(const world::Member& self,
+             const membership::MembershipSettings& settings) {
+    nodes_[self.gossip] = std::make_unique<membership::Gossip>(
+        settings, self, random_(), table_settings_);
     tick_ = settings.period / 4;
     ticking_[self.gossip] = sequence_;
     PushTick(self.gossip, sequence_,
@@ -59,7 +60,7 @@
 
   /// Starts `count` nodes that have the first two as seeds.
   void StartMany(size_t count, size_t zones) {
-    MembershipSettings settings;
+    membership::MembershipSettings settings;
     settings.seeds = {MakeMember(0, zones).gossip, MakeMember(1, zones).gossip};
     for (size_t i = 0; i < count; ++i) {
       Start(MakeMember(i, zones), settings);
@@ -102,15 +103,21 @@
     queue_.push({now_ + delay, sequence_++, from, to, bytes, 0});
   }
 
-  Gossip& At(const world::Endpoint& node) { return *nodes_.at(node); }
-  Gossip& At(size_t index) { return At(MakeMember(index, 1).gossip); }
-  const std::map<world::Endpoint, std::unique_ptr<Gossip>>& nodes() const {
+  membership::Gossip& At(const world::Endpoint& node) {
+    return *nodes_.at(node);
+  }
+  membership::Gossip& At(size_t index) {
+    return At(MakeMember(index, 1).gossip);
+  }
+  const std::map<world::Endpoint, std::unique_ptr<membership::Gossip>>& nodes()
+      const {
     return nodes_;
   }
   Time now() const { return now_; }
   /// Takes in what a call on a node asked for.
-  void Perform(const world::Endpoint& node, const GossipActions& actions) {
-    for (const Datagram& datagram : actions.datagrams) {
+  void Perform(const world::Endpoint& node,
+               const membership::GossipActions& actions) {
+    for (const membership::Datagram& datagram : actions.datagrams) {
       largest_ = std::max(largest_, datagram.bytes.size());
       SendOne(node, datagram);
     }
@@ -120,7 +127,7 @@
         on_change_(node, member);
       }
     }
-    for (const IdentityClash& clash : actions.clashes) {
+    for (const membership::IdentityClash& clash : actions.clashes) {
       clashes_.emplace_back(node, clash);
     }
     if (actions.left) {
@@ -151,8 +158,8 @@
 
   size_t largest_datagram() const { return largest_; }
   uint64_t changes() const { return changes_; }
-  const std::vector<std::pair<world::Endpoint, IdentityClash>>& clashes()
-      const {
+  const std::vector<std::pair<world::Endpoint, membership::IdentityClash>>&
+  clashes() const {
     return clashes_;
   }
   bool HasLeft(const world::Endpoint& node) const {
@@ -181,7 +188,8 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < chance;
   }
 
-  void SendOne(const world::Endpoint& from, const Datagram& datagram) {
+  void SendOne(const world::Endpoint& from,
+               const membership::Datagram& datagram) {
     if (passes_ && !passes_(from, datagram.to)) {
       return;
     }
@@ -237,11 +245,11 @@
   }
 
   Weather weather_;
-  TableSettings table_settings_;
+  membership::TableSettings table_settings_;
   std::mt19937_64 random_;
   Time now_{std::chrono::seconds(100)};
   Duration tick_{0};
-  std::map<world::Endpoint, std::unique_ptr<Gossip>> nodes_;
+  std::map<world::Endpoint, std::unique_ptr<membership::Gossip>> nodes_;
   std::map<world::Endpoint, uint64_t> ticking_;  // present run of each node
   std::priority_queue<Flight, std::vector<Flight>, std::greater<>> queue_;
   uint64_t sequence_ = 0;
@@ -249,8 +257,8 @@
   std::function<void(const world::Endpoint&, const world::Member&)> on_change_;
   size_t largest_ = 0;
   uint64_t changes_ = 0;
-  std::vector<std::pair<world::Endpoint, IdentityClash>> clashes_;
+  std::vector<std::pair<world::Endpoint, membership::IdentityClash>> clashes_;
   std::set<world::Endpoint> left_;
 };
 
-}  // namespace ibisvalve::membership
+}  // namespace ibisvalve::bench
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -16,22 +16,16 @@
 using world::Member;
 using world::MemberState;
 
-constexpr size_t kPacketBytes = 28;    // headers of IP and UDP, counted as sent
-constexpr size_t kHelpers = 3;         // asked to ping a silent member
-constexpr uint32_t kBurstSeconds = 4;  // of the byte budget
+constexpr size_t kHelpers = 3;             // asked to ping a silent member
 constexpr uint64_t kRoundsPerSilent = 10;  // between pings of silent members
-constexpr uint64_t kRoundsPerSeed = 20;    // between pings of a seed
 constexpr uint32_t kNewsShare = 8;  // of the balance, for one message's news
-constexpr size_t kOwnRecordBytes = 300;    // longest record of one member
 constexpr uint32_t kJoiningFactor = 3;     // peers know that many times more
-constexpr uint64_t kMaxRoundsAlone = 16;   // between pings of the seeds
 constexpr int kRoundsPerSync = 4;          // between comparisons of tables
 constexpr uint32_t kSyncsWhenJoining = 4;  // peers asked at once
 constexpr size_t kDatagramsPerSync = 4;    // of members, in answer to one
 constexpr size_t kFarewells = 8;           // peers told directly
 constexpr size_t kFarewellsConfirmed = 3;  // before the process may end
 constexpr uint32_t kMinTransmissions = 2;  // of each change
-constexpr size_t kMaxRelays = 1000;
 constexpr auto kFarewellTimeout = std::chrono::seconds(2);
 constexpr auto kMinSuspicion = std::chrono::seconds(1);
 
@@ -49,8 +43,8 @@
     : settings_(settings),
       self_(self),
       table_(table),
-      budget_(settings.bytes_per_second,
-              settings.bytes_per_second * kBurstSeconds),
+      seeds_(settings.seeds),
+      outbox_(settings),
       peers_(self.id, seed) {
   CHECK(!self.id.empty());
   CHECK_GT(settings.period.count(), 0);
@@ -62,12 +56,14 @@
 
 GossipActions Gossip::Tick(Time now) {
   now_ = now;
-  budget_.Refill(now);
+  outbox_.Refill(now);
   if (!replaced_) {
+    ForgetProbesAfterPause();
     if (now >= next_round_) {
       StartRound();
     }
     CheckProbes();
+    PushNews();
     CheckLeaving();
   }
   return TakeActions();
@@ -77,7 +73,7 @@
                               std::string_view bytes,
                               Time now) {
   now_ = now;
-  budget_.Refill(now);
+  outbox_.Refill(now);
   const auto header = wire::ParseHeader(bytes, settings_.datagram_bytes);
   if (!header || header->length + wire::kFrameHeaderBytes != bytes.size()) {
     throw wire::WireError("a datagram is not one whole frame");
@@ -120,14 +116,16 @@
 
 GossipActions Gossip::Leave(Time now) {
   now_ = now;
-  if (!leaving_) {
+  if (replaced_) {
+    actions_.left = true;
+  } else if (!leaving_) {
     leaving_ = true;
     leaving_since_ = now;
     self_.state = MemberState::kLeft;
     ++self_.version;
     Announce();
     for (const Member* peer : peers_.Some(table_, kFarewells, self_.id)) {
-      probes_[PingMember(*peer)].farewell = true;
+      PingMember(*peer, true);
     }
     CheckLeaving();
   }
@@ -135,7 +133,7 @@
 }
 
 Duration Gossip::SuspicionTime() const {
-  return kMinSuspicion + settings_.period * Log2(table_.live()) * 3 / 2;
+  return kMinSuspicion + settings_.period * Log2(table_.live());
 }
 
 void Gossip::StartRound() {
@@ -150,8 +148,8 @@
   if (round_ % kRoundsPerSilent == 0) {
     ProbeSilent();
   }
-  if (round_ >= next_seeds_) {
-    ProbeSeeds();
+  for (const Endpoint& seed : seeds_.Due(round_, table_, peers_)) {
+    PingEndpoint(seed);
   }
 }
 
@@ -176,49 +174,37 @@
   }
 }
 
-// Asks the seeds while alone, and now and then one of them, so that two fleets
-// that started apart find each other.
-void Gossip::ProbeSeeds() {
-  const bool alone = table_.live() <= 1;
-  // Alone, less and less often, so that a fleet that starts together does not
-  // swamp its seeds.
-  const uint64_t pause =
-      alone ? std::clamp<uint64_t>(round_, 1, kMaxRoundsAlone) : kRoundsPerSeed;
-  next_seeds_ = round_ + 1 + peers_.Below(pause);
-  std::vector<Endpoint> seeds = settings_.seeds;
-  std::erase(seeds, self_.gossip);
-  if (seeds.empty()) {
+// Passes changes on without waiting for a ping, as long as bytes are plenty.
+void Gossip::PushNews() {
+  if (news_.empty() || !outbox_.plentiful()) {
     return;
   }
-  const size_t count = std::min(seeds.size(), alone ? kHelpers : 1);
-  const size_t start = peers_.Below(seeds.size());
-  for (size_t i = 0; i < count; ++i) {
-    PingEndpoint(seeds[(start + i) % seeds.size()]);
+  for (const Member* peer : peers_.Some(table_, 1, self_.id)) {
+    wire::GossipMembers message;
+    message.sender = Sender();
+    const size_t room = outbox_.message_bytes() - wire::Encode(message).size();
+    message.members = NewsFor(peer->id, peer->incarnation, room, room);
+    outbox_.Send(peer->gossip, message);
+  }
+}
+
+// A process that was stopped has not listened: its pings prove nothing.
+void Gossip::ForgetProbesAfterPause() {
+  if (now_ - last_tick_ > settings_.period) {
+    probes_.Clear();
   }
+  last_tick_ = now_;
 }
 
 void Gossip::CheckProbes() {
-  std::vector<Probe> failed;
-  for (auto it = probes_.begin(); it != probes_.end();) {
-    Probe& probe = it->second;
-    const Duration age = now_ - probe.sent;
-    if (age >= settings_.period * 3 / 2) {
-      failed.push_back(probe);
-      it = probes_.erase(it);
-      continue;
-    }
-    if (age >= settings_.period / 2 && !probe.indirect) {
-      probe.indirect = true;
-      AskOthers(probe, it->first);
-    }
-    ++it;
+  for (const auto& [number, probe] :
+       probes_.TakeSlow(now_, settings_.period / 2)) {
+    AskOthers(probe, number);
   }
-  for (const Probe& probe : failed) {
+  for (const Probe& probe :
+       probes_.TakeFailed(now_, settings_.period * 3 / 2)) {
     Suspect(probe);
   }
-  std::erase_if(relays_, [this](const auto& relay) {
-    return now_ - relay.second.sent >= settings_.period * 2;
-  });
 }
 
 void Gossip::AskOthers(const Probe& probe, uint64_t number) {
@@ -271,13 +257,15 @@
   if (replaced_) {
     return false;
   }
-  if (sender.id == self_.id) {
-    if (sender.incarnation < self_.incarnation) {
-      actions_.clashes.push_back({sender.incarnation, from, false});
-    }
-    return false;
+  if (sender.id != self_.id) {
+    return true;
+  }
+  if (sender.incarnation < self_.incarnation) {
+    actions_.clashes.push_back({sender.incarnation, from, false});
+  } else if (sender.incarnation > self_.incarnation) {
+    GiveWay(sender.incarnation, from);
   }
-  return true;
+  return false;
 }
 
 void Gossip::OnPing(const Endpoint& from, const wire::GossipPing& ping) {
@@ -307,20 +295,15 @@
     return;
   }
   MergeAll(ack.news);
-  const auto probe = probes_.find(ack.number);
-  if (probe != probes_.end() &&
-      (probe->second.target.empty() || probe->second.target == ack.subject)) {
-    farewells_ += probe->second.farewell ? 1 : 0;
-    probes_.erase(probe);
-  }
-  const auto relay = relays_.find(ack.number);
-  if (relay != relays_.end()) {
+  const auto probe = probes_.Answered(ack.number, ack.subject);
+  if (probe && probe->farewell) {
+    ++farewells_;
+  }
+  if (const auto relay = probes_.RelayAnswered(ack.number)) {
     wire::GossipAck answer;
-    answer.number = relay->second.number;
+    answer.number = relay->number;
     answer.subject = ack.subject;
-    const Endpoint origin = relay->second.origin;
-    relays_.erase(relay);
-    SendWithNews(origin, NodeId(), Incarnation(), std::move(answer));
+    SendWithNews(relay->origin, NodeId(), Incarnation(), std::move(answer));
   }
   Compare(from, ack.sender);
 }
@@ -331,11 +314,9 @@
     return;
   }
   MergeAll(request.news);
-  if (relays_.size() < kMaxRelays) {
-    const uint64_t number = next_number_++;
-    relays_[number] = {from, request.number, now_};
+  if (const auto number = probes_.AddRelay({from, request.number, now_})) {
     wire::GossipPing ping;
-    ping.number = number;
+    ping.number = *number;
     SendWithNews(request.target, NodeId(), Incarnation(), std::move(ping));
   }
 }
@@ -352,13 +333,11 @@
 void Gossip::SendBuckets(const Endpoint& to,
                          const std::vector<uint16_t>& buckets,
                          size_t max_datagrams) {
-  const size_t room = settings_.datagram_bytes - wire::kFrameHeaderBytes;
-  const size_t affordable =
-      budget_.available() / (settings_.datagram_bytes + kPacketBytes);
-  const auto messages = PackBuckets(table_, buckets, Sender(), room,
-                                    std::min(max_datagrams, affordable));
+  const auto messages =
+      PackBuckets(table_, buckets, Sender(), outbox_.message_bytes(),
+                  std::min(max_datagrams, outbox_.affordable()));
   for (const wire::GossipMembers& message : messages) {
-    Send(to, message);
+    outbox_.Send(to, message);
   }
 }
 
@@ -368,14 +347,13 @@
     return;
   }
   MergeAll(members.members);
-  if (budget_.available() < settings_.datagram_bytes + kPacketBytes) {
+  if (outbox_.affordable() == 0) {
     return;
   }
   const wire::GossipMembers answer =
-      PackAnswer(table_, members, Sender(),
-                 settings_.datagram_bytes - wire::kFrameHeaderBytes);
+      PackAnswer(table_, members, Sender(), outbox_.message_bytes());
   if (!answer.members.empty()) {
-    Send(from, answer);
+    outbox_.Send(from, answer);
   }
 }
 
@@ -404,10 +382,7 @@
     return;
   }
   if (heard.incarnation > self_.incarnation) {
-    // Tell the newer process that this one is still there, then be silent.
-    PingEndpoint(heard.gossip);
-    replaced_ = true;
-    actions_.clashes.push_back({heard.incarnation, heard.gossip, true});
+    GiveWay(heard.incarnation, heard.gossip);
     return;
   }
   if (Overrides(heard, self_) && heard.incarnation == self_.incarnation) {
@@ -416,6 +391,13 @@
   }
 }
 
+// Tells the newer process that this one is still there, then falls silent.
+void Gossip::GiveWay(Incarnation newer, const Endpoint& endpoint) {
+  PingEndpoint(endpoint);
+  replaced_ = true;
+  actions_.clashes.push_back({newer, endpoint, true});
+}
+
 // Spreads this node's own record.
 void Gossip::Announce() {
   if (table_.Merge(self_, now_)) {
@@ -447,23 +429,21 @@
   if (!joining) {
     sync.buckets.assign(table_.digests().begin(), table_.digests().end());
   }
-  if (budget_.available() >= wire::Encode(sync).size()) {
-    Send(peer, sync);
+  if (outbox_.available() >= wire::Encode(sync).size()) {
+    outbox_.Send(peer, sync);
   }
 }
 
-uint64_t Gossip::PingMember(const Member& member) {
-  const uint64_t number = next_number_++;
-  probes_[number] = {member.id, member.incarnation, member.gossip, now_};
+void Gossip::PingMember(const Member& member, bool farewell) {
   wire::GossipPing ping;
-  ping.number = number;
+  ping.number = probes_.Add(
+      {member.id, member.incarnation, member.gossip, now_, farewell});
   SendWithNews(member.gossip, member.id, member.incarnation, std::move(ping));
-  return number;
 }
 
 void Gossip::PingEndpoint(const Endpoint& endpoint) {
   wire::GossipPing ping;
-  ping.number = next_number_++;
+  ping.number = probes_.NewNumber();
   SendWithNews(endpoint, NodeId(), Incarnation(), std::move(ping));
 }
 
@@ -473,43 +453,29 @@
                           Incarnation incarnation,
                           Message message) {
   message.sender = Sender();
-  const size_t used = wire::kFrameHeaderBytes + wire::Encode(message).size();
-  const size_t room = settings_.datagram_bytes - used;
-  message.news = NewsFor(
-      peer, incarnation,
-      std::min(room, budget_.available() / kNewsShare) + MemberBatch().bytes());
-  Send(to, message);
+  const size_t room = outbox_.message_bytes() - wire::Encode(message).size();
+  message.news = NewsFor(peer, incarnation, room,
+                         std::min(room, outbox_.available() / kNewsShare));
+  outbox_.Send(to, message);
 }
 
-template <typename Message>
-void Gossip::Send(const Endpoint& to, const Message& message) {
-  Datagram datagram{to, wire::EncodeFrame(message)};
-  budget_.Take(datagram.bytes.size() + kPacketBytes);
-  sent_bytes_ += datagram.bytes.size() + kPacketBytes;
-  ++sent_datagrams_;
-  actions_.datagrams.push_back(std::move(datagram));
-}
-
-// Picks what to tell `peer`: first what it must know of itself, or of this
-// node when it may not know it yet.
+// Picks what to tell `peer` in at most `room` bytes: first what it must know
+// of itself, or of this node when it may not know it yet; then news, as long
+// as the batch stays within `news_bytes`.
 MemberBatch Gossip::NewsFor(const NodeId& peer,
                             Incarnation incarnation,
-                            size_t max_bytes) {
+                            size_t room,
+                            size_t news_bytes) {
   MemberBatch batch;
+  const size_t empty = batch.bytes();
   const Member* known = table_.Find(peer);
   if (known == nullptr) {
-    batch.Add(self_, kOwnRecordBytes);
+    batch.Add(self_, empty + room);
   } else if (known->state != MemberState::kAlive ||
              known->incarnation != incarnation) {
-    batch.Add(AsTold(*known), kOwnRecordBytes);
-  }
-  for (const NodeId& id : news_.Pick()) {
-    const Member* member = table_.Find(id);
-    if (member != nullptr && !batch.Add(AsTold(*member), max_bytes)) {
-      break;
-    }
-    news_.Sent(id);
+    batch.Add(AsTold(*known), empty + room);
   }
+  news_.FillBatch(table_, empty + news_bytes, batch);
   return batch;
 }
 
@@ -526,6 +492,7 @@
 }
 
 GossipActions Gossip::TakeActions() {
+  actions_.datagrams = outbox_.Take();
   return std::exchange(actions_, {});
 }
 
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,21 +7,15 @@
 #include "membership/member_table.h"
 #include "membership/membership_settings.h"
 #include "membership/news_queue.h"
+#include "membership/outbox.h"
 #include "membership/peer_order.h"
-#include "membership/token_bucket.h"
+#include "membership/probes.h"
+#include "membership/seed_schedule.h"
 #include "wire/wire.h"
 #include "world/world.h"
 
 namespace ibisvalve::membership {
 
-/// A datagram to be sent.
-struct Datagram {
-  world::Endpoint to;
-  std::string bytes;
-
-  auto operator<=>(const Datagram&) const = default;
-};
-
 /// Another live process that uses this node's id.
 struct IdentityClash {
   Incarnation other;
@@ -76,31 +69,15 @@
   /// Returns how long a suspicion lasts with the fleet's present size.
   Duration SuspicionTime() const;
   /// Returns what was sent so far.
-  uint64_t sent_bytes() const { return sent_bytes_; }
-  uint64_t sent_datagrams() const { return sent_datagrams_; }
+  uint64_t sent_bytes() const { return outbox_.sent_bytes(); }
+  uint64_t sent_datagrams() const { return outbox_.sent_datagrams(); }
 
  private:
-  // A ping of this node that waits for its answer.
-  struct Probe {
-    NodeId target;  // empty: a seed
-    Incarnation incarnation;
-    world::Endpoint endpoint;
-    Time sent;
-    bool indirect = false;  // others were asked to ping, too
-    bool farewell = false;
-  };
-
-  // A ping made for another node.
-  struct Relay {
-    world::Endpoint origin;
-    uint64_t number = 0;
-    Time sent;
-  };
-
   void StartRound();
   void ProbeNext();
   void ProbeSilent();
-  void ProbeSeeds();
+  void PushNews();
+  void ForgetProbesAfterPause();
   void CheckProbes();
   void AskOthers(const Probe& probe, uint64_t number);
   void Suspect(const Probe& probe);
@@ -120,6 +97,7 @@
   void MergeAll(const wire::MemberBatch& batch);
   void MergeOne(const world::Member& heard);
   void OnSelfHeard(const world::Member& heard);
+  void GiveWay(Incarnation newer, const world::Endpoint& endpoint);
   void Announce();
   void Changed(const world::Member& member);
   void Compare(const world::Endpoint& peer, const wire::GossipSender& sender);
@@ -128,18 +106,17 @@
                    const std::vector<uint16_t>& buckets,
                    size_t max_datagrams);
   uint16_t RandomBucket();
-  uint64_t PingMember(const world::Member& member);
+  void PingMember(const world::Member& member, bool farewell = false);
   void PingEndpoint(const world::Endpoint& endpoint);
   template <typename Message>
   void SendWithNews(const world::Endpoint& to,
                     const NodeId& peer,
                     Incarnation incarnation,
                     Message message);
-  template <typename Message>
-  void Send(const world::Endpoint& to, const Message& message);
   wire::MemberBatch NewsFor(const NodeId& peer,
                             Incarnation incarnation,
-                            size_t max_bytes);
+                            size_t room,
+                            size_t news_bytes);
   wire::GossipSender Sender() const;
   uint32_t Transmissions() const;
   GossipActions TakeActions();
@@ -148,23 +125,20 @@
   world::Member self_;
   MemberTable table_;
   NewsQueue news_;
-  TokenBucket budget_;
+  SeedSchedule seeds_;
+  Outbox outbox_;
   PeerOrder peers_;
   Time now_;
+  Time last_tick_;
   Time next_round_;
   Time next_sync_;
   Time leaving_since_;
   uint64_t round_ = 0;
-  uint64_t next_seeds_ = 0;  // round in which seeds are pinged
-  uint64_t next_number_ = 1;
-  std::map<uint64_t, Probe> probes_;
-  std::map<uint64_t, Relay> relays_;
+  Probes probes_;
   uint32_t syncs_left_ = 0;  // this round
   size_t farewells_ = 0;     // confirmed
   bool leaving_ = false;
   bool replaced_ = false;
-  uint64_t sent_bytes_ = 0;
-  uint64_t sent_datagrams_ = 0;
   GossipActions actions_;
 };
 
--- a/src/membership/news_queue.cc
+++ b/src/membership/news_queue.cc
@@ -2,9 +2,23 @@
 
 #include <algorithm>
 
+#include "membership/table_sync.h"
+
 namespace ibisvalve::membership {
 
-std::vector<NodeId> NewsQueue::Pick() const {
+void NewsQueue::FillBatch(const MemberTable& table,
+                          size_t max_bytes,
+                          wire::MemberBatch& batch) {
+  for (const NodeId& id : InOrder()) {
+    const world::Member* member = table.Find(id);
+    if (member != nullptr && !batch.Add(AsTold(*member), max_bytes)) {
+      return;
+    }
+    Sent(id);
+  }
+}
+
+std::vector<NodeId> NewsQueue::InOrder() const {
   std::vector<std::pair<uint32_t, NodeId>> order;
   order.reserve(left_.size());
   for (const auto& [id, times] : left_) {
--- a/src/membership/news_queue.h
+++ b/src/membership/news_queue.h
@@ -5,6 +5,8 @@
 #include <vector>
 
 #include "base/base.h"
+#include "membership/member_table.h"
+#include "wire/wire.h"
 
 namespace ibisvalve::membership {
 
@@ -14,10 +16,11 @@
  public:
   /// Queues a change of `id` to be sent `times` times.
   void Add(const NodeId& id, uint32_t times) { left_[id] = times; }
-  /// Returns the changes, those sent least often first.
-  std::vector<NodeId> Pick() const;
-  /// Notes that the change of `id` was sent once.
-  void Sent(const NodeId& id);
+  /// Adds members with changes to `batch`, those sent least often first, as
+  /// long as it stays within `max_bytes`.
+  void FillBatch(const MemberTable& table,
+                 size_t max_bytes,
+                 wire::MemberBatch& batch);
   /// Notes that a peer is known to have every change.
   void SentAll();
   /// Returns whether nothing is left to send.
@@ -26,6 +29,9 @@
   size_t size() const { return left_.size(); }
 
  private:
+  std::vector<NodeId> InOrder() const;
+  void Sent(const NodeId& id);
+
   std::map<NodeId, uint32_t> left_;
 };
 
--- /dev/null
+++ b/src/membership/seed_schedule.cc
@@ -0,0 +1,38 @@
+#include "membership/seed_schedule.h"
+
+#include <algorithm>
+
+namespace ibisvalve::membership {
+namespace {
+
+constexpr size_t kSeedsWhenAlone = 3;
+constexpr uint64_t kMaxRoundsAlone = 16;  // between pings
+constexpr uint64_t kRoundsPerSeed = 20;   // between pings when not alone
+
+}  // namespace
+
+std::vector<world::Endpoint> SeedSchedule::Due(uint64_t round,
+                                               const MemberTable& table,
+                                               PeerOrder& peers) {
+  if (round < next_round_) {
+    return {};
+  }
+  const bool alone = table.live() <= 1;
+  const uint64_t pause =
+      alone ? std::clamp<uint64_t>(round, 1, kMaxRoundsAlone) : kRoundsPerSeed;
+  next_round_ = round + 1 + peers.Below(pause);
+  std::vector<world::Endpoint> due = seeds_;
+  for (const auto& [id, member] : table.members()) {
+    if (IsLive(member)) {
+      std::erase(due, member.gossip);
+    }
+  }
+  if (!due.empty()) {
+    const auto middle = due.begin() + static_cast<int>(peers.Below(due.size()));
+    std::rotate(due.begin(), middle, due.end());
+    due.resize(std::min(due.size(), alone ? kSeedsWhenAlone : 1));
+  }
+  return due;
+}
+
+}  // namespace ibisvalve::membership
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -3,11 +3,13 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "membership/gossip_fleet.h"
+#include "bench/gossip/gossip_fleet.h"
 
 namespace ibisvalve::membership {
 namespace {
 
+using bench::GossipFleet;
+using bench::Weather;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using world::MemberState;
@@ -112,6 +114,19 @@
   EXPECT_TRUE(fleet.clashes().empty());
 }
 
+TEST(GossipTest, ANodeThatWasStoppedSuspectsNobody) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(2, 1);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  Gossip& node = fleet.At(0);
+  // A ping is under way when the process stops for a minute.
+  const Time start = fleet.now() + seconds(1);
+  EXPECT_FALSE(node.Tick(start).datagrams.empty());
+  node.Tick(start + seconds(60));
+  EXPECT_EQ(node.table().Find(fleet.At(1).self().id)->state,
+            MemberState::kAlive);
+}
+
 TEST(GossipTest, TwoProcessesWithOneIdAreNoticedByBoth) {
   GossipFleet fleet(1, kFine);
   fleet.StartMany(9, 3);
