--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -18,10 +18,8 @@
 
 constexpr size_t kHelpers = 3;             // asked to ping a silent member
 constexpr uint64_t kRoundsPerSilent = 10;  // between pings of silent members
-constexpr uint32_t kNewsShare = 8;  // of the balance, for one message's news
-constexpr uint32_t kJoiningFactor = 3;     // peers know that many times more
-constexpr int kRoundsPerSync = 4;          // between comparisons of tables
-constexpr uint32_t kSyncsWhenJoining = 4;  // peers asked at once
+constexpr uint32_t kNewsShare = 8;     // of the balance, for one message's news
+constexpr size_t kPeersToCatchUp = 4;  // asked at once
 constexpr size_t kDatagramsPerSync = 4;    // of members, in answer to one
 constexpr size_t kFarewells = 8;           // peers told directly
 constexpr size_t kFarewellsConfirmed = 3;  // before the process may end
@@ -44,6 +42,7 @@
       self_(self),
       table_(table),
       seeds_(settings.seeds),
+      syncs_(settings.period),
       outbox_(settings),
       peers_(self.id, seed) {
   CHECK(!self.id.empty());
@@ -139,12 +138,17 @@
 void Gossip::StartRound() {
   next_round_ = now_ + settings_.period;
   ++round_;
-  syncs_left_ = kSyncsWhenJoining;
-  SweepTable();
+  syncs_.StartRound();
+  for (const Member& member : table_.Sweep(now_, SuspicionTime())) {
+    Changed(member);
+  }
   if (leaving_) {
     return;
   }
-  ProbeNext();
+  CatchUp();
+  if (const Member* target = peers_.Next(table_)) {
+    PingMember(*target);
+  }
   if (round_ % kRoundsPerSilent == 0) {
     ProbeSilent();
   }
@@ -153,12 +157,6 @@
   }
 }
 
-void Gossip::ProbeNext() {
-  if (const Member* target = peers_.Next(table_)) {
-    PingMember(*target);
-  }
-}
-
 // Asks one member that is held as silent, so that a cut that has healed is
 // noticed.
 void Gossip::ProbeSilent() {
@@ -234,12 +232,6 @@
   PingMember(suspect);
 }
 
-void Gossip::SweepTable() {
-  for (const Member& member : table_.Sweep(now_, SuspicionTime())) {
-    Changed(member);
-  }
-}
-
 void Gossip::CheckLeaving() {
   if (!leaving_ || leaving_since_ == Time()) {
     return;
@@ -413,23 +405,32 @@
 // Compares tables by their digests; a difference that lasts is mended by
 // sending the members of the buckets that differ.
 void Gossip::Compare(const Endpoint& peer, const wire::GossipSender& sender) {
+  syncs_.Compared(table_.live(), sender.members);
   if (sender.table == table_.digest()) {
     news_.SentAll();
-    return;
+  } else if (!leaving_ && syncs_.IsDue(now_)) {
+    SendSync(peer);
   }
-  const bool joining = table_.live() * kJoiningFactor < sender.members;
-  if (leaving_ || syncs_left_ == 0 || (!joining && now_ < next_sync_)) {
-    return;
+}
+
+// Asks several peers at once while this table is much smaller than theirs.
+void Gossip::CatchUp() {
+  if (syncs_.behind()) {
+    for (const Member* peer : peers_.Some(table_, kPeersToCatchUp, self_.id)) {
+      SendSync(peer->gossip);
+    }
   }
-  --syncs_left_;
-  next_sync_ = now_ + settings_.period * kRoundsPerSync;
+}
+
+void Gossip::SendSync(const Endpoint& peer) {
   wire::GossipSync sync;
   sync.sender = Sender();
   sync.start = RandomBucket();
-  if (!joining) {
+  if (syncs_.DigestsHelp(table_.live())) {
     sync.buckets.assign(table_.digests().begin(), table_.digests().end());
   }
-  if (outbox_.available() >= wire::Encode(sync).size()) {
+  const bool affordable = outbox_.available() >= wire::Encode(sync).size();
+  if (affordable && syncs_.Take(now_)) {
     outbox_.Send(peer, sync);
   }
 }
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -11,6 +11,7 @@
 #include "membership/peer_order.h"
 #include "membership/probes.h"
 #include "membership/seed_schedule.h"
+#include "membership/sync_schedule.h"
 #include "wire/wire.h"
 #include "world/world.h"
 
@@ -74,14 +75,12 @@
 
  private:
   void StartRound();
-  void ProbeNext();
   void ProbeSilent();
   void PushNews();
   void ForgetProbesAfterPause();
   void CheckProbes();
   void AskOthers(const Probe& probe, uint64_t number);
   void Suspect(const Probe& probe);
-  void SweepTable();
   void CheckLeaving();
 
   void OnPing(const world::Endpoint& from, const wire::GossipPing& ping);
@@ -101,6 +100,7 @@
   void Announce();
   void Changed(const world::Member& member);
   void Compare(const world::Endpoint& peer, const wire::GossipSender& sender);
+  void CatchUp();
   void SendSync(const world::Endpoint& peer);
   void SendBuckets(const world::Endpoint& to,
                    const std::vector<uint16_t>& buckets,
@@ -126,17 +126,16 @@
   MemberTable table_;
   NewsQueue news_;
   SeedSchedule seeds_;
+  SyncSchedule syncs_;
   Outbox outbox_;
   PeerOrder peers_;
   Time now_;
   Time last_tick_;
   Time next_round_;
-  Time next_sync_;
   Time leaving_since_;
   uint64_t round_ = 0;
   Probes probes_;
-  uint32_t syncs_left_ = 0;  // this round
-  size_t farewells_ = 0;     // confirmed
+  size_t farewells_ = 0;  // confirmed
   bool leaving_ = false;
   bool replaced_ = false;
   GossipActions actions_;
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -227,6 +227,21 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CutZoneTest, testing::Range<uint64_t>(1, 11));
 
+TEST(GossipTest, AFleetAtRestSendsLittle) {
+  GossipFleet fleet(1, kFine);
+  fleet.StartMany(100, 4);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(60)));
+  fleet.Run(seconds(60));
+  std::map<world::Endpoint, uint64_t> before;
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    before[endpoint] = node->sent_bytes();
+  }
+  fleet.Run(seconds(20));
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    EXPECT_LE(node->sent_bytes() - before[endpoint], 1000U * 20);
+  }
+}
+
 TEST(GossipTest, AJoiningNodeGetsALargeTableInSecondsWithinTheBudget) {
   GossipFleet fleet(1, kFine);
   fleet.StartMany(300, 3);
