Add ibisctl report burn, with a page of plots

Cause: burn reports of the nodes could not be read as one. The command merges /burn of all members, names the nodes that could not be read (and then exits 1, because the figures are partial), and writes a page with inline SVG that needs no other file. The page was not looked at in a browser yet.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -6,6 +6,7 @@
 
 #include "config/config.h"
 #include "ctl/apply.h"
+#include "ctl/burn_command.h"
 #include "ctl/fleet_commands.h"
 #include "ctl/node_commands.h"
 #include "ctl/revision_commands.h"
@@ -67,7 +68,14 @@
        "Show the keepers, or change their set by one.", "", RunKeepers},
       {"quarantine", "[lift FINGERPRINT]",
        "List requests that crashed targets, or lift a quarantine.", "",
-       RunQuarantine}};
+       RunQuarantine},
+      {"report", "burn",
+       "Show how fast the services use up their error budgets.",
+       "Merges the reports of all nodes that any --admin knows, and says "
+       "which\n"
+       "could not be read (then exits 1).\n"
+       "  --html FILE   also write a page with plots\n",
+       RunReport}};
   return commands;
 }
 
