--- a/bench/micro/policy_bench.cc
+++ b/bench/micro/policy_bench.cc
@@ -56,6 +56,7 @@
 
 void SubsetOfAThousand(benchmark::State& state) {
   std::vector<SubsetMember> members;
+  members.reserve(static_cast<size_t>(state.range(0)));
   for (int i = 0; i < state.range(0); ++i) {
     members.push_back({NodeId("node-" + std::to_string(i)),
                        ZoneName(i % 3 == 0 ? "suva" : "nadi")});
--- a/bench/scenarios/fleet.py
+++ b/bench/scenarios/fleet.py
@@ -213,9 +213,10 @@
         for _, process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + 5
         for _, process in self.processes:
             try:
-                process.wait(timeout=5)
+                process.wait(timeout=max(0.1, end - time.monotonic()))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
