Hold the replica to its rules one by one; mend the bench's processor time

Counting the leader's own unsynced entries is no fault here, because the driver syncs before it applies.

controlbench divided whole seconds by the clock ticks, so its first processor figures were all 0; they are not used anywhere.

--- a/bench/control/measure.cc
+++ b/bench/control/measure.cc
@@ -21,7 +21,7 @@
   }
   int64_t user = 0, system = 0;
   words >> user >> system;
-  return std::chrono::seconds(user + system) / sysconf(_SC_CLK_TCK);
+  return Duration(std::chrono::seconds(user + system)) / sysconf(_SC_CLK_TCK);
 }
 
 uint64_t ResidentBytes() {
--- /dev/null
+++ b/tests/control/replica_rules_test.cc
@@ -0,0 +1,215 @@
+#include <gmock/gmock.h>
+
+#include "control/replica.h"
+
+namespace ibisvalve::control {
+namespace {
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+const wire::ReplicaId kSelf(1);
+const wire::ReplicaId kSecond(2);
+const wire::ReplicaId kThird(3);
+
+// One replica of three, with the others played by the test.
+class ReplicaRulesTest : public testing::Test {
+ protected:
+  static wire::KeeperMembers Members() {
+    wire::KeeperMembers members{wire::GroupId(1), {}};
+    for (const wire::ReplicaId id : {kSelf, kSecond, kThird}) {
+      members.members.push_back(
+          {id, NodeId(std::to_string(id.value)), {}, true});
+    }
+    return members;
+  }
+
+  // Entry 1 founds the group; the others are commands of the given terms.
+  static RecoveredLog LogOf(const std::vector<uint64_t>& terms) {
+    RecoveredLog log;
+    log.hard.term = terms.empty() ? 1 : terms.back();
+    log.entries.push_back(
+        {1, 1, wire::EntryKind::kMembers, wire::Encode(Members())});
+    for (const uint64_t term : terms) {
+      log.entries.push_back(
+          {log.entries.size() + 1, term, wire::EntryKind::kCommand, "command"});
+    }
+    return log;
+  }
+
+  void Start(const RecoveredLog& log) {
+    replica_ = std::make_unique<Replica>(ReplicaSettings{kSelf}, log, now_);
+  }
+
+  ReplicaActions Take() {
+    ReplicaActions actions = replica_->Take(now_);
+    replica_->Synced();
+    return actions;
+  }
+
+  void BecomeLeader() {
+    now_ += std::chrono::seconds(2);
+    replica_->Tick(now_);
+    const uint64_t term = replica_->term() + 1;
+    replica_->Receive(wire::VoteReply{kSecond, kSelf, term, true, true}, now_);
+    replica_->Receive(wire::VoteReply{kSecond, kSelf, term, true, false}, now_);
+    ASSERT_TRUE(replica_->leading());
+    Take();
+  }
+
+  void Answer(wire::ReplicaId from, uint64_t match, uint64_t round) {
+    replica_->Receive(
+        wire::AppendReply{from, kSelf, replica_->term(), true, match, round},
+        now_);
+  }
+
+  wire::VoteRequest VoteFor(wire::ReplicaId from, uint64_t term) {
+    return {from, kSelf, term, 100, term - 1, false};
+  }
+
+  bool Granted(const wire::VoteRequest& request) {
+    replica_->Receive(request, now_);
+    return std::get<wire::VoteReply>(Take().messages.back()).granted;
+  }
+
+  Time now_{std::chrono::seconds(10)};
+  std::unique_ptr<Replica> replica_;
+};
+
+TEST_F(ReplicaRulesTest, AVoteIsOnDiskBeforeItIsGiven) {
+  Start(LogOf({}));
+  replica_->Receive(VoteFor(kSecond, 2), now_);
+  const ReplicaActions actions = Take();
+  ASSERT_TRUE(actions.hard.has_value());
+  EXPECT_EQ(*actions.hard, (HardState{2, kSecond}));
+  EXPECT_THAT(actions.early, IsEmpty());
+  // The same term after a restart: no second vote.
+  RecoveredLog log = LogOf({});
+  log.hard = *actions.hard;
+  Start(log);
+  EXPECT_FALSE(Granted(VoteFor(kThird, 2)));
+  EXPECT_TRUE(Granted(VoteFor(kSecond, 2)));
+}
+
+TEST_F(ReplicaRulesTest, VotesForNobodyWhoMayLackAnEntry) {
+  Start(LogOf({2, 4}));
+  EXPECT_FALSE(Granted({kSecond, kSelf, 9, 50, 3, false}));
+  EXPECT_FALSE(Granted({kSecond, kSelf, 10, 2, 4, false}));
+  EXPECT_TRUE(Granted({kSecond, kSelf, 11, 3, 4, false}));
+}
+
+TEST_F(ReplicaRulesTest, NeverVotesFromAnEmptyLog) {
+  Start(RecoveredLog());
+  EXPECT_FALSE(Granted(VoteFor(kSecond, 2)));
+}
+
+TEST_F(ReplicaRulesTest, KeepsToALeaderInSight) {
+  Start(LogOf({}));
+  replica_->Receive(wire::AppendRequest{kSecond, kSelf, 2, 1, 1, 1, 0, {}},
+                    now_);
+  EXPECT_FALSE(Granted(VoteFor(kThird, 3)));
+  now_ += std::chrono::milliseconds(900);
+  EXPECT_TRUE(Granted(VoteFor(kThird, 3)));
+}
+
+// Raft, figure 8: an entry of an earlier term on a majority may still be
+// replaced, so it is not committed by counting.
+TEST_F(ReplicaRulesTest, CommitsEarlierTermsOnlyAlongWithItsOwn) {
+  Start(LogOf({2}));
+  BecomeLeader();  // its own first entry is number 3
+  Answer(kSecond, 2, 0);
+  EXPECT_THAT(Take().committed, IsEmpty());
+  Answer(kSecond, 3, 0);
+  EXPECT_EQ(Take().committed.size(), 3U);
+}
+
+TEST_F(ReplicaRulesTest, AReadNeedsAnAnswerToALaterRound) {
+  Start(LogOf({}));
+  BecomeLeader();
+  const uint64_t before = std::get<wire::AppendRequest>([&] {
+                            replica_->Propose("command");
+                            return Take().early.front();
+                          }())
+                              .round;
+  Answer(kSecond, 3, before);
+  Take();
+  const auto token = replica_->RequestRead();
+  const ReplicaActions asked = Take();
+  EXPECT_THAT(asked.reads, IsEmpty());
+  const uint64_t round =
+      std::get<wire::AppendRequest>(asked.early.front()).round;
+  EXPECT_GT(round, before);
+  Answer(kSecond, 3, round - 1);
+  EXPECT_THAT(Take().reads, IsEmpty());
+  Answer(kSecond, 3, round);
+  EXPECT_THAT(Take().reads, ElementsAre(*token));
+}
+
+TEST_F(ReplicaRulesTest, ALeaderThatHearsNobodyStepsDownAndFailsItsReads) {
+  Start(LogOf({}));
+  BecomeLeader();
+  Answer(kSecond, 2, 0);
+  Take();
+  const auto token = replica_->RequestRead();
+  Take();
+  now_ += std::chrono::milliseconds(801);
+  replica_->Tick(now_);
+  EXPECT_FALSE(replica_->leading());
+  EXPECT_THAT(Take().failed_reads, ElementsAre(*token));
+  EXPECT_FALSE(replica_->Propose("command").has_value());
+}
+
+TEST_F(ReplicaRulesTest, ALateSnapshotDropsNothingThatFollowsIt) {
+  Start(LogOf({2, 2, 2}));
+  replica_->Receive(
+      wire::InstallSnapshot{kSecond, kSelf, 2, 3, 2, Members(), "state"}, now_);
+  const ReplicaActions actions = Take();
+  EXPECT_FALSE(actions.install.has_value());
+  EXPECT_EQ(replica_->log().last_index(), 4U);
+  EXPECT_EQ(actions.committed.size(), 3U);
+}
+
+TEST_F(ReplicaRulesTest, ChangesMembersOneAtATimeAndOnlyWhenSettled) {
+  Start(LogOf({}));
+  BecomeLeader();
+  wire::KeeperMembers next = Members();
+  next.members.pop_back();
+  EXPECT_FALSE(replica_->ProposeMembers(next).has_value());
+  Answer(kSecond, 2, 0);
+  Take();
+  EXPECT_TRUE(replica_->ProposeMembers(next).has_value());
+  EXPECT_FALSE(replica_->ProposeMembers(Members()).has_value());
+}
+
+TEST_F(ReplicaRulesTest, ALearnerDoesNotCountForAMajority) {
+  RecoveredLog log = LogOf({});
+  wire::KeeperMembers members = Members();
+  members.members.push_back({wire::ReplicaId(4), NodeId("4"), {}, false});
+  log.entries.push_back(
+      {2, 1, wire::EntryKind::kMembers, wire::Encode(members)});
+  Start(log);
+  BecomeLeader();
+  Answer(wire::ReplicaId(4), 3, 9);
+  EXPECT_THAT(Take().committed, IsEmpty());
+  Answer(kThird, 3, 9);
+  EXPECT_EQ(Take().committed.size(), 3U);
+}
+
+// A single voter leads at once; what it tells learners must wait for its term.
+TEST_F(ReplicaRulesTest, SaysNothingInATermThatIsNotOnDisk) {
+  RecoveredLog log = LogOf({});
+  wire::KeeperMembers members = Members();
+  members.members[1].voter = members.members[2].voter = false;
+  log.entries.push_back(
+      {2, 1, wire::EntryKind::kMembers, wire::Encode(members)});
+  Start(log);
+  replica_->Tick(now_);
+  ASSERT_TRUE(replica_->leading());
+  const ReplicaActions actions = replica_->Take(now_);
+  EXPECT_TRUE(actions.hard.has_value());
+  EXPECT_THAT(actions.early, IsEmpty());
+  EXPECT_FALSE(actions.messages.empty());
+}
+
+}  // namespace
+}  // namespace ibisvalve::control
