--- /dev/null
+++ b/tests/config/fuzz_test.cc
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+
+#include "config/config.h"
+#include "config/source_file.h"
+
+namespace ibisvalve::config {
+namespace {
+
+// Parses `text` as both formats. Anything but a value or InvalidInput fails
+// the test; so does a finding without a place or a problem.
+void ParseBoth(const std::string& text) {
+  const auto check = [](const auto& parse) {
+    try {
+      parse();
+    } catch (const InvalidInput& error) {
+      for (const Finding& finding : error.findings()) {
+        ASSERT_EQ(finding.place.file, "f");
+        ASSERT_GE(finding.place.line, 1);
+        ASSERT_GE(finding.place.column, 1);
+        ASSERT_FALSE(finding.problem.empty());
+        ASSERT_FALSE(finding.advice.empty());
+      }
+    }
+  };
+  check([&] { ParseFleet(text, "f"); });
+  check([&] { ParseSettings(text, "f"); });
+}
+
+RC_GTEST_PROP(ConfigFuzzTest, RandomBytes, (const std::string& bytes)) {
+  ParseBoth(bytes);
+}
+
+// Characters that mean something in YAML.
+RC_GTEST_PROP(ConfigFuzzTest, RandomYaml, ()) {
+  ParseBoth(*rc::gen::container<std::string>(rc::gen::elementOf(
+      std::string("abz019 \n\t:-[]{},#&*!|>'\"%@`?~\\/.\xc3\xa9\x80"))));
+}
+
+// Changes a few places of `text`: bytes replaced, removed, doubled, or pieces
+// copied elsewhere.
+std::string Mutate(std::string text, std::mt19937& random) {
+  const auto place = [&] { return random() % (text.size() + 1); };
+  for (unsigned changes = 1 + random() % 4; changes > 0; --changes) {
+    const size_t at = place();
+    const size_t length = random() % 12;
+    switch (random() % 4) {
+      case 0:
+        text.replace(at, std::min<size_t>(1, text.size() - at), 1,
+                     ":-[]{}\n \t&*!#%'\"0\x80"[random() % 19]);
+        break;
+      case 1:
+        text.erase(at, length);
+        break;
+      case 2:
+        text.insert(place(), text.substr(at, length));
+        break;
+      default:
+        text.insert(place(), text.substr(at, 8 * length));
+        break;
+    }
+  }
+  return text;
+}
+
+TEST(ConfigFuzzTest, MutatedExamples) {
+  std::mt19937 random(20'260'104);  // NOLINT: the same each time
+  for (const char* name : {"tavua.yaml", "consorcio.yaml", "settings-node.yaml",
+                           "settings-keeper.yaml"}) {
+    const std::string text = ReadSourceFile(std::string("examples/") + name);
+    for (int i = 0; i < 400; ++i) {
+      const std::string mutated = Mutate(text, random);
+      ParseBoth(mutated);
+      ASSERT_FALSE(HasFatalFailure()) << mutated;
+    }
+  }
+}
+
+TEST(ConfigFuzzTest, DeepAndSelfContainingDocuments) {
+  ParseBoth(std::string(100'000, '['));
+  ParseBoth(std::string(100'000, '{'));
+  ParseBoth("a: &a [*a]\n");
+  ParseBoth("ibisvalve: &x {name: *x, regions: *x, services: *x}\n");
+  std::string laughs = "a0: &a0 [x, x]\n";
+  for (int i = 1; i < 40; ++i) {
+    const std::string before = std::to_string(i - 1);
+    laughs += "a" + std::to_string(i) + ": &a" + std::to_string(i) + " [*a" +
+              before + ", *a" + before + "]\n";
+  }
+  ParseBoth(laughs + "services: *a39\n");
+}
+
+}  // namespace
+}  // namespace ibisvalve::config
