Read the keepers' and nodes' pages as they came to be

Cause: the pages that keepers and nodes now serve differ from the agreed text: /keepers lists 'members' of one keeper's view, since_us of /fleet is an age, the load stands under status.gate, and quarantines carry crashes and seconds. status shows running, queued, limit and slots, marks nodes that are behind, and counts those that cannot be reached; keepers asks every address and shows each one's own view; drain, quarantine and report find nodes through a keeper as well as through a node.

--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -5,48 +5,59 @@
 namespace ibisvalve::ctl {
 namespace {
 
-// Keys of a node's status that have a column of their own, or say nothing to
-// an operator who reads the table.
-constexpr const char* kStatusColumns[] = {"target", "in_flight", "limit",
-                                          "draining", "quarantined"};
-
 ExitCode PrintJson(Session& session, const nlohmann::json& json) {
   session.out() << Pretty(json) << '\n';
   return ExitCode::kOk;
 }
 
+// Returns the part `key` of a node's status; null where it has none.
+nlohmann::json PartOf(const nlohmann::json& json, const std::string& key) {
+  return json.is_object() && json.contains(key) ? json[key] : nlohmann::json();
+}
+
+std::vector<std::string> FleetRow(const nlohmann::json& node,
+                                  const std::string& active) {
+  const std::string staged = CellAt(node, "staged");
+  const std::string revision = CellAt(node, "revision");
+  const nlohmann::json status = PartOf(node, "status");
+  const nlohmann::json gate = PartOf(status, "gate");
+  const bool behind = revision != active;
+  return {CellAt(node, "id"),
+          CellAt(node, "zone"),
+          CellAt(node, "service"),
+          revision + (behind ? " (behind)" : ""),
+          FormatAge(NumberAt(node, "since_us")),
+          staged == "0" ? "" : staged,
+          CellAt(node, "lease") == "yes" ? "held" : "UNREACHABLE",
+          CellAt(status, "target"),
+          CellAt(gate, "running"),
+          CellAt(gate, "queued"),
+          CellAt(gate, "limit"),
+          CellAt(status, "slots"),
+          CellAt(status, "quarantined")};
+}
+
 void PrintFleet(Session& session, const nlohmann::json& fleet) {
   std::ostream& out = session.out();
-  out << "active revision " << CellAt(fleet, "active") << ", leader "
-      << CellAt(fleet, "leader") << '\n';
-  std::vector<std::string> headings = {"NODE",   "ZONE",  "SERVICE", "REVISION",
-                                       "STAGED", "SINCE", "LEASE"};
-  for (const char* key : kStatusColumns) {
-    std::string heading = key;
-    for (char& letter : heading) {
-      letter = letter == '_' ? ' ' : static_cast<char>(std::toupper(letter));
-    }
-    headings.push_back(heading);
+  const std::string active = CellAt(fleet, "active");
+  const uint64_t staged = NumberAt(fleet, "staged");
+  out << "active revision " << active;
+  if (staged > 0) {
+    out << ", staged revision " << staged;
   }
-  Table table(headings);
+  out << ", leader " << CellAt(fleet, "leader") << '\n';
+  Table table({"NODE", "ZONE", "SERVICE", "REVISION", "SINCE", "STAGED",
+               "LEASE", "TARGET", "RUNNING", "QUEUED", "LIMIT", "SLOTS",
+               "QUARANTINED"});
+  size_t unreachable = 0;
   for (const nlohmann::json& node : ListAt(fleet, "nodes")) {
-    const std::string staged = CellAt(node, "staged");
-    std::vector<std::string> row = {
-        CellAt(node, "id"),
-        CellAt(node, "zone"),
-        CellAt(node, "service"),
-        CellAt(node, "revision"),
-        staged == "0" ? "" : staged,
-        FormatWallTime(NumberAt(node, "since_us")),
-        CellAt(node, "lease") == "yes" ? "held" : "UNREACHABLE"};
-    const nlohmann::json status =
-        node.contains("status") ? node["status"] : nlohmann::json();
-    for (const char* key : kStatusColumns) {
-      row.push_back(CellAt(status, key));
-    }
-    table.Add(row);
+    unreachable += CellAt(node, "lease") == "yes" ? 0 : 1;
+    table.Add(FleetRow(node, active));
   }
   table.Print(out);
+  if (unreachable > 0) {
+    out << unreachable << " nodes cannot be reached\n";
+  }
 }
 
 // Prints one object as "key: value" lines.
@@ -79,29 +90,64 @@
   return ExitCode::kOk;
 }
 
-void PrintKeepers(Session& session, const nlohmann::json& json) {
-  const std::vector<nlohmann::json> keepers = ListAt(json, "keepers");
-  // The columns are whatever the keepers tell, the id first.
-  std::vector<std::string> keys = {"id"};
-  for (const nlohmann::json& keeper : keepers) {
-    for (const auto& [key, value] : keeper.items()) {
-      if (std::find(keys.begin(), keys.end(), key) == keys.end()) {
-        keys.push_back(key);
-      }
+// Prints each keeper's own view, then the members as the leader knows them.
+void PrintKeepers(Session& session, const std::vector<PageAnswer>& answers) {
+  Table views({"KEEPER", "ROLE", "LEADER", "TERM", "COMMIT", "APPLIED"});
+  const nlohmann::json* members = nullptr;
+  for (const PageAnswer& answer : answers) {
+    if (!answer.ok() || !answer.json.is_object()) {
+      views.Add({world::ToString(answer.from), "no answer"});
+      continue;
     }
+    const std::string self = CellAt(answer.json, "self");
+    const std::string leader = CellAt(answer.json, "leader");
+    const bool leads = !self.empty() && self == leader;
+    views.Add({self, leads ? "leader" : "follower", leader,
+               CellAt(answer.json, "term"), CellAt(answer.json, "commit"),
+               CellAt(answer.json, "applied")});
+    members = members == nullptr || leads ? &answer.json : members;
   }
-  Table table(keys);
-  for (const nlohmann::json& keeper : keepers) {
-    std::vector<std::string> row;
-    row.reserve(keys.size());
-    for (const std::string& key : keys) {
-      row.push_back(CellAt(keeper, key));
-    }
-    table.Add(row);
+  views.Print(session.out());
+  if (members == nullptr) {
+    return;
+  }
+  Table table(
+      {"MEMBER", "CONTROL", "VOTES", "LOG POSITION", "ALIVE", "REPLICA"});
+  for (const nlohmann::json& member : ListAt(*members, "members")) {
+    table.Add({CellAt(member, "id"), CellAt(member, "control"),
+               CellAt(member, "voter"), CellAt(member, "match"),
+               CellAt(member, "alive"), CellAt(member, "replica")});
   }
+  session.out() << "\nmembers as " << CellAt(*members, "self")
+                << " knows them\n";
   table.Print(session.out());
 }
 
+ExitCode ShowKeepers(Session& session) {
+  const std::vector<PageAnswer> answers =
+      session.FetchEach(session.options().admins, "GET", "/keepers");
+  nlohmann::json views = nlohmann::json::array();
+  std::string faults;
+  bool refused = false;
+  for (const PageAnswer& answer : answers) {
+    if (answer.ok() && answer.json.is_object()) {
+      views.push_back(answer.json);
+    } else {
+      refused = refused || answer.status != 0;
+      faults += "\n  " + answer.Fault();
+    }
+  }
+  if (views.empty()) {
+    throw CommandError(refused ? ExitCode::kRefused : ExitCode::kUnreachable,
+                       "no keeper answered:" + faults);
+  }
+  if (session.json()) {
+    return PrintJson(session, {{"keepers", views}});
+  }
+  PrintKeepers(session, answers);
+  return ExitCode::kOk;
+}
+
 // Sends a change of the set of keepers to each keeper in turn until one, the
 // leader, takes it.
 ExitCode ChangeKeepers(Session& session, const std::string& page) {
@@ -172,12 +218,7 @@
 ExitCode RunKeepers(Session& session) {
   const std::vector<std::string>& arguments = session.options().arguments;
   if (arguments.empty()) {
-    const PageAnswer answer = session.FetchAny("/keepers");
-    if (session.json()) {
-      return PrintJson(session, answer.json);
-    }
-    PrintKeepers(session, answer.json);
-    return ExitCode::kOk;
+    return ShowKeepers(session);
   }
   if (arguments.size() == 3 && arguments[0] == "add" &&
       world::ParseEndpoint(arguments[2])) {
@@ -194,12 +235,28 @@
                      "remove ID");
 }
 
+std::vector<nlohmann::json> KnownNodes(Session& session) {
+  std::string faults;
+  bool refused = false;
+  for (const auto& [page, list] :
+       {std::pair("/members", "members"), std::pair("/fleet", "nodes")}) {
+    try {
+      return ListAt(session.FetchAny(page).json, list);
+    } catch (const CommandError& error) {
+      // Keepers serve no /members, and nodes no /fleet.
+      refused = refused || error.code() == ExitCode::kRefused;
+      faults += std::string(faults.empty() ? "" : "\n") + error.what();
+    }
+  }
+  throw CommandError(refused ? ExitCode::kRefused : ExitCode::kUnreachable,
+                     faults);
+}
+
 std::vector<world::Endpoint> NodeAdmins(Session& session) {
-  const PageAnswer answer = session.FetchAny("/members");
   std::vector<world::Endpoint> admins;
-  for (const nlohmann::json& member : ListAt(answer.json, "members")) {
-    const std::string state = CellAt(member, "state");
-    const auto endpoint = world::ParseEndpoint(CellAt(member, "admin"));
+  for (const nlohmann::json& node : KnownNodes(session)) {
+    const std::string state = CellAt(node, "state");
+    const auto endpoint = world::ParseEndpoint(CellAt(node, "admin"));
     if (endpoint && state != "left" && state != "dead") {
       admins.push_back(*endpoint);
     }
--- a/src/ctl/fleet_commands.h
+++ b/src/ctl/fleet_commands.h
@@ -15,8 +15,12 @@
 /// change of their set.
 ExitCode RunKeepers(Session& session);
 
-/// Returns the admin endpoints of all members that one node knows and that
-/// are not gone. Throws CommandError when no node answers.
+/// Returns the nodes that a node or a keeper knows, as its page lists them.
+/// Throws CommandError when none answers.
+std::vector<nlohmann::json> KnownNodes(Session& session);
+
+/// Returns the admin endpoints of the nodes that are not gone. Throws
+/// CommandError when nobody answers.
 std::vector<world::Endpoint> NodeAdmins(Session& session);
 
 }  // namespace ibisvalve::ctl
--- a/src/ctl/node_commands.cc
+++ b/src/ctl/node_commands.cc
@@ -22,14 +22,13 @@
                        options.command + " takes one node at most");
   }
   const std::string& id = options.arguments.front();
-  const PageAnswer answer = session.FetchAny("/members");
-  for (const nlohmann::json& member : ListAt(answer.json, "members")) {
+  for (const nlohmann::json& member : KnownNodes(session)) {
     const auto endpoint = world::ParseEndpoint(CellAt(member, "admin"));
     if (CellAt(member, "id") == id && endpoint) {
       return *endpoint;
     }
   }
-  throw CommandError(ExitCode::kRefused, "no member is called " + id);
+  throw CommandError(ExitCode::kRefused, "no node is called " + id);
 }
 
 // Sends a command that may be repeated to one node.
@@ -68,7 +67,7 @@
   const std::vector<world::Endpoint> nodes = NodeAdmins(session);
   nlohmann::json all = {{"quarantined", nlohmann::json::array()},
                         {"unreachable", nlohmann::json::array()}};
-  Table table({"AT", "FINGERPRINT", "SERVICE", "REASON", "UNTIL"});
+  Table table({"AT", "FINGERPRINT", "CRASHES", "SECONDS LEFT"});
   for (const PageAnswer& answer :
        session.FetchEach(nodes, "GET", "/quarantine")) {
     if (!answer.ok()) {
@@ -77,8 +76,7 @@
     }
     for (nlohmann::json entry : ListAt(answer.json, "quarantined")) {
       table.Add({world::ToString(answer.from), CellAt(entry, "fingerprint"),
-                 CellAt(entry, "service"), CellAt(entry, "reason"),
-                 CellAt(entry, "until")});
+                 CellAt(entry, "crashes"), CellAt(entry, "seconds_left")});
       entry["at"] = world::ToString(answer.from);
       all["quarantined"].push_back(entry);
     }
