--- a/src/ctl/burn_page.cc
+++ b/src/ctl/burn_page.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using observe::BurnWindow;
-using observe::Ending;
 using observe::LatencyBuckets;
 using observe::ServiceBurn;
 
--- a/src/ctl/output.cc
+++ b/src/ctl/output.cc
@@ -97,23 +97,6 @@
   return text;
 }
 
-std::string FormatAge(uint64_t micros) {
-  constexpr std::pair<uint64_t, const char*> kUnits[] = {
-      {86'400, "d"}, {3'600, "h"}, {60, "m"}, {1, "s"}};
-  constexpr size_t kShown = 2;
-  uint64_t seconds = micros / kMicrosPerSecond;
-  std::string text;
-  size_t shown = 0;
-  for (const auto& [length, name] : kUnits) {
-    if (shown < kShown && (seconds >= length || shown > 0)) {
-      text += (shown > 0 ? " " : "") + std::to_string(seconds / length) + name;
-      seconds %= length;
-      ++shown;
-    }
-  }
-  return text.empty() ? "0s" : text;
-}
-
 std::string Pretty(const nlohmann::json& json) {
   constexpr int kIndent = 2;
   return json.dump(kIndent, ' ', false,
--- a/src/ctl/output.h
+++ b/src/ctl/output.h
@@ -37,9 +37,6 @@
 /// Returns microseconds since 1970 as "2026-01-31T08:15:00Z", or "" for 0.
 std::string FormatWallTime(uint64_t micros);
 
-/// Returns a span of microseconds as "3h 12m", in its two largest units.
-std::string FormatAge(uint64_t micros);
-
 /// Returns `json` as indented text that holds no invalid UTF-8.
 std::string Pretty(const nlohmann::json& json);
 
