End on a stray comma in a YAML file

Cause: YAML::LoadAll never ends on a stray comma at the top of a document: it takes it for one empty document after another and keeps them all. The fuzz property RandomBytes found it, by eating 2 GB. ibisctl validate and a keeper that is offered such a file would have done the same. Seen failing: a trial over all texts of three YAML characters gave 681 for which one document follows another without end, such as a blank, comma, a. Ruled out: a bound on the file's size, since one byte is enough.

--- a/src/config/yaml_document.cc
+++ b/src/config/yaml_document.cc
@@ -1,6 +1,9 @@
 #include "config/yaml_document.h"
 
+#include <yaml-cpp/eventhandler.h>
+
 #include <algorithm>
+#include <sstream>
 #include <tuple>
 
 #include "config/units.h"
@@ -35,6 +38,40 @@
   }
 }
 
+// Takes the events of a document without keeping anything.
+class IgnoreEvents : public YAML::EventHandler {
+ public:
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnScalar(const YAML::Mark&,
+                const std::string&,
+                YAML::anchor_t,
+                const std::string&) override {}
+  void OnSequenceStart(const YAML::Mark&,
+                       const std::string&,
+                       YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark&,
+                  const std::string&,
+                  YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+};
+
+// Returns whether `text` holds exactly one document. YAML::LoadAll never ends
+// on a stray comma, which it takes for one empty document after another, so
+// no more than two are asked for.
+bool HoldsOneDocument(const std::string& text) {
+  std::istringstream stream(text);
+  YAML::Parser parser(stream);
+  IgnoreEvents ignore;
+  return parser.HandleNextDocument(ignore) &&
+         !parser.HandleNextDocument(ignore);
+}
+
 }  // namespace
 
 void FindingList::Add(const YAML::Mark& mark,
@@ -229,14 +266,11 @@
     return std::nullopt;
   }
   try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(text);
-    if (documents.size() == 1) {
-      return YamlValue(documents.front(), start, "", findings);
+    if (HoldsOneDocument(text)) {
+      return YamlValue(YAML::Load(text), start, "", findings);
     }
-    findings.Add(start, "",
-                 "the file holds " + std::to_string(documents.size()) +
-                     " YAML documents",
-                 "write exactly one");
+    findings.Add(start, "", "the file does not hold one YAML document",
+                 "write exactly one, without a comma or bracket left over");
   } catch (const YAML::Exception& error) {
     const YAML::Mark mark = error.mark.is_null() ? start : error.mark;
     findings.Add(mark, "", "is not valid YAML: " + error.msg,
--- a/tests/config/fleet_parser_test.cc
+++ b/tests/config/fleet_parser_test.cc
@@ -129,7 +129,8 @@
 }
 
 TEST(FleetParserTest, RefusesWhatIsNoMapOrNotOneDocument) {
-  for (const char* text : {"", "- a\n", "word", "a: 1\n---\nb: 2\n"}) {
+  for (const char* text : {"", "- a\n", "word", "a: 1\n---\nb: 2\n", ",",
+                           "a: 1\n,", "]", "a: 1\n]\n"}) {
     EXPECT_THAT(FindingsOf(text), SizeIs(1)) << text;
   }
 }
