Take a cancelled run for no sign of its target's health

Cause: the gate counted runs that were cancelled, such as the losers of hedges, as failures of the target. Failures count as load, so every target looked busier than it was; refusals and tries followed. Ruled out: the adaptive limit misreading varied service times (a test of its own passes); processor time (0.5 s of 5 s a node). Before: PlaneTest.ACancelledRunIsNoFailureOfTheTarget failed with a failure share of 0.062 after one cancelled run. Conclusion: mended. Also a run that never began no longer counts as a service time of 0.

--- a/bench/micro/policy_bench.cc
+++ b/bench/micro/policy_bench.cc
@@ -49,7 +49,7 @@
     ++id.counter;
     now += Duration(100);
     admission.Arrive(id, now + std::chrono::seconds(1), now);
-    admission.Finish(id, std::chrono::milliseconds(5), /*failed=*/false, now);
+    admission.Finish(id, std::chrono::milliseconds(5), RunEnd::kWell, now);
   }
 }
 BENCHMARK(AdmitAndFinish);
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -404,7 +404,9 @@
   const uint16_t status = run->answer->status();
   run->answer->OnEnd(Hint());
   crashes_.OnAnswer(run->open.fingerprint);
-  EndCall(*run, status, status >= kFirstServerError);
+  EndCall(*run, status,
+          status >= kFirstServerError ? policy::RunEnd::kFailed
+                                      : policy::RunEnd::kWell);
   FinishIfSent(id);
 }
 
@@ -464,7 +466,7 @@
 }
 
 // The target is done with the run, or never gets it: its slot is free.
-void Gate::EndCall(GateRun& run, uint16_t status, bool failed) {
+void Gate::EndCall(GateRun& run, uint16_t status, policy::RunEnd end) {
   const AttemptId id = run.open.id;
   const Duration took = run.stage == RunStage::kRunning
                             ? loop_.Now() - run.dispatched
@@ -473,7 +475,7 @@
   if (run.keyed() && status != 0) {
     claims_.Record(KeyOf(run), HolderOf(run), status);
   }
-  Apply(admission_.Finish(id, took, failed, loop_.Now()));
+  Apply(admission_.Finish(id, took, end, loop_.Now()));
 }
 
 void Gate::Finish(GateRun& run, FinishedAttempt finished) {
@@ -487,14 +489,16 @@
     claims_.Release(KeyOf(run), HolderOf(run));
   }
   Count(finished);
-  const bool failed = finished.outcome == Outcome::kUnknown ||
-                      finished.reason == Reason::kTargetDown;
+  const bool failed = finished.reason != Reason::kCancelled &&
+                      (finished.outcome == Outcome::kUnknown ||
+                       finished.reason == Reason::kTargetDown);
   attempts_.Finish(id, std::move(finished), run.keyed());
   // Kept until the end of this method, because `run` may name it.
   const std::unique_ptr<GateRun> ended = std::move(runs_.at(id));
   runs_.erase(id);
   if (ended->holds_slot()) {
-    EndCall(*ended, 0, failed);
+    EndCall(*ended, 0,
+            failed ? policy::RunEnd::kFailed : policy::RunEnd::kAbandoned);
   }
 }
 
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -109,7 +109,7 @@
   void FinishIfSent(const AttemptId& id);
   void OnTargetFault(const AttemptId& id, TargetFault fault);
   void OnDeadline(const AttemptId& id);
-  void EndCall(GateRun& run, uint16_t status, bool failed);
+  void EndCall(GateRun& run, uint16_t status, policy::RunEnd end);
   void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
   void Finish(GateRun& run, claims::FinishedAttempt finished);
   void Count(const claims::FinishedAttempt& finished);
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -31,14 +31,17 @@
 
 std::vector<Admission::Release> Admission::Finish(const AttemptId& id,
                                                   Duration service_time,
-                                                  bool failed,
+                                                  RunEnd end,
                                                   Time now) {
   const bool saturated = running_.size() >= limit_.limit();
   CHECK_EQ(running_.erase(id), 1u) << "attempt is not running";
   DecayFailures(now);
-  failure_share_ += ((failed ? 1.0 : 0.0) - failure_share_) * kFailureWeight;
+  if (end != RunEnd::kAbandoned) {
+    const double failed = end == RunEnd::kFailed ? 1.0 : 0.0;
+    failure_share_ += (failed - failure_share_) * kFailureWeight;
+  }
   // A refusal is quick and says nothing of how long real work takes.
-  if (!failed) {
+  if (end == RunEnd::kWell) {
     times_.Add(service_time, now);
     limit_.Add(service_time, saturated, now);
   }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -25,6 +25,13 @@
 /// What becomes of a request that arrives at a gate.
 enum class Admit : uint8_t { kRun, kQueue, kRefuse };
 
+/// How a run ended, as far as the target's health goes.
+enum class RunEnd : uint8_t {
+  kWell,
+  kFailed,     // the target refused, broke, or was too slow
+  kAbandoned,  // cancelled or never begun: says nothing of the target
+};
+
 /// Decides which requests run at the target beside this node, and when. Counts
 /// what is in flight exactly: each attempt that ran must be finished.
 class Admission {
@@ -48,11 +55,11 @@
   /// Decides on attempt `id`, which must end by `deadline`. Refuses at once
   /// what cannot finish in time by the recent service times.
   Decision Arrive(const AttemptId& id, Time deadline, Time now);
-  /// A running attempt ended after `service_time`; `failed` when the target
-  /// refused or broke. Returns the attempts that may run now or are too late.
+  /// A running attempt ended as `end` says after `service_time`. Returns the
+  /// attempts that may run now or are too late.
   std::vector<Release> Finish(const AttemptId& id,
                               Duration service_time,
-                              bool failed,
+                              RunEnd end,
                               Time now);
   /// A waiting attempt was cancelled.
   void Forget(const AttemptId& id);
--- a/tests/dataplane/cancel_test.cc
+++ b/tests/dataplane/cancel_test.cc
@@ -1,3 +1,5 @@
+#include <gmock/gmock.h>
+
 #include "dataplane/plane_fixture.h"
 #include "dataplane/raw_socket.h"
 
@@ -35,6 +37,22 @@
   EXPECT_TRUE(ingress.records.back().hung_up);
 }
 
+// Losers of hedges are cancelled all the time; a target is no worse for them.
+TEST_F(PlaneTest, ACancelledRunIsNoFailureOfTheTarget) {
+  RawServer target(loop_, "", false);
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", target.local());
+  WaitReady(gate);
+  RawClient caller(loop_, ingress.plane->callers());
+  caller.Write(kLookup);
+  RunUntil([&] { return target.requests() == 1; });
+  caller.Close();
+  RunUntil([&] { return target.closed() == 1; });
+  EXPECT_EQ(Metric(gate, "ibis_gate_cancelled_total"), 1);
+  EXPECT_THAT(gate.plane->StatusJson(),
+              testing::HasSubstr("\"failures\":0.0,"));
+}
+
 TEST_F(PlaneTest, DeadlineAndDepthTravelWithTheCall) {
   FakeTarget target(loop_,
                     [](evhttp_request* request) { Answer(request, "x"); });
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -32,7 +32,7 @@
     const AttemptId id = Id(1'000'000 + static_cast<uint64_t>(i));
     EXPECT_EQ(admission.Arrive(id, now + seconds(60), now).admit, Admit::kRun);
     now += service;
-    admission.Finish(id, service, /*failed=*/false, now);
+    admission.Finish(id, service, RunEnd::kWell, now);
   }
   return now;
 }
@@ -48,7 +48,7 @@
   EXPECT_EQ(admission.Arrive(Id(3), deadline, now).admit, Admit::kQueue);
   EXPECT_EQ(admission.Arrive(Id(4), deadline, now),
             (Admission::Decision{Admit::kRefuse, world::Reason::kBusy}));
-  const auto released = admission.Finish(Id(1), kService, false, now);
+  const auto released = admission.Finish(Id(1), kService, RunEnd::kWell, now);
   EXPECT_EQ(released, (std::vector<Admission::Release>{
                           {Id(3), {Admit::kRun, world::Reason::kNone}}}));
   EXPECT_EQ(admission.in_flight(), 2U);
@@ -101,7 +101,7 @@
   admission.Arrive(Id(1), now + seconds(1), now);
   admission.Arrive(Id(2), now + seconds(1), now);
   admission.Forget(Id(2));
-  EXPECT_TRUE(admission.Finish(Id(1), kService, false, now).empty());
+  EXPECT_TRUE(admission.Finish(Id(1), kService, RunEnd::kWell, now).empty());
   EXPECT_EQ(admission.in_flight(), 0U);
 }
 
@@ -110,7 +110,7 @@
   Time now{seconds(1)};
   for (uint64_t i = 0; i < 40; ++i) {
     admission.Arrive(Id(i), now + seconds(1), now);
-    admission.Finish(Id(i), Duration(10), /*failed=*/true, now);
+    admission.Finish(Id(i), Duration(10), RunEnd::kFailed, now);
   }
   EXPECT_GT(admission.failure_share(), 0.9);
   EXPECT_EQ(admission.service_time(), Duration(0));
@@ -211,7 +211,9 @@
     } else if (action <= 6 && !running.empty()) {
       const AttemptId id = *running.begin();
       running.erase(id);
-      apply(admission.Finish(id, milliseconds(amount), amount % 3 == 0, now));
+      apply(admission.Finish(id, milliseconds(amount),
+                             amount % 3 == 0 ? RunEnd::kFailed : RunEnd::kWell,
+                             now));
     } else if (action == 7 && !waiting.empty()) {
       const AttemptId id = *waiting.begin();
       waiting.erase(id);
