--- a/tests/dataplane/bad_input_test.cc
+++ b/tests/dataplane/bad_input_test.cc
@@ -142,5 +142,27 @@
   ExpectAlive();
 }
 
+// evhttp's client must never send a request again by itself.
+TEST_F(PlaneTest, ABrokenKeptConnectionToTheTargetIsNotUsedForASecondTry) {
+  int bookings = 0;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) != "/bookings") {
+      Answer(request, "kept");
+      return;
+    }
+    ++bookings;
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(
+                 evhttp_request_get_connection(request))),
+             SHUT_RDWR);
+  });
+  Node& node = AddNode("suva-1", &target);
+  WaitReady(node);
+  Fetch(node, {"GET", "/rooms", {}, ""});  // leaves a kept connection
+  const CallerAnswer answer = Fetch(node, {"POST", "/bookings", {}, "two"});
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(answer.Get("Ibis-Outcome"), "unknown");
+  EXPECT_EQ(bookings, 1);
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
