--- a/tests/config/fuzz_test.cc
+++ b/tests/config/fuzz_test.cc
@@ -88,8 +88,10 @@
   std::string laughs = "a0: &a0 [x, x]\n";
   for (int i = 1; i < 40; ++i) {
     const std::string before = std::to_string(i - 1);
-    laughs += "a" + std::to_string(i) + ": &a" + std::to_string(i) + " [*a" +
-              before + ", *a" + before + "]\n";
+    const std::string name = "a" + std::to_string(i);
+    laughs.append(name).append(": &").append(name);
+    laughs.append(" [*a").append(before).append(", *a").append(before);
+    laughs.append("]\n");
   }
   ParseBoth(laughs + "services: *a39\n");
 }
