--- a/bench/target/http_text.cc
+++ b/bench/target/http_text.cc
@@ -6,27 +6,6 @@
 
 namespace ibisvalve::bench {
 
-std::string MethodName(evhttp_request* request) {
-  switch (evhttp_request_get_command(request)) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-      return "OPTIONS";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    default:
-      return "OTHER";
-  }
-}
-
 std::string FindHeader(evhttp_request* request, const std::string& name) {
   const char* value = evhttp_find_header(
       evhttp_request_get_input_headers(request), name.c_str());
--- a/bench/target/http_text.h
+++ b/bench/target/http_text.h
@@ -6,9 +6,6 @@
 
 namespace ibisvalve::bench {
 
-/// Returns the method of `request`, upper case.
-std::string MethodName(evhttp_request* request);
-
 /// Returns the header `name` of `request`, or "".
 std::string FindHeader(evhttp_request* request, const std::string& name);
 
--- a/bench/target/run.cc
+++ b/bench/target/run.cc
@@ -27,7 +27,7 @@
   const char* path = evhttp_uri_get_path(uri);
   const char* query = evhttp_uri_get_query(uri);
   RequestFacts facts;
-  facts.method = MethodName(request);
+  facts.method = net::MethodName(request);
   facts.path = path == nullptr || *path == '\0' ? "/" : path;
   facts.query = query == nullptr ? "" : query;
   facts.name = FindHeader(request, "X-Request-Name");
--- a/src/dataplane/caller_exchange.cc
+++ b/src/dataplane/caller_exchange.cc
@@ -14,30 +14,9 @@
 namespace ibisvalve::dataplane {
 namespace {
 
-std::string MethodName(evhttp_cmd_type type) {
-  switch (type) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_OPTIONS:
-      return "OPTIONS";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    default:
-      return "OTHER";
-  }
-}
-
 CallerRequest Parse(evhttp_request* request) {
   CallerRequest parsed;
-  parsed.method = MethodName(evhttp_request_get_command(request));
+  parsed.method = net::MethodName(request);
   parsed.uri = evhttp_request_get_uri(request);
   parsed.headers = AllHeaders(evhttp_request_get_input_headers(request));
   evbuffer* body = evhttp_request_get_input_buffer(request);
--- a/src/net/admin_server.cc
+++ b/src/net/admin_server.cc
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "net/http_method.h"
 #include "net/socket_address.h"
 
 namespace ibisvalve::net {
@@ -15,26 +16,9 @@
 constexpr ev_ssize_t kMaxAdminHeaderBytes = 16 << 10;
 constexpr ev_ssize_t kMaxAdminBodyBytes = 4 << 20;
 
-std::string MethodName(evhttp_cmd_type type) {
-  switch (type) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    default:
-      return "OTHER";
-  }
-}
-
 AdminRequest Parse(evhttp_request* request) {
   AdminRequest parsed;
-  parsed.method = MethodName(evhttp_request_get_command(request));
+  parsed.method = MethodName(request);
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   const char* path = evhttp_uri_get_path(uri);
   parsed.path = path == nullptr ? "/" : path;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -8,4 +8,5 @@
 #include "net/event_loop.h"       // IWYU pragma: export
 #include "net/frame_link.h"       // IWYU pragma: export
 #include "net/http_client.h"      // IWYU pragma: export
+#include "net/http_method.h"      // IWYU pragma: export
 #include "net/socket_address.h"   // IWYU pragma: export
