--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -40,10 +40,25 @@
   Duration link_silence = std::chrono::milliseconds(300);  // before a link is
                                                            // asked about
   Duration drain_limit = std::chrono::seconds(60);         // of a planned stop
+  Duration stop_linger{0};  // a planned stop still takes callers for so long
+
+  // This node's part of what all nodes may send a service again.
+  double retry_share = 1.0;         // of the requests that it sends on
+  double retry_burst = 10;          // saved up at most
+  double retries_per_second = 0.1;  // besides, for quiet services
 
   auto operator<=>(const ProcessLimits&) const = default;
 };
 
+/// How a keeper's group comes to be and changes.
+struct KeeperGroup {
+  bool found = true;              // may be founded from an empty folder
+  bool grow = false;              // every keeper that is found becomes a voter
+  uint32_t bears_lost_disks = 1;  // with `grow`
+
+  auto operator<=>(const KeeperGroup&) const = default;
+};
+
 /// Settings of one daemon, complete.
 struct Settings {
   NodeId id;
@@ -60,6 +75,8 @@
   std::optional<TargetSettings> target;  // node: none for an ingress only
   ChoicePolicy policy = ChoicePolicy::kWeighed;
   ProcessLimits limits;
+  KeeperGroup group;    // keeper
+  bool reports = true;  // node: burn counters, a fifth of a MiB a service
 
   auto operator<=>(const Settings&) const = default;
 };
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -47,6 +47,9 @@
   void ReadTarget(YamlMap& map);
   void ReadPolicy();
   void ReadLimits(YamlMap& map);
+  void ReadRetries(YamlMap& map);
+  void ReadGroup(YamlMap& map);
+  void ReadPortsOfPeers(YamlMap& map);
   void ReadAddresses(const std::string& key,
                      bool required,
                      std::vector<world::Endpoint>& out);
@@ -73,6 +76,9 @@
   map_.Require("zone", "zone: suva", Name<ZoneName>(), settings_.location.zone);
   map_.Read("admin", AnnouncedAddress(), settings_.admin);
   ReadAddresses("keepers", true, settings_.keepers);
+  ReadAddresses("seeds", false, settings_.seeds);
+  map_.ReadMap("ports_of_peers",
+               [this](YamlMap& map) { ReadPortsOfPeers(map); });
   // Without a role nobody can tell which of the other keys fit.
   if (role_known) {
     settings_.role == Role::kNode ? ReadNode() : ReadKeeper();
@@ -94,19 +100,20 @@
                settings_.callers);
   ReadAnnounced("mesh", "mesh: 10.0.0.7:7000", settings_.mesh);
   ReadAnnounced("gossip", "gossip: 10.0.0.7:7000", settings_.gossip);
-  ReadAddresses("seeds", false, settings_.seeds);
+  map_.Read("reports", Boolean(), settings_.reports);
   map_.ReadMap("target", [this](YamlMap& map) { ReadTarget(map); });
   ReadPolicy();
   map_.ReadMap("limits", [this](YamlMap& map) { ReadLimits(map); });
-  RefuseKeys({"control", "data"}, "node");
+  RefuseKeys({"control", "data", "group"}, "node");
 }
 
 void SettingsParser::ReadKeeper() {
   ReadAnnounced("control", "control: 10.0.0.7:7100", settings_.control);
   map_.Require("data", "data: /var/lib/ibisvalve", Text(), settings_.data);
-  RefuseKeys(
-      {"callers", "mesh", "gossip", "seeds", "target", "policy", "limits"},
-      "keeper");
+  map_.Read("gossip", AnnouncedAddress(), settings_.gossip);
+  map_.ReadMap("group", [this](YamlMap& map) { ReadGroup(map); });
+  RefuseKeys({"callers", "mesh", "target", "policy", "limits", "reports"},
+             "keeper");
 }
 
 void SettingsParser::ReadTarget(YamlMap& map) {
@@ -145,6 +152,43 @@
            limits.link_silence);
   map.Read("drain_limit", DurationBetween(seconds(1), minutes(60)),
            limits.drain_limit);
+  map.Read("stop_linger", DurationBetween(seconds(0), minutes(60)),
+           limits.stop_linger);
+  map.ReadMap("retries", [this](YamlMap& retries) { ReadRetries(retries); });
+}
+
+void SettingsParser::ReadRetries(YamlMap& map) {
+  constexpr double kMost = 100'000;
+  ProcessLimits& limits = settings_.limits;
+  map.Read("share", NumberBetween(0, 1), limits.retry_share);
+  map.Read("burst", NumberBetween(0, kMost), limits.retry_burst);
+  map.Read("per_second", NumberBetween(0, kMost), limits.retries_per_second);
+}
+
+void SettingsParser::ReadGroup(YamlMap& map) {
+  constexpr uint32_t kMostLosses = 8;
+  KeeperGroup& group = settings_.group;
+  map.Read("found", Boolean(), group.found);
+  map.Read("grow", Boolean(), group.grow);
+  map.Read("bears_lost_disks", WholeBetween(0, kMostLosses),
+           group.bears_lost_disks);
+}
+
+// Peers may be listed by their hosts alone: these ports then replace those of
+// the list.
+void SettingsParser::ReadPortsOfPeers(YamlMap& map) {
+  constexpr uint32_t kLastPort = 65535;
+  const auto replace = [&](const std::string& key,
+                           std::vector<world::Endpoint>& peers) {
+    uint32_t port = 0;
+    if (map.Read(key, WholeBetween(1, kLastPort), port)) {
+      for (world::Endpoint& peer : peers) {
+        peer.port = static_cast<uint16_t>(port);
+      }
+    }
+  };
+  replace("keepers", settings_.keepers);
+  replace("seeds", settings_.seeds);
 }
 
 void SettingsParser::ReadAddresses(const std::string& key,
--- a/src/control/config_ledger.cc
+++ b/src/control/config_ledger.cc
@@ -5,9 +5,10 @@
 namespace ibisvalve::control {
 namespace {
 
-constexpr size_t kKeptTexts = 256;        // newest revisions with their text
-constexpr size_t kKeptRecords = 100'000;  // accepted revisions
-constexpr size_t kKeptRefusals = 10'000;  // changes that were refused
+constexpr size_t kKeptTexts = 256;          // newest revisions with their text
+constexpr size_t kKeptTextBytes = 2 << 20;  // of these texts together
+constexpr size_t kKeptRecords = 100'000;    // accepted revisions
+constexpr size_t kKeptRefusals = 10'000;    // changes that were refused
 
 }  // namespace
 
@@ -49,7 +50,8 @@
 
 ChangeAnswer ConfigLedger::Apply(const StageConfig& stage) {
   const Digest digest = DigestOf(stage.text);
-  if (const std::optional<Digest> first = DigestOfChange(stage.change)) {
+  const std::optional<Digest> first = DigestOfChange(stage.change);
+  if (first && (!stage.forget_refusal || accepted_.contains(stage.change))) {
     return AnswerAgain(stage.change, *first == digest);
   }
   const ConfigRecord* base = Find(stage.base);
@@ -86,6 +88,9 @@
                                   "",
                                   {}});
   accepted_[stage.change] = staged_;
+  if (stage.at_once) {
+    Apply(ActivateConfig{staged_, stage.at_us});
+  }
   Forget();
   return AnswerTo(stage.change);
 }
@@ -188,6 +193,9 @@
     answer.revision = present->revision;
     answer.digest = present->digest;
   }
+  if (stage.forget_refusal) {
+    return answer;
+  }
   refused_[stage.change] = Refusal{DigestOf(stage.text), answer};
   order_.push_back(stage.change);
   while (order_.size() > kKeptRefusals) {
@@ -210,10 +218,16 @@
 // Drops what is too old: texts first, whole records much later. The file in
 // force is never dropped.
 void ConfigLedger::Forget() {
-  if (records_.size() > kKeptTexts) {
-    ConfigRecord& old = records_[records_.size() - kKeptTexts - 1];
-    if (old.revision != active_) {
-      old.text.clear();
+  size_t texts = 0;
+  size_t bytes = 0;
+  for (auto record = records_.rbegin(); record != records_.rend(); ++record) {
+    if (record->text.empty()) {
+      break;  // all older ones were dropped before
+    }
+    bytes += record->text.size();
+    const bool kept = ++texts <= kKeptTexts && bytes <= kKeptTextBytes;
+    if (!kept && record->revision != active_ && record->revision != staged_) {
+      record->text.clear();
     }
   }
   while (records_.size() > kKeptRecords &&
--- a/src/control/config_ledger.h
+++ b/src/control/config_ledger.h
@@ -20,12 +20,16 @@
   std::string text;
   uint64_t lease_us = 0;  // that the file gives to nodes
   uint64_t at_us = 0;     // wall clock, for display
+  bool at_once = false;   // in force once committed; no node is waited for
+  // A refusal is the answer to this sending of the change only: the same change
+  // may come again and then fit.
+  bool forget_refusal = false;
 
   auto operator<=>(const StageConfig&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(change, base, text, lease_us, at_us);
+    archive(change, base, text, lease_us, at_us, at_once, forget_refusal);
   }
 };
 
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -25,8 +25,16 @@
 // Puts the parts of a keeper together and passes frames between them.
 class Keeper::Impl {
  public:
-  Impl(net::EventLoop& loop, const KeeperSettings& settings, Checker checker);
-
+  Impl(net::EventLoop& loop,
+       const KeeperSettings& settings,
+       Checker checker,
+       Editor editor);
+
+  void Request(const net::AdminRequest& request,
+               const net::AdminServer::Reply& reply) {
+    pages_.Request(request, reply);
+  }
+  void SetFound(const std::set<world::Endpoint>& endpoints);
   void Serve(net::AdminServer& admin) { pages_.Serve(admin); }
   world::Endpoint control() const { return port_.local(); }
   void Collect(std::vector<MetricSample>& out) const;
@@ -57,6 +65,7 @@
   net::EventLoop& loop_;
   KeeperSettings settings_;
   std::set<world::Endpoint> dialed_;  // that an operator wants to add
+  std::set<world::Endpoint> found_;   // where other keepers say that they are
   Revision logged_staged_;
   Revision logged_active_;
   Revision logged_withdrawn_;
@@ -73,12 +82,13 @@
 
 Keeper::Impl::Impl(net::EventLoop& loop,
                    const KeeperSettings& settings,
-                   Checker checker)
+                   Checker checker,
+                   Editor editor)
     : loop_(loop),
       settings_(settings),
       driver_(
           loop,
-          settings.data,
+          {settings.data, settings.may_found},
           settings.heartbeat,
           settings.election,
           {[this](const ReplicaMessage& message) { SendToReplica(message); },
@@ -101,6 +111,7 @@
       duties_(loop, driver_),
       pages_({loop, driver_, links_, relay_, duties_},
              std::move(checker),
+             std::move(editor),
              [this](const world::Endpoint& endpoint) {
                dialed_.insert(endpoint);
                links_.Want(Wanted());
@@ -120,7 +131,7 @@
 
 wire::KeeperHello Keeper::Impl::Hello() const {
   return {driver_.replica().members().group, driver_.self(), settings_.id,
-          settings_.control};
+          settings_.control, driver_.store().may_found()};
 }
 
 void Keeper::Impl::SendToReplica(const ReplicaMessage& message) {
@@ -334,7 +345,9 @@
   const std::set<world::Endpoint> first_set = [this] {
     std::set<world::Endpoint> set(settings_.keepers.begin(),
                                   settings_.keepers.end());
-    set.insert(settings_.control);
+    if (!settings_.grows) {
+      set.insert(settings_.control);
+    }
     return set;
   }();
   if (driver_.replica().log().last_index() == 0) {
@@ -352,8 +365,14 @@
   if (!replica.settled() || replica.log().members_index() > replica.commit()) {
     return;
   }
-  const GroupView view{replica.members(), links_.Hellos(), replica.peers(),
-                       replica.commit(), settings_.election};
+  const GroupView view{replica.members(),
+                       links_.Hellos(),
+                       replica.peers(),
+                       replica.commit(),
+                       settings_.election,
+                       settings_.grows ? found_ : std::set<world::Endpoint>(),
+                       settings_.grows,
+                       settings_.bears_lost_disks};
   if (const auto next = NextMembers(view, loop_.Now())) {
     driver_.ProposeMembers(*next);
   }
@@ -361,6 +380,7 @@
 
 std::set<world::Endpoint> Keeper::Impl::Wanted() const {
   std::set<world::Endpoint> wanted = dialed_;
+  wanted.insert(found_.begin(), found_.end());
   wanted.insert(settings_.keepers.begin(), settings_.keepers.end());
   for (const wire::KeeperMember& member : driver_.replica().members().members) {
     wanted.insert(member.control);
@@ -369,6 +389,11 @@
   return wanted;
 }
 
+void Keeper::Impl::SetFound(const std::set<world::Endpoint>& endpoints) {
+  found_ = endpoints;
+  links_.Want(Wanted());
+}
+
 void Keeper::Impl::Collect(std::vector<MetricSample>& out) const {
   const Replica& replica = driver_.replica();
   const ConfigLedger& config = driver_.state().config();
@@ -393,11 +418,24 @@
 
 Keeper::Keeper(net::EventLoop& loop,
                const KeeperSettings& settings,
-               Checker checker)
-    : impl_(std::make_unique<Impl>(loop, settings, std::move(checker))) {}
+               Checker checker,
+               Editor editor)
+    : impl_(std::make_unique<Impl>(loop,
+                                   settings,
+                                   std::move(checker),
+                                   std::move(editor))) {}
 
 Keeper::~Keeper() = default;
 
+void Keeper::Request(const net::AdminRequest& request,
+                     const net::AdminServer::Reply& reply) {
+  impl_->Request(request, reply);
+}
+
+void Keeper::SetFound(const std::set<world::Endpoint>& endpoints) {
+  impl_->SetFound(endpoints);
+}
+
 void Keeper::Serve(net::AdminServer& admin) {
   impl_->Serve(admin);
 }
--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "control/events.h"
+
 namespace ibisvalve::control {
 namespace {
 
@@ -86,8 +88,14 @@
 
 }  // namespace
 
-KeeperPages::KeeperPages(const Parts& parts, Keeper::Checker checker, Dial dial)
-    : parts_(parts), checker_(std::move(checker)), dial_(std::move(dial)) {}
+KeeperPages::KeeperPages(const Parts& parts,
+                         Keeper::Checker checker,
+                         Keeper::Editor editor,
+                         Dial dial)
+    : parts_(parts),
+      checker_(std::move(checker)),
+      editor_(std::move(editor)),
+      dial_(std::move(dial)) {}
 
 void KeeperPages::Serve(net::AdminServer& admin) {
   const auto route = [this](const net::AdminRequest& request,
@@ -182,6 +190,8 @@
 void KeeperPages::HandleLocal(const net::AdminRequest& request, Done done) {
   if (request.method == "POST" && request.path == "/apply") {
     Apply(request, std::move(done));
+  } else if (request.path == "/change" && editor_) {
+    Change(request, std::move(done));
   } else if (request.path == "/apply") {
     const ChangeId change(QueryOf(request, "change"));
     AfterRead(done, [this, change] {
@@ -222,9 +232,13 @@
     done(AnswerResponse(invalid));
     return;
   }
-  const StageConfig stage{change, Revision(*base), request.body,
-                          static_cast<uint64_t>(checked.lease.count()),
-                          WallMicros()};
+  Propose(StageConfig{change, Revision(*base), request.body,
+                      static_cast<uint64_t>(checked.lease.count()),
+                      WallMicros(), checked.at_once, false},
+          std::move(done));
+}
+
+void KeeperPages::Propose(const StageConfig& stage, Done done) {
   parts_.driver.Propose(stage, [done = std::move(done)](
                                    const std::optional<CommandResult>& result) {
     if (result) {
@@ -235,6 +249,60 @@
   });
 }
 
+// A refusal needs all that was accepted anywhere, so a majority confirms the
+// state before it is looked at.
+void KeeperPages::Change(const net::AdminRequest& request, Done done) {
+  parts_.driver.Read([this, request, done = std::move(done)](bool confirmed) {
+    if (confirmed) {
+      DecideChange(request, done);
+    } else {
+      done(std::nullopt);
+    }
+  });
+}
+
+void KeeperPages::DecideChange(const net::AdminRequest& request, Done done) {
+  const std::string operation = QueryOf(request, "operation");
+  const ChangeId change(operation + "-" + ToHex(DigestOf(request.body)) + "-" +
+                        std::to_string(request.body.size()));
+  const ConfigLedger& config = parts_.driver.state().config();
+  ChangeAnswer answer = config.AnswerTo(change);
+  if (answer.result == ChangeResult::kActive ||
+      answer.result == ChangeResult::kStaged) {
+    done(AnswerResponse(answer));
+    return;
+  }
+  const ConfigRecord* active = config.active();
+  const EditedFile edited =
+      editor_(active == nullptr ? "" : active->text, operation, request.body);
+  answer = {ChangeResult::kInvalid, Revision(), Digest(), Revision(),
+            edited.detail,          {}};
+  if (active != nullptr) {
+    answer.active = answer.revision = active->revision;
+    answer.digest = active->digest;
+  }
+  if (edited.result == EditedFile::Result::kOtherBase) {
+    answer.result = ChangeResult::kConflict;
+  }
+  CheckedFile checked;
+  if (edited.result == EditedFile::Result::kEdited) {
+    checked = checker_(edited.text);
+    answer.detail = checked.faults;
+  }
+  if (edited.result != EditedFile::Result::kEdited || !checked.faults.empty()) {
+    LogEvent(kChangeRefused, {{"change", change.value},
+                              {"result", ToString(answer.result)},
+                              {"active", answer.active.value},
+                              {"why", answer.detail}});
+    done(AnswerResponse(answer));
+    return;
+  }
+  Propose(StageConfig{change, answer.active, edited.text,
+                      static_cast<uint64_t>(checked.lease.count()),
+                      WallMicros(), checked.at_once, true},
+          std::move(done));
+}
+
 void KeeperPages::AfterRead(const Done& done,
                             std::function<net::AdminResponse()> answer) {
   parts_.driver.Read([done, answer = std::move(answer)](bool confirmed) {
--- a/src/control/keeper_pages.h
+++ b/src/control/keeper_pages.h
@@ -30,10 +30,18 @@
   /// Makes the keeper dial an endpoint that an operator wants to add.
   using Dial = std::function<void(const world::Endpoint&)>;
 
-  KeeperPages(const Parts& parts, Keeper::Checker checker, Dial dial);
+  KeeperPages(const Parts& parts,
+              Keeper::Checker checker,
+              Keeper::Editor editor,
+              Dial dial);
 
   /// Adds the pages to `admin`.
   void Serve(net::AdminServer& admin);
+  /// Has a request handled by the leader.
+  void Request(const net::AdminRequest& request,
+               const net::AdminServer::Reply& reply) {
+    Route(request, reply);
+  }
   /// Handles a request that another keeper passed on.
   void OnForward(const wire::ForwardRequest& request,
                  std::function<void(const wire::ForwardReply&)> reply);
@@ -45,6 +53,9 @@
              const net::AdminServer::Reply& reply);
   void HandleLocal(const net::AdminRequest& request, Done done);
   void Apply(const net::AdminRequest& request, Done done);
+  void Change(const net::AdminRequest& request, Done done);
+  void DecideChange(const net::AdminRequest& request, Done done);
+  void Propose(const StageConfig& stage, Done done);
   void AfterRead(const Done& done, std::function<net::AdminResponse()> answer);
   net::AdminResponse Show(const net::AdminRequest& request) const;
   net::AdminResponse History() const;
@@ -56,6 +67,7 @@
 
   Parts parts_;
   Keeper::Checker checker_;
+  Keeper::Editor editor_;  // may be null
   Dial dial_;
   std::map<uint64_t, net::AdminServer::Reply> forwarded_;  // by call
 };
--- a/src/control/log_store.cc
+++ b/src/control/log_store.cc
@@ -28,6 +28,17 @@
 constexpr char kUnfinishedSuffix[] = ".tmp";
 constexpr int kFileMode = 0644;
 
+// An identity as it stands in its record.
+struct StoredIdentity {
+  wire::ReplicaId replica;
+  bool may_found = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica, may_found);
+  }
+};
+
 // A snapshot as it stands in its record.
 struct StoredSnapshot {
   SnapshotMeta meta;
@@ -119,7 +130,8 @@
 
 }  // namespace
 
-LogStore::LogStore(const std::string& folder) : folder_(folder) {
+LogStore::LogStore(const std::string& folder, bool may_found)
+    : folder_(folder), may_found_(may_found) {
   std::filesystem::create_directories(folder_);
   Lock();
   try {
@@ -202,8 +214,10 @@
   const std::string path = PathOf(kIdentityName);
   const std::vector<uint64_t> logs = Numbers(kLogPrefix);
   if (std::filesystem::exists(path)) {
-    replica_ = wire::Decode<wire::ReplicaId>(
+    const auto stored = wire::Decode<StoredIdentity>(
         ReadSingle(path, RecordType::kIdentity).payload);
+    replica_ = stored.replica;
+    may_found_ = stored.may_found;
     if (logs.empty()) {
       ThrowUnreadable(folder_, "the log is missing");
     }
@@ -222,7 +236,8 @@
   replica_ = RandomReplicaId();
   WriteWhole(NumberedName(kLogPrefix, log_number_), "");
   std::string bytes;
-  AppendRecord(bytes, RecordType::kIdentity, wire::Encode(replica_));
+  AppendRecord(bytes, RecordType::kIdentity,
+               wire::Encode(StoredIdentity{replica_, may_found_}));
   WriteWhole(kIdentityName, bytes);
 }
 
--- a/src/control/log_store.h
+++ b/src/control/log_store.h
@@ -18,13 +18,17 @@
   /// Opens `folder`, which is made if it does not exist, and recovers what it
   /// holds. Throws SystemError, also when another process uses the folder, and
   /// InvalidInput when synced data is damaged or missing.
-  explicit LogStore(const std::string& folder);
+  /// `may_found` is kept with an identity that is made up now.
+  explicit LogStore(const std::string& folder, bool may_found = true);
   ~LogStore();
   LogStore(const LogStore&) = delete;
   LogStore& operator=(const LogStore&) = delete;
 
   /// Returns the identity of this replica, made up when the folder was empty.
   wire::ReplicaId replica() const { return replica_; }
+  /// Returns whether this replica may found a group, as said when its identity
+  /// was made up.
+  bool may_found() const { return may_found_; }
   /// Returns what was found at the start. To be called once.
   RecoveredLog TakeRecovered();
   /// Returns the state in the snapshot found at the start, or "".
@@ -63,6 +67,7 @@
   uint64_t log_bytes_ = 0;
   uint64_t syncs_ = 0;
   wire::ReplicaId replica_;
+  bool may_found_;
   RecoveredLog recovered_;
   std::string state_;
 };
--- a/src/control/member_plan.cc
+++ b/src/control/member_plan.cc
@@ -21,6 +21,70 @@
          now < peer->second.heard + view.election;
 }
 
+// Adds a keeper that was found and is in no group, or was in this one.
+std::optional<wire::KeeperMembers> AddFound(const GroupView& view) {
+  for (const world::Endpoint& endpoint : view.found) {
+    const auto hello = view.hellos.find(endpoint);
+    if (hello == view.hellos.end()) {
+      continue;
+    }
+    const wire::GroupId group = hello->second.group;
+    if (group.value != 0 && group != view.members.group) {
+      continue;
+    }
+    const bool placed =
+        std::any_of(view.members.members.begin(), view.members.members.end(),
+                    [&](const wire::KeeperMember& member) {
+                      return member.replica == hello->second.replica ||
+                             member.control == endpoint;
+                    });
+    if (!placed) {
+      wire::KeeperMembers next = view.members;
+      next.members.push_back(wire::KeeperMember{
+          hello->second.replica, hello->second.id, endpoint, false});
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
+size_t VoterCount(const wire::KeeperMembers& members) {
+  return static_cast<size_t>(std::count_if(
+      members.members.begin(), members.members.end(),
+      [](const wire::KeeperMember& member) { return member.voter; }));
+}
+
+// A voter that has been silent for so long is taken for gone when another
+// keeper can take its place.
+constexpr Duration kGone = std::chrono::seconds(2);
+
+// Drops a member that is gone for good as far as can be told: its place is
+// taken by a learner that has caught up, or there are voters enough without it.
+std::optional<wire::KeeperMembers> DropGone(const GroupView& view, Time now) {
+  const bool successor =
+      std::any_of(view.members.members.begin(), view.members.members.end(),
+                  [&](const wire::KeeperMember& member) {
+                    return !member.voter && CaughtUp(view, member.replica, now);
+                  });
+  const size_t needed = 2 * size_t{view.bears_lost_disks} + 1;
+  const bool spare = VoterCount(view.members) > needed;
+  for (const wire::KeeperMember& member : view.members.members) {
+    const auto peer = view.peers.find(member.replica);
+    const bool gone = peer != view.peers.end() &&
+                      now >= peer->second.heard + kGone &&
+                      !view.hellos.contains(member.control);
+    if (gone && (!member.voter || spare ||
+                 (successor && VoterCount(view.members) >= needed))) {
+      wire::KeeperMembers next = view.members;
+      std::erase_if(next.members, [&](const wire::KeeperMember& one) {
+        return one.replica == member.replica;
+      });
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
 bool HasVoter(const wire::KeeperMembers& members) {
   return std::any_of(
       members.members.begin(), members.members.end(),
@@ -56,6 +120,14 @@
   if (auto added = AddReturned(view)) {
     return added;
   }
+  if (auto added = AddFound(view)) {
+    return added;
+  }
+  if (view.replaces) {
+    if (auto dropped = DropGone(view, now)) {
+      return dropped;
+    }
+  }
   for (const wire::KeeperMember& learner : view.members.members) {
     if (learner.voter || !CaughtUp(view, learner.replica, now)) {
       continue;
@@ -87,7 +159,7 @@
     const wire::KeeperHello& self,
     const std::set<world::Endpoint>& first_set,
     const std::map<world::Endpoint, wire::KeeperHello>& hellos) {
-  if (self.group.value != 0 || first_set.empty() ||
+  if (self.group.value != 0 || !self.may_found || first_set.empty() ||
       *first_set.begin() != self.control) {
     return std::nullopt;
   }
@@ -96,7 +168,8 @@
   for (const world::Endpoint& endpoint : first_set) {
     const auto other = hellos.find(endpoint);
     if (endpoint != self.control &&
-        (other == hellos.end() || other->second.group.value != 0)) {
+        (other == hellos.end() || other->second.group.value != 0 ||
+         !other->second.may_found)) {
       return std::nullopt;
     }
     const wire::KeeperHello& hello =
--- a/src/control/member_plan.h
+++ b/src/control/member_plan.h
@@ -16,6 +16,9 @@
   std::map<wire::ReplicaId, PeerProgress> peers;
   uint64_t commit = 0;
   Duration election{0};  // a peer silent for longer is not counted on
+  std::set<world::Endpoint> found{};  // where keepers are that may join
+  bool replaces = false;              // voters that are gone may be dropped
+  uint32_t bears_lost_disks = 1;      // with `replaces`
 };
 
 /// Returns the members with the next change that the group needs, if any: a
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -30,6 +30,7 @@
 
   Revision active() const { return report_.active; }
   bool lease_held() const { return lease_.HeldAt(loop_.Now()); }
+  void SetKeepers(const std::vector<world::Endpoint>& keepers);
   void CatchUp(Revision seen);
   void Claim(const wire::ClaimRequest& request,
              Duration timeout,
@@ -64,7 +65,8 @@
   std::vector<world::Endpoint> keepers_;
   wire::FollowKeeper follow_;
   Handlers handlers_;
-  size_t keeper_;
+  size_t keeper_;           // the one to dial next
+  world::Endpoint dialed_;  // of the present link
   std::unique_ptr<net::FrameLink> link_;
   Time granted_at_{};  // or when the link was dialed
   Time heartbeat_at_{};
@@ -105,6 +107,14 @@
   tick_.StartPeriodic(kTick);
 }
 
+void NodeAgent::Impl::SetKeepers(const std::vector<world::Endpoint>& keepers) {
+  if (keepers.empty() || keepers == keepers_) {
+    return;
+  }
+  keepers_ = keepers;
+  keeper_ = 0;
+}
+
 void NodeAgent::Impl::CatchUp(Revision seen) {
   if (seen > report_.active && connected()) {
     Heartbeat();
@@ -166,8 +176,10 @@
 void NodeAgent::Impl::Dial() {
   granted_at_ = loop_.Now();
   sent_status_.clear();
+  dialed_ = keepers_[keeper_];
+  keeper_ = (keeper_ + 1) % keepers_.size();
   link_ = net::FrameLink::Connect(
-      loop_, keepers_[keeper_],
+      loop_, dialed_,
       {[this] { OnConnected(); },
        [this](wire::FrameType type, std::string_view payload) {
          OnFrame(type, payload);
@@ -179,11 +191,10 @@
 void NodeAgent::Impl::Rotate(const std::string& why) {
   if (!leaving_) {
     LogEvent(kKeeperLinkLost,
-             {{"keeper", world::ToString(keepers_[keeper_])}, {"why", why}});
+             {{"keeper", world::ToString(dialed_)}, {"why", why}});
   }
   former_bytes_ += link_->sent_bytes() + link_->received_bytes();
   link_.reset();
-  keeper_ = (keeper_ + 1) % keepers_.size();
   ++rotations_;
 }
 
@@ -237,7 +248,7 @@
 
 void NodeAgent::Impl::OnUpdate(const wire::ConfigUpdate& update) {
   if (follow_.group.value != 0 && update.group != follow_.group) {
-    LogEvent(kForeignGroup, {{"keeper", world::ToString(keepers_[keeper_])}});
+    LogEvent(kForeignGroup, {{"keeper", world::ToString(dialed_)}});
     throw wire::WireError("the keeper belongs to another group");
   }
   follow_.group = update.group;
@@ -362,6 +373,10 @@
   return impl_->lease_held();
 }
 
+void NodeAgent::SetKeepers(const std::vector<world::Endpoint>& keepers) {
+  impl_->SetKeepers(keepers);
+}
+
 void NodeAgent::CatchUp(Revision seen) {
   impl_->CatchUp(seen);
 }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -43,6 +43,9 @@
             Handlers handlers);
   ~NodeAgent();
 
+  /// Follows one of `keepers` from now on, the first ones rather; the present
+  /// link goes on as long as it serves.
+  void SetKeepers(const std::vector<world::Endpoint>& keepers);
   /// Returns the revision in force here; 0 before the first.
   Revision active() const;
   /// Returns whether a majority has confirmed that revision within the lease.
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -22,13 +22,13 @@
 }  // namespace
 
 ReplicaDriver::ReplicaDriver(net::EventLoop& loop,
-                             const std::string& folder,
+                             const Folder& folder,
                              Duration heartbeat,
                              Duration election,
                              Handlers handlers)
     : loop_(loop),
       handlers_(std::move(handlers)),
-      store_(folder),
+      store_(folder.path, folder.may_found),
       tick_(loop, [this] {
         replica_->Tick(loop_.Now());
         Flush();
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -30,9 +30,16 @@
   /// have been committed or not.
   using Proposed = std::function<void(const std::optional<CommandResult>&)>;
 
+  /// Where a replica keeps its files, and whether it may found a group if
+  /// there are none yet.
+  struct Folder {
+    std::string path;
+    bool may_found = true;
+  };
+
   /// Recovers from `folder`; see LogStore for what it throws.
   ReplicaDriver(net::EventLoop& loop,
-                const std::string& folder,
+                const Folder& folder,
                 Duration heartbeat,
                 Duration election,
                 Handlers handlers);
--- /dev/null
+++ b/src/dataplane/caller_connection.cc
@@ -0,0 +1,314 @@
+#include "dataplane/caller_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "dataplane/http_headers.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+// Requests of one connection that are served at the same time; more wait
+// unread, so that the caller is slowed down.
+constexpr size_t kMaxPipelined = 16;
+// After a refusal that closes the connection, what the caller still sends is
+// read and dropped for so long: closing at once would reset the connection
+// before the caller has read the refusal.
+constexpr Duration kLinger = std::chrono::seconds(2);
+// Unread bytes at which reading stops while enough requests are being served.
+constexpr size_t kMaxUnread = 64 << 10;
+
+void DisableNagle(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(net::EventLoop& loop,
+                                   int fd,
+                                   const CallerLimits& limits,
+                                   Handlers handlers)
+    : loop_(loop),
+      limits_(limits),
+      handlers_(std::move(handlers)),
+      bufferevent_(
+          bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
+      reader_(net::HttpReader::Kind::kRequests, limits.http),
+      timer_(loop, [this] { OnTimeout(); }) {
+  CHECK_NOTNULL(bufferevent_);
+  DisableNagle(fd);
+  bufferevent_setcb(
+      bufferevent_,
+      [](bufferevent*, void* argument) {
+        static_cast<CallerConnection*>(argument)->OnReadable();
+      },
+      [](bufferevent*, void* argument) {
+        static_cast<CallerConnection*>(argument)->OnWritable();
+      },
+      [](bufferevent*, int16_t what, void* argument) {
+        static_cast<CallerConnection*>(argument)->OnEvent(what);
+      },
+      this);
+  bufferevent_enable(bufferevent_, EV_READ | EV_WRITE);
+  StartTimer();
+}
+
+CallerConnection::~CallerConnection() {
+  *alive_ = false;
+  if (bufferevent_ != nullptr) {
+    bufferevent_free(bufferevent_);
+  }
+  for (const auto& slot : order_) {
+    if (slot->exchange != nullptr) {
+      slot->exchange->connection_ = nullptr;
+    }
+  }
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (order_.empty() && !reader_.started()) {
+    closing_ = true;
+    Settle();
+  }
+}
+
+evbuffer* CallerConnection::output() {
+  return bufferevent_get_output(bufferevent_);
+}
+
+// Half of an answer has been sent, or there is none: the caller must see the
+// connection break.
+void CallerConnection::Abort() {
+  Close();
+}
+
+void CallerConnection::OnReadable() {
+  if (lingering_) {
+    evbuffer* input = bufferevent_get_input(bufferevent_);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  ReadRequests();
+}
+
+void CallerConnection::ReadRequests() {
+  if (reading_) {
+    return;  // called from a handler of this very loop
+  }
+  reading_ = true;
+  const std::shared_ptr<bool> alive = alive_;
+  try {
+    while (*alive && bufferevent_ != nullptr && ReadOne()) {
+    }
+  } catch (const net::HttpError& error) {
+    if (*alive && bufferevent_ != nullptr) {
+      Refuse(error);
+    }
+  }
+  if (!*alive) {
+    return;
+  }
+  reading_ = false;
+  StartTimer();
+}
+
+// Returns whether there may be more to read.
+bool CallerConnection::ReadOne() {
+  if (closing_ || order_.size() >= kMaxPipelined) {
+    const size_t unread =
+        evbuffer_get_length(bufferevent_get_input(bufferevent_));
+    if (unread > kMaxUnread) {
+      bufferevent_disable(bufferevent_, EV_READ);
+    }
+    return false;
+  }
+  evbuffer* input = bufferevent_get_input(bufferevent_);
+  const size_t length = evbuffer_get_length(input);
+  if (length == 0) {
+    return false;
+  }
+  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  const size_t taken = reader_.Feed(std::string_view(bytes, length));
+  evbuffer_drain(input, taken);
+  body_ += reader_.TakeBody();
+  if (reader_.head_done() && !reader_.done()) {
+    AskForBody();
+  }
+  if (!reader_.done()) {
+    return taken > 0;
+  }
+  TakeRequest();
+  return true;
+}
+
+void CallerConnection::TakeRequest() {
+  CallerRequest request{reader_.head().method, reader_.head().target,
+                        reader_.head().headers, std::exchange(body_, {})};
+  const bool close = !reader_.head().keep_alive;
+  reader_.Next(limits_.http);
+  told_to_continue_ = false;
+  closing_ = closing_ || close;
+  handlers_.on_request(AddExchange(std::move(request), close));
+}
+
+std::shared_ptr<CallerExchange> CallerConnection::AddExchange(
+    CallerRequest request,
+    bool close) {
+  auto slot = std::make_shared<AnswerSlot>();
+  slot->close = close;
+  order_.push_back(slot);
+  auto exchange = std::make_shared<CallerExchange>(*this, std::move(request),
+                                                   std::move(slot));
+  SendInOrder();  // it may be the first
+  return exchange;
+}
+
+void CallerConnection::Refuse(const net::HttpError& error) {
+  closing_ = true;
+  handlers_.on_bad_request(*AddExchange(CallerRequest(), true), error);
+}
+
+// Some callers wait with a long body until they are asked for it.
+void CallerConnection::AskForBody() {
+  if (told_to_continue_ || !order_.empty()) {
+    return;
+  }
+  told_to_continue_ = true;
+  const std::string* expected = FindHeader(reader_.head().headers, "Expect");
+  if (expected != nullptr && SameName(*expected, "100-continue")) {
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    evbuffer_add(output(), kContinue.data(), kContinue.size());
+  }
+}
+
+// Passes on what the first exchange has to send, then that of the next one as
+// soon as the first has ended.
+void CallerConnection::SendInOrder() {
+  if (sending_ || bufferevent_ == nullptr) {
+    return;
+  }
+  sending_ = true;
+  bool ended = false;
+  while (!order_.empty()) {
+    AnswerSlot& first = *order_.front();
+    if (!first.front) {
+      first.front = true;
+      evbuffer_add_buffer(output(), first.held);
+    }
+    if (!first.ended) {
+      break;
+    }
+    ended = true;
+    closing_ = closing_ || first.close;
+    order_.pop_front();
+  }
+  sending_ = false;
+  if (ended) {
+    bufferevent_enable(bufferevent_, EV_READ);
+    loop_.Post([this, alive = alive_] {
+      if (*alive && bufferevent_ != nullptr) {
+        Settle();
+      }
+    });
+  }
+}
+
+// Goes on after an answer has ended: with the requests that wait unread, or
+// towards the end of the connection.
+void CallerConnection::Settle() {
+  const bool sent = evbuffer_get_length(output()) == 0;
+  if (closing_ && order_.empty()) {
+    if (sent && !lingering_) {
+      // The caller may still be sending: it gets the end of the answers first.
+      lingering_ = true;
+      shutdown(bufferevent_getfd(bufferevent_), SHUT_WR);
+      OnReadable();
+      timer_.StartOnce(kLinger);
+    }
+    return;
+  }
+  ReadRequests();
+}
+
+void CallerConnection::OnWritable() {
+  CallerExchange* first = order_.empty() ? nullptr : order_.front()->exchange;
+  if (first != nullptr && first->on_sent_) {
+    const auto sent = std::exchange(first->on_sent_, nullptr);
+    sent();
+    return;
+  }
+  if (closing_) {
+    Settle();
+  }
+}
+
+void CallerConnection::OnEvent(int16_t what) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    Close();
+  }
+}
+
+void CallerConnection::OnTimeout() {
+  if (!order_.empty()) {
+    return;
+  }
+  if (reader_.started() && !lingering_ && !closing_) {
+    Refuse(net::HttpError(408, "the request did not come whole in time"));
+    return;
+  }
+  Close();
+}
+
+// One timer serves for the request that is being read and for the time between
+// requests; while one is being served its own deadline holds.
+void CallerConnection::StartTimer() {
+  if (bufferevent_ == nullptr || lingering_) {
+    return;
+  }
+  if (!order_.empty()) {
+    timer_.Stop();
+    timing_head_ = false;
+  } else if (!reader_.started()) {
+    timer_.StartOnce(limits_.idle_timeout);
+    timing_head_ = false;
+  } else if (!timing_head_ || reader_.head_done()) {
+    // A head has a bound as a whole; a body only has to go on coming.
+    timer_.StartOnce(limits_.header_timeout);
+    timing_head_ = true;
+  }
+}
+
+// Ends the connection; callers of its exchanges are told from the loop.
+void CallerConnection::Close() {
+  if (bufferevent_ == nullptr) {
+    return;
+  }
+  bufferevent_free(std::exchange(bufferevent_, nullptr));
+  timer_.Stop();
+  for (const auto& slot : std::exchange(order_, {})) {
+    if (slot->exchange == nullptr) {
+      continue;
+    }
+    CallerExchange& exchange = *slot->exchange;
+    exchange.connection_ = nullptr;
+    exchange.on_sent_ = nullptr;
+    if (const auto on_gone = std::exchange(exchange.on_gone_, nullptr)) {
+      loop_.Post(on_gone);
+    }
+  }
+  loop_.Post([alive = alive_, on_closed = handlers_.on_closed] {
+    if (*alive) {
+      on_closed();
+    }
+  });
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/caller_exchange.h
+++ b/src/dataplane/caller_exchange.h
@@ -10,15 +10,29 @@
 #include "net/net.h"
 #include "wire/wire.h"
 
-struct event;
-struct evhttp_connection;
-struct evhttp_request;
+struct evbuffer;
 
 namespace ibisvalve::dataplane {
 
+class CallerConnection;
+
+/// Place of one answer among those of its connection.
+struct AnswerSlot {
+  AnswerSlot();
+  ~AnswerSlot();
+  AnswerSlot(const AnswerSlot&) = delete;
+  AnswerSlot& operator=(const AnswerSlot&) = delete;
+
+  class CallerExchange* exchange = nullptr;  // null once the answer has ended
+  evbuffer* held;      // bytes that wait for earlier answers
+  bool front = false;  // all earlier answers have ended
+  bool ended = false;
+  bool close = false;  // the connection ends with this answer
+};
+
 /// A caller's request, whole.
 struct CallerRequest {
-  std::string method;  // upper case
+  std::string method;  // as sent
   std::string uri;     // path and query
   wire::Headers headers;
   std::string body;
@@ -27,14 +41,15 @@
 };
 
 /// One request of a caller and the way back to it. Destroyed without an
-/// answer, or with half of one, it breaks the connection.
+/// answer, or with half of one, it breaks the connection. Answers to requests
+/// that came on one connection leave in the order of the requests.
 class CallerExchange {
  public:
-  /// Takes `request` over from evhttp; `on_over` is called once, when evhttp
-  /// has no more to do with this object.
-  CallerExchange(net::EventLoop& loop,
-                 evhttp_request* request,
-                 std::function<void(CallerExchange*)> on_over);
+  /// For the connection that `request` came on, which sends what goes to
+  /// `slot`.
+  CallerExchange(CallerConnection& connection,
+                 CallerRequest request,
+                 std::shared_ptr<AnswerSlot> slot);
   ~CallerExchange();
   CallerExchange(const CallerExchange&) = delete;
   CallerExchange& operator=(const CallerExchange&) = delete;
@@ -42,10 +57,14 @@
   const CallerRequest& request() const { return request_; }
   /// Frees the bytes of the body, once nobody needs them.
   void DropBody();
-  /// Calls `on_gone` once if the caller hangs up before the answer has ended.
+  /// Calls `on_gone` once, from the loop, if the caller hangs up before the
+  /// answer has ended.
   void SetOnGone(std::function<void()> on_gone);
-  /// Sends a whole answer and ends.
-  void Reply(int status, const wire::Headers& headers, std::string_view body);
+  /// Sends a whole answer and ends. `close` ends the connection after it.
+  void Reply(int status,
+             const wire::Headers& headers,
+             std::string_view body,
+             bool close = false);
   /// Starts an answer that comes in parts; chunked where `length` is absent.
   void Start(int status,
              const wire::Headers& headers,
@@ -57,24 +76,20 @@
   /// Breaks the connection, so that half an answer can't look whole.
   void Break();
   /// Returns whether the caller still waits.
-  bool open() const { return evhttp_request_ != nullptr; }
-  /// Breaks off where the connection was reset.
-  void CheckForReset();
+  bool open() const { return connection_ != nullptr; }
 
  private:
-  void AddHeaders(const wire::Headers& headers);
-  void Release();
-  void OnConnectionClosed();
-  void Gone();
+  friend class CallerConnection;
+
+  void Put(std::string_view bytes);
+  void Finish();
 
-  net::EventLoop& loop_;
-  evhttp_request* evhttp_request_;  // null once answered or gone
-  evhttp_connection* connection_;
-  std::function<void(CallerExchange*)> on_over_;
+  CallerConnection* connection_;  // null once answered or gone
+  CallerRequest request_;
+  std::shared_ptr<AnswerSlot> slot_;
   std::function<void()> on_gone_;
   std::function<void()> on_sent_;
-  event* closed_event_ = nullptr;
-  CallerRequest request_;
+  bool chunked_ = false;
 };
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -1,6 +1,7 @@
 #include "dataplane/caller_terms.h"
 
 #include <algorithm>
+#include <cctype>
 
 #include "dataplane/gate_reply.h"
 #include "dataplane/http_headers.h"
@@ -45,61 +46,141 @@
                   ToHex(DigestOf(request.body)));
 }
 
-}  // namespace
+// The host that a request names, as routes are declared: lower case, no port.
+std::string HostOf(const wire::Headers& headers) {
+  std::string host = *FindHeader(headers, "Host");
+  host.resize(std::min(host.find(':'), host.size()));
+  std::transform(host.begin(), host.end(), host.begin(), [](char letter) {
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  });
+  return host;
+}
 
-std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
-                                      const world::Fleet& fleet,
-                                      CallerRefusal& refusal) {
-  const wire::Headers& headers = request.headers;
-  const std::string fault = FramingFault(request.method, headers);
+// Reads of a request what its terms depend on; the members are the steps.
+class TermsParser {
+ public:
+  TermsParser(const CallerRequest& request,
+              const world::Fleet& fleet,
+              const HeaderNames& names,
+              CallerRefusal& refusal)
+      : request_(request), fleet_(fleet), names_(names), refusal_(refusal) {}
+
+  std::optional<CallerTerms> Parse(const PickTarget& pick);
+
+ private:
+  bool ReadNumbers();
+  bool FollowRoute(const PickTarget& pick);
+  bool FollowService();
+  bool ReadKey();
+  bool Refuse(Reason reason, const std::string& detail, bool close = false) {
+    refusal_ = {reason, detail, close};
+    return false;
+  }
+
+  const CallerRequest& request_;
+  const world::Fleet& fleet_;
+  const HeaderNames& names_;
+  CallerRefusal& refusal_;
+  CallerTerms parsed_;
+  std::optional<uint64_t> deadline_ms_;
+};
+
+std::optional<CallerTerms> TermsParser::Parse(const PickTarget& pick) {
+  const std::string fault = FramingFault(request_.headers);
   if (!fault.empty()) {
-    refusal = {Reason::kBadRequest, fault, true};
+    Refuse(Reason::kBadRequest, fault, true);
     return std::nullopt;
   }
-  std::optional<uint64_t> deadline_ms;
-  std::optional<uint64_t> depth;
-  if (!ReadNumber(headers, kDeadlineHeader, kMaxDeadlineMs, deadline_ms) ||
-      !ReadNumber(headers, kDepthHeader, kMaxDepth - 1, depth)) {
-    refusal = {Reason::kBadRequest, "a deadline or depth is out of range"};
+  if (!ReadNumbers() ||
+      !(fleet_.routes.empty() ? FollowService() : FollowRoute(pick)) ||
+      !ReadKey()) {
     return std::nullopt;
   }
-  if (request.uri.empty() || request.uri.front() != '/') {
-    refusal = {Reason::kBadRequest, "the request names no path"};
-    return std::nullopt;
+  parsed_.deadline = parsed_.terms.deadline;
+  if (deadline_ms_) {
+    parsed_.deadline = std::min<Duration>(
+        parsed_.deadline, std::chrono::milliseconds(*deadline_ms_));
   }
-  CallerTerms parsed;
-  parsed.service = world::FindService(fleet, NamedService(headers));
-  if (parsed.service == nullptr) {
-    refusal = {Reason::kUnknownService, "no such service is in force"};
+  if (request_.body.size() > parsed_.service->limits.request_body) {
+    Refuse(Reason::kTooLarge, "the body is over the service's limit");
     return std::nullopt;
   }
-  parsed.terms =
-      world::TermsFor(*parsed.service, request.method, PathOf(request.uri));
-  parsed.deadline = parsed.terms.deadline;
-  if (deadline_ms) {
-    parsed.deadline = std::min<Duration>(
-        parsed.deadline, std::chrono::milliseconds(*deadline_ms));
+  parsed_.fingerprint = Fingerprint(request_);
+  return parsed_;
+}
+
+bool TermsParser::ReadNumbers() {
+  std::optional<uint64_t> depth;
+  if (!ReadNumber(request_.headers, names_.deadline.c_str(), kMaxDeadlineMs,
+                  deadline_ms_) ||
+      !ReadNumber(request_.headers, kDepthHeader, kMaxDepth - 1, depth)) {
+    return Refuse(Reason::kBadRequest, "a deadline or depth is out of range");
   }
-  parsed.depth = static_cast<uint8_t>(depth ? *depth + 1 : 0);
-  parsed.retry = FindHeader(headers, kRetryHeader) != nullptr;
-  if (const std::string* key = FindHeader(headers, kKeyHeader)) {
-    parsed.key = *key;
+  if (request_.uri.empty() || request_.uri.front() != '/') {
+    return Refuse(Reason::kBadRequest, "the request names no path");
   }
-  if (parsed.key.size() > kMaxKeyBytes) {
-    refusal = {Reason::kBadRequest, "the Idempotency-Key is too long"};
-    return std::nullopt;
+  parsed_.depth = static_cast<uint8_t>(depth ? *depth + 1 : 0);
+  parsed_.retry = FindHeader(request_.headers, kRetryHeader) != nullptr;
+  return true;
+}
+
+bool TermsParser::FollowRoute(const PickTarget& pick) {
+  const world::Route* route =
+      world::FindRoute(fleet_, HostOf(request_.headers), PathOf(request_.uri));
+  if (route == nullptr) {
+    return Refuse(Reason::kNoRoute, "no route fits this host and path");
   }
-  if (parsed.key.empty() && parsed.terms.key == world::KeyRule::kRequired &&
-      parsed.terms.repeat == world::Repeat::kNever) {
-    refusal = {Reason::kKeyRequired, "this request needs an Idempotency-Key"};
-    return std::nullopt;
+  parsed_.service = world::FindService(fleet_, pick(*route));
+  if (parsed_.service == nullptr) {
+    return Refuse(Reason::kUnknownService, "no such service is in force");
   }
-  if (request.body.size() > parsed.service->limits.request_body) {
-    refusal = {Reason::kTooLarge, "the body is over the service's limit"};
-    return std::nullopt;
+  parsed_.terms = {route->repeat, world::KeyRule::kOptional, route->timeout};
+  parsed_.objective = route->objective;
+  parsed_.priority = route->priority;
+  parsed_.max_attempts = route->max_attempts;
+  return true;
+}
+
+bool TermsParser::FollowService() {
+  parsed_.service = world::FindService(fleet_, NamedService(request_.headers));
+  if (parsed_.service == nullptr) {
+    return Refuse(Reason::kUnknownService, "no such service is in force");
+  }
+  parsed_.terms =
+      world::TermsFor(*parsed_.service, request_.method, PathOf(request_.uri));
+  parsed_.objective = parsed_.service->objective
+                          ? parsed_.service->objective->within
+                          : parsed_.terms.deadline;
+  parsed_.max_attempts = parsed_.service->retry.max_attempts;
+  return true;
+}
+
+bool TermsParser::ReadKey() {
+  if (!names_.own) {
+    return true;
+  }
+  if (const std::string* key = FindHeader(request_.headers, kKeyHeader)) {
+    parsed_.key = *key;
   }
-  parsed.fingerprint = Fingerprint(request);
-  return parsed;
+  if (parsed_.key.size() > kMaxKeyBytes) {
+    return Refuse(Reason::kBadRequest, "the Idempotency-Key is too long");
+  }
+  if (parsed_.key.empty() && parsed_.terms.key == world::KeyRule::kRequired &&
+      parsed_.terms.repeat == world::Repeat::kNever) {
+    return Refuse(Reason::kKeyRequired,
+                  "this request needs an Idempotency-Key");
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
+                                      const world::Fleet& fleet,
+                                      const HeaderNames& names,
+                                      const PickTarget& pick,
+                                      CallerRefusal& refusal) {
+  return TermsParser(request, fleet, names, refusal).Parse(pick);
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 
 #include "dataplane/caller_exchange.h"
+#include "dataplane/header_names.h"
 #include "world/world.h"
 
 namespace ibisvalve::dataplane {
@@ -17,6 +19,9 @@
   bool retry = false;    // part of a retry further up
   std::string key;       // Idempotency-Key, or empty
   Digest fingerprint;    // of method, uri and body
+  Duration objective{0};      // time in which the answer should come
+  uint32_t priority = 0;      // 0 is the most urgent
+  uint32_t max_attempts = 1;  // targets that may be sent the request
 };
 
 /// Why a request is refused before anything is tried.
@@ -26,10 +31,16 @@
   bool close = false;  // the connection can't be trusted any more
 };
 
+/// Picks the service of a route that gets the next request.
+using PickTarget = std::function<ServiceName(const world::Route& route)>;
+
 /// Reads the headers of `request`. Returns nothing and fills `refusal` where
-/// it can't be served under `fleet`.
+/// it can't be served under `fleet`. In a fleet with routes these tell where a
+/// request goes; otherwise a header or the host does.
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
+                                      const HeaderNames& names,
+                                      const PickTarget& pick,
                                       CallerRefusal& refusal);
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -28,6 +28,9 @@
   /// A gate has told its load.
   void OnHint(const NodeId& gate, const wire::LoadHint& hint, Time now);
   /// An attempt is in flight at `gate` from now on, or no longer.
+  /// Deals the requests of routes out to their services.
+  policy::ShareRotation& shares() { return shares_; }
+  policy::Random& random() { return random_; }
   void Begin(const NodeId& gate) { ++known_[gate].in_flight; }
   void End(const NodeId& gate) { --known_[gate].in_flight; }
 
@@ -47,6 +50,7 @@
   const FleetView& view_;
   std::map<NodeId, Known> known_;
   policy::Random random_;
+  policy::ShareRotation shares_{random_};
 };
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -15,6 +15,12 @@
                                            "mesh_link_silent"};
 inline constexpr EventCode kTargetBroke{1506, Severity::kWarning,
                                         "target_broke"};
+inline constexpr EventCode kTargetIdentified{1508, Severity::kInfo,
+                                             "target_identified"};
+inline constexpr EventCode kTargetReplaced{1509, Severity::kWarning,
+                                           "target_replaced"};
+inline constexpr EventCode kAnnouncementLate{1510, Severity::kInfo,
+                                             "announcement_late"};
 inline constexpr EventCode kPlaneStopped{1507, Severity::kInfo,
                                          "plane_stopped"};
 
--- a/src/dataplane/fleet_view.cc
+++ b/src/dataplane/fleet_view.cc
@@ -9,6 +9,13 @@
                          Revision revision) {
   fleet_ = std::move(fleet);
   revision_ = revision;
+  if (on_fleet_) {
+    on_fleet_();
+  }
+}
+
+void FleetView::SetOnFleet(std::function<void()> on_fleet) {
+  on_fleet_ = std::move(on_fleet);
 }
 
 void FleetView::SetLeaseCheck(std::function<bool()> held) {
@@ -34,8 +41,15 @@
   if (lease_held_ && lease_held_()) {
     return true;
   }
-  return repeat == world::Repeat::kAllowed &&
-         fleet_->control.isolated == world::IsolatedPolicy::kServeReads;
+  switch (fleet_->control.isolated) {
+    case world::IsolatedPolicy::kRefuse:
+      return false;
+    case world::IsolatedPolicy::kServeReads:
+      return repeat == world::Repeat::kAllowed;
+    case world::IsolatedPolicy::kServe:
+      return true;
+  }
+  return false;
 }
 
 const world::Member* FleetView::Find(const NodeId& id) const {
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -16,6 +16,8 @@
  public:
   /// Puts `fleet` in force as `revision`.
   void SetFleet(std::shared_ptr<const world::Fleet> fleet, Revision revision);
+  /// Calls `on_fleet` whenever another file has come into force.
+  void SetOnFleet(std::function<void()> on_fleet);
   /// Sets what tells whether the revision is confirmed within its lease. It is
   /// asked for each request, because a process that was frozen may handle one
   /// before the lease's timer. Without it, no lease is held.
@@ -37,6 +39,7 @@
   std::shared_ptr<const world::Fleet> fleet_;
   Revision revision_;
   std::function<bool()> lease_held_;
+  std::function<void()> on_fleet_;
   std::map<NodeId, world::Member> members_;
   std::map<ServiceName, std::vector<NodeId>> by_service_;
 };
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -20,6 +20,7 @@
 
 constexpr Duration kQueueTick = std::chrono::milliseconds(2);
 constexpr uint16_t kFirstServerError = 500;
+constexpr uint16_t kMisdirected = 421;
 
 }  // namespace
 
@@ -40,7 +41,8 @@
       attempts_(claims::AttemptTableLimits{}),
       queue_timer_(loop, [this] { ExpireQueue(); }) {
   if (settings_.target) {
-    client_ = std::make_unique<TargetClient>(loop_, *settings_.target);
+    client_ = std::make_unique<TargetClient>(loop_, *settings_.target,
+                                             settings_.names.request_id);
   }
 }
 
@@ -246,6 +248,15 @@
   }
 }
 
+void Gate::SetTargetIdentity(const std::string& identity) {
+  if (identity != target_identity_) {
+    target_identity_ = identity;
+    if (client_ != nullptr) {
+      client_->DropIdle();
+    }
+  }
+}
+
 wire::LoadHint Gate::Hint() const {
   return HintOf(admission_);
 }
@@ -353,7 +364,10 @@
       {[this, id](const TargetHead& head) { OnTargetHead(id, head); },
        [this, id](const std::string& bytes) { OnTargetData(id, bytes); },
        [this, id] { OnTargetEnd(id); },
-       [this, id](TargetFault fault) { OnTargetFault(id, fault); }});
+       [this, id](TargetFault fault, const std::string& why) {
+         OnTargetFault(id, fault, why);
+       }},
+      run.open.may_repeat ? Reuse::kAny : Reuse::kJustUsed);
 }
 
 TargetRequest Gate::RequestFor(const GateRun& run) const {
@@ -361,19 +375,56 @@
       run.deadline - run.dispatched);
   TargetRequest request{run.open.method, run.open.uri, run.open.headers,
                         run.open.body};
-  request.headers.emplace_back(kDeadlineHeader, std::to_string(left.count()));
-  request.headers.emplace_back(kDepthHeader, std::to_string(run.open.depth));
-  if (run.open.retry) {
-    request.headers.emplace_back(kRetryHeader, "1");
+  const HeaderNames& names = settings_.names;
+  request.headers.emplace_back(names.deadline, std::to_string(left.count()));
+  if (!names.caller.empty()) {
+    request.headers.emplace_back(names.caller, run.open.caller.value);
+  }
+  if (!names.target.empty() && !target_identity_.empty()) {
+    request.headers.emplace_back(names.target, target_identity_);
+  }
+  if (names.own) {
+    request.headers.emplace_back(kDepthHeader, std::to_string(run.open.depth));
+    if (run.open.retry) {
+      request.headers.emplace_back(kRetryHeader, "1");
+    }
   }
   return request;
 }
 
+// Returns whether the target proves with `head` that it does not run a request.
+bool Gate::Declines(const TargetHead& head) const {
+  const HeaderNames& names = settings_.names;
+  const bool misdirected = !names.target.empty() && head.status == kMisdirected;
+  return misdirected || (!names.not_run.empty() &&
+                         FindHeader(head.headers, names.not_run) != nullptr);
+}
+
+void Gate::NoteLoad(const wire::Headers& headers) {
+  const HeaderNames& names = settings_.names;
+  const std::string* text =
+      names.load.empty() ? nullptr : FindHeader(headers, names.load);
+  if (text == nullptr || names.parse_load == nullptr) {
+    return;
+  }
+  if (const std::optional<TargetLoad> load = names.parse_load(*text)) {
+    slowdown_ = load->slowdown;
+  }
+}
+
 void Gate::OnTargetHead(const AttemptId& id, const TargetHead& head) {
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
+  NoteLoad(head.headers);
+  if (Declines(head)) {
+    run->declined = true;
+    if (head.status == kMisdirected) {
+      handlers_.on_replaced();
+    }
+    return;
+  }
   run->kept->status = head.status;
-  run->kept->headers = EndToEnd(head.headers);
+  run->kept->headers = EndToEnd(head.headers, settings_.names);
   run->answer =
       std::make_unique<AnswerSender>(id, [this, id](const GateReply& reply) {
         GateRun* sending = Find(id);
@@ -387,6 +438,9 @@
 void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
+  if (run->declined) {
+    return;
+  }
   if (run->kept != nullptr) {
     run->kept->body += bytes;
     if (run->kept->body.size() > kHeldAnswerBytes) {
@@ -401,6 +455,10 @@
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
   run->call = nullptr;
+  if (run->declined) {
+    Fail(*run, Outcome::kNotRun, Reason::kTargetRefused);
+    return;
+  }
   const uint16_t status = run->answer->status();
   run->answer->OnEnd(Hint());
   crashes_.OnAnswer(run->open.fingerprint);
@@ -424,17 +482,25 @@
   Finish(*run, finished);
 }
 
-void Gate::OnTargetFault(const AttemptId& id, TargetFault fault) {
+void Gate::OnTargetFault(const AttemptId& id,
+                         TargetFault fault,
+                         const std::string& why) {
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
   LogEvent(kTargetBroke,
            {{"attempt", ToString(id)},
-            {"reached", fault == TargetFault::kNotReached ? "no" : "yes"}});
+            {"reached", fault == TargetFault::kNotReached ? "no" : "yes"},
+            {"why", why}});
   const bool reached = fault != TargetFault::kNotReached;
   if (!reached) {
     --counts_.dispatched;
   }
   run->call = nullptr;
+  if (run->declined) {
+    // Its proof came before it broke off.
+    Fail(*run, Outcome::kNotRun, Reason::kTargetRefused);
+    return;
+  }
   if (reached) {
     crashes_.OnBroke(run->open.fingerprint);
   }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -42,6 +42,8 @@
     std::function<void(Revision seen)> on_newer_revision;
     /// The target could not be reached or broke off.
     std::function<void()> on_target_fault;
+    /// Another target than this node's own answered at its address.
+    std::function<void()> on_replaced;
     /// The target broke off: the other gates of its service must know.
     std::function<void(const wire::CrashNotice& notice)> on_crash;
   };
@@ -75,6 +77,8 @@
 
   /// What the target is ready for.
   void SetTargetState(world::TargetState state, uint32_t slots);
+  /// Only the target with `identity` may run requests from now on.
+  void SetTargetIdentity(const std::string& identity);
   /// Returns the load, as it rides on answers.
   wire::LoadHint Hint() const;
   /// Returns how many attempts are not over.
@@ -104,10 +108,14 @@
   void Dispatch(GateRun& run);
   TargetRequest RequestFor(const GateRun& run) const;
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
+  bool Declines(const TargetHead& head) const;
+  void NoteLoad(const wire::Headers& headers);
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
-  void OnTargetFault(const AttemptId& id, TargetFault fault);
+  void OnTargetFault(const AttemptId& id,
+                     TargetFault fault,
+                     const std::string& why);
   void OnDeadline(const AttemptId& id);
   void EndCall(GateRun& run, uint16_t status, policy::RunEnd end);
   void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
@@ -126,11 +134,13 @@
   Handlers handlers_;
   CrashWatch crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
+  std::string target_identity_;
   policy::Admission admission_;
   claims::AttemptTable attempts_;
   std::unique_ptr<TargetClient> client_;  // null without a target
   std::unordered_map<AttemptId, std::unique_ptr<GateRun>> runs_;
   net::Timer queue_timer_;
+  double slowdown_ = 1.0;  // that the target last told
   GateCounts counts_;
 };
 
--- a/src/dataplane/gate_checks.cc
+++ b/src/dataplane/gate_checks.cc
@@ -15,7 +15,11 @@
                                  const PlaneSettings& settings,
                                  const FleetView& view,
                                  world::TargetState state) {
-  if (view.fleet() == nullptr || open.revision != view.revision()) {
+  const bool any_revision =
+      view.fleet() != nullptr &&
+      view.fleet()->control.isolated == world::IsolatedPolicy::kServe;
+  if (view.fleet() == nullptr ||
+      (open.revision != view.revision() && !any_revision)) {
     return Reason::kRevision;
   }
   if (!view.MayServe(open.may_repeat ? world::Repeat::kAllowed
@@ -34,7 +38,9 @@
   const world::Service* service =
       world::FindService(*view.fleet(), open.service);
   if (service == nullptr) {
-    return Reason::kUnknownService;
+    // The ingress may know a file that has not come here yet.
+    return any_revision ? std::nullopt
+                        : std::optional<Reason>(Reason::kUnknownService);
   }
   if (open.body_bytes > service->limits.request_body) {
     return Reason::kTooLarge;
--- a/src/dataplane/http_headers.cc
+++ b/src/dataplane/http_headers.cc
@@ -59,6 +59,16 @@
   });
 }
 
+// Returns whether nodes set the header themselves, or only they read it.
+bool IsOwn(std::string_view name, const HeaderNames& names) {
+  const auto is = [name](const std::string& own) {
+    return !own.empty() && SameName(name, own);
+  };
+  return SameName(name.substr(0, kOwnPrefix.size()), kOwnPrefix) ||
+         is(names.deadline) || is(names.caller) || is(names.target) ||
+         is(names.load) || is(names.not_run);
+}
+
 size_t Count(const wire::Headers& headers, std::string_view name) {
   return static_cast<size_t>(std::count_if(
       headers.begin(), headers.end(),
@@ -88,12 +98,10 @@
   return found == headers.end() ? nullptr : &found->second;
 }
 
-wire::Headers EndToEnd(const wire::Headers& headers) {
+wire::Headers EndToEnd(const wire::Headers& headers, const HeaderNames& names) {
   wire::Headers kept;
   for (const auto& [name, value] : headers) {
-    const bool own = SameName(
-        std::string_view(name).substr(0, kOwnPrefix.size()), kOwnPrefix);
-    if (!own && !IsOneConnection(headers, name)) {
+    if (!IsOwn(name, names) && !IsOneConnection(headers, name)) {
       kept.emplace_back(name, value);
     }
   }
@@ -110,8 +118,7 @@
   return number;
 }
 
-std::string FramingFault(const std::string& method,
-                         const wire::Headers& headers) {
+std::string FramingFault(const wire::Headers& headers) {
   if (Count(headers, "Host") != 1) {
     return "a request has exactly one Host header";
   }
@@ -128,12 +135,6 @@
        !SameName(*coding, "chunked"))) {
     return "Transfer-Encoding is ambiguous";
   }
-  // evhttp reads no body with these and would take it for the next request.
-  const bool has_body =
-      coding != nullptr || (length != nullptr && *length != "0");
-  if (has_body && method != "POST" && method != "PUT" && method != "PATCH") {
-    return "a " + method + " request has no body";
-  }
   return "";
 }
 
@@ -144,6 +145,7 @@
   }
   switch (reason) {
     case Reason::kUnknownService:
+    case Reason::kNoRoute:
       return 404;
     case Reason::kTooLarge:
       return 413;
--- a/src/dataplane/http_headers.h
+++ b/src/dataplane/http_headers.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "dataplane/header_names.h"
 #include "wire/wire.h"
 #include "world/world.h"
 
@@ -34,8 +35,9 @@
                               std::string_view name);
 
 /// Returns the headers that travel from end to end: without those of one
-/// connection, without Content-Length and without this system's own.
-wire::Headers EndToEnd(const wire::Headers& headers);
+/// connection, without Content-Length and without this system's own, which
+/// `names` tells.
+wire::Headers EndToEnd(const wire::Headers& headers, const HeaderNames& names);
 
 /// Parses a whole decimal number without sign; nothing where it is not one.
 std::optional<uint64_t> ParseNumber(std::string_view text);
@@ -43,8 +45,7 @@
 /// Returns why the framing of a request is ambiguous or its Host is missing,
 /// or an empty string. Such a request could be smuggled past one of two
 /// parsers, so it is refused.
-std::string FramingFault(const std::string& method,
-                         const wire::Headers& headers);
+std::string FramingFault(const wire::Headers& headers);
 
 /// Returns the HTTP status for a request that got no answer.
 int StatusFor(world::Outcome outcome, world::Reason reason);
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -26,6 +26,11 @@
 // A request that broke so many targets is not tried at another one.
 constexpr uint32_t kMaxBroken = 2;
 constexpr uint16_t kFirstServerError = 500;
+constexpr int kTooLarge = 413;
+// A caller that is told to come back does so within this share of its time,
+// later than this at the least.
+constexpr double kReturnShare = 0.3;
+constexpr Duration kSoonestReturn = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -41,7 +46,7 @@
       memory_(memory),
       handlers_(handlers),
       candidates_(settings, view),
-      policies_(settings.choice),
+      policies_(settings.choice, settings.retries),
       gates_(loop,
              settings,
              view,
@@ -77,8 +82,12 @@
     return;
   }
   CallerRefusal refusal;
-  const std::optional<CallerTerms> terms =
-      ParseTerms(exchange->request(), *view_.fleet(), refusal);
+  const std::optional<CallerTerms> terms = ParseTerms(
+      exchange->request(), *view_.fleet(), settings_.names,
+      [this](const world::Route& route) {
+        return candidates_.shares().Next(route);
+      },
+      refusal);
   if (!terms) {
     RefuseEarly(exchange, refusal, {});
   } else if (!view_.MayServe(terms->terms.repeat)) {
@@ -89,12 +98,26 @@
   }
 }
 
+void Ingress::RefuseBytes(CallerExchange& exchange,
+                          const net::HttpError& error) {
+  const Reason reason =
+      error.status() == kTooLarge ? Reason::kTooLarge : Reason::kBadRequest;
+  exchange.Reply(error.status(),
+                 OutcomeHeaders(settings_.names, Outcome::kNotRun, reason, 0),
+                 std::string(error.what()) + "\n", true);
+}
+
 void Ingress::RefuseEarly(const std::shared_ptr<CallerExchange>& exchange,
                           const CallerRefusal& refusal,
                           const ServiceName& service) {
-  const int status = ReplyWithoutAnswer(
-      *exchange,
-      {Outcome::kNotRun, refusal.reason, 0, 0, refusal.detail, refusal.close});
+  const int status = ReplyWithoutAnswer(*exchange, settings_.names,
+                                        {Outcome::kNotRun,
+                                         refusal.reason,
+                                         0,
+                                         0,
+                                         refusal.detail,
+                                         refusal.close,
+                                         {}});
   if (!service.empty() && handlers_.on_request) {
     RequestRecord record;
     record.service = service;
@@ -178,7 +201,7 @@
   ++counts_.attempts;
   request->tried.insert(*gate);
   const wire::OpenAttempt open =
-      OpenFor(*request, attempt, view_.revision(), loop_.Now());
+      OpenFor(*request, attempt, settings_, view_.revision(), loop_.Now());
   attempt.body_sent = open.body.size();
   attempt.body_credit -= open.body.size();
   gates_.Send(attempt, open);
@@ -190,7 +213,9 @@
 void Ingress::OnHedgeDue(const RequestPtr& request) {
   const bool waiting = request->attempts.size() == 1 && !request->committed &&
                        request->attempts.front()->relay->received() == 0;
-  if (!waiting || request->broke > 0 ||
+  const bool allowed =
+      request->offered + request->attempts.size() < request->terms.max_attempts;
+  if (!waiting || !allowed || request->broke > 0 ||
       !PolicyOf(*request).hedge.TryTake(loop_.Now())) {
     return;
   }
@@ -217,9 +242,9 @@
                                              const AttemptId& id) {
   const std::weak_ptr<RequestState> weak = request;
   AnswerRelay::Handlers handlers;
-  handlers.outcome_headers = [weak] {
+  handlers.outcome_headers = [this, weak] {
     const RequestPtr standing = weak.lock();
-    return OutcomeHeaders(Outcome::kAnswered, Reason::kNone,
+    return OutcomeHeaders(settings_.names, Outcome::kAnswered, Reason::kNone,
                           standing == nullptr ? 0 : standing->made);
   };
   handlers.on_taken = [this, id](uint32_t bytes) {
@@ -341,6 +366,8 @@
   DropAttempt(id);
   request->reason = reason;
   request->maybe_ran |= outcome == Outcome::kUnknown;
+  request->offered +=
+      outcome == Outcome::kUnknown || reason == Reason::kTargetRefused ? 1 : 0;
   request->broke += reason == Reason::kTargetBroke ? 1 : 0;
   if (outcome == Outcome::kUnknown && reason != Reason::kDeadline &&
       PolicyOf(*request).ejection.OnResult(gate, true, loop_.Now())) {
@@ -361,7 +388,7 @@
   const Time now = loop_.Now();
   RetryRule rule =
       RuleFor(outcome, reason, request->repeatable(), request->terms.retry,
-              request->made, request->terms.service->retry.max_attempts);
+              {request->made, request->offered, request->terms.max_attempts});
   if (now >= request->deadline || request->broke >= kMaxBroken ||
       (rule == RetryRule::kBudgeted &&
        !PolicyOf(*request).retries.TryTake(now))) {
@@ -470,12 +497,28 @@
     return;
   }
   record.status = static_cast<uint16_t>(ReplyWithoutAnswer(
-      *request->exchange,
+      *request->exchange, settings_.names,
       {outcome, reason, request->made, request->first_status,
-       world::ToString(outcome) + ": " + world::ToString(reason), false}));
+       world::ToString(outcome) + ": " + world::ToString(reason), false,
+       RetryAfter(*request, outcome)}));
   End(request, record);
 }
 
+// Returns when the caller of a request that has not run should come back, or
+// nothing where it should not. Spread, so that callers refused together do not
+// come back together.
+std::optional<Duration> Ingress::RetryAfter(const RequestState& request,
+                                            Outcome outcome) {
+  const Duration left = request.deadline - loop_.Now();
+  const auto latest = std::chrono::duration_cast<Duration>(left * kReturnShare);
+  if (outcome != Outcome::kNotRun || latest <= kSoonestReturn) {
+    return std::nullopt;
+  }
+  std::uniform_int_distribution<Duration::rep> spread(kSoonestReturn.count(),
+                                                      latest.count());
+  return Duration(spread(candidates_.random()));
+}
+
 void Ingress::End(const RequestPtr& request, RequestRecord record) {
   record.service = request->terms.service->name;
   if (const world::Member* gate = view_.Find(record.gate)) {
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -47,6 +47,9 @@
   /// Serves one request.
   void OnRequest(const std::shared_ptr<CallerExchange>& exchange);
 
+  /// Refuses what came from a caller and is no request.
+  void RefuseBytes(CallerExchange& exchange, const net::HttpError& error);
+
   /// Returns how many requests are being served.
   size_t in_flight() const { return requests_.size(); }
   /// Returns how often a gate was asked what became of an attempt.
@@ -99,6 +102,8 @@
   void Conclude(const RequestPtr& request,
                 world::Outcome outcome,
                 world::Reason reason);
+  std::optional<Duration> RetryAfter(const RequestState& request,
+                                     world::Outcome outcome);
   void End(const RequestPtr& request, RequestRecord record);
 
   net::EventLoop& loop_;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -15,8 +15,6 @@
 namespace ibisvalve::dataplane {
 namespace {
 
-constexpr Duration kLimitsCheck = std::chrono::milliseconds(100);
-
 void Add(std::vector<MetricSample>& out,
          const std::string& name,
          double value,
@@ -34,6 +32,11 @@
        ClaimPort claims,
        PlaneHandlers handlers);
 
+  void FollowFleet();
+  void SetIncarnation(Incarnation incarnation) {
+    settings_.incarnation = incarnation;
+  }
+  void Announce(const TargetAnnouncement& announcement);
   void SetDraining(bool draining);
   void Stop(Duration limit, std::function<void()> done);
   void Serve(net::AdminServer& admin);
@@ -45,7 +48,6 @@
 
  private:
   void OnTargetState(world::TargetState state, uint32_t slots);
-  void FollowLimits();
   void CheckStopped();
   void FinishStop(const std::string& how);
 
@@ -63,10 +65,9 @@
   MeshServer mesh_;
   CallerServer callers_;
   TargetMonitor monitor_;
-  net::Timer limits_timer_;
+  net::Timer linger_timer_;
   net::Timer stop_timer_;
   net::Timer stop_check_timer_;
-  std::shared_ptr<const world::Fleet> limits_of_;
 };
 
 NodePlane::Impl::Impl(net::EventLoop& loop,
@@ -90,7 +91,7 @@
                  handlers_.on_newer_revision(seen);
                }
              },
-             [this] { monitor_.OnFault(); },
+             [this] { monitor_.OnFault(); }, [this] { monitor_.OnReplaced(); },
              [this](const wire::CrashNotice& notice) {
                ingress_.gates().Broadcast(settings_.service, notice);
              }}),
@@ -98,19 +99,26 @@
       mesh_(loop, settings_, view, gate_),
       callers_(loop,
                settings_.callers,
-               [this](const std::shared_ptr<CallerExchange>& exchange) {
-                 ingress_.OnRequest(exchange);
-               }),
+               settings_.caller_connections,
+               {[this](const std::shared_ptr<CallerExchange>& exchange) {
+                  ingress_.OnRequest(exchange);
+                },
+                [this](CallerExchange& exchange, const net::HttpError& error) {
+                  ingress_.RefuseBytes(exchange, error);
+                }}),
       monitor_(loop,
                settings_,
                view,
                [this](world::TargetState state, uint32_t slots) {
                  OnTargetState(state, slots);
                }),
-      limits_timer_(loop, [this] { FollowLimits(); }),
+      linger_timer_(loop, [this] { callers_.StopListening(); }),
       stop_timer_(loop, [this] { FinishStop("limit"); }),
-      stop_check_timer_(loop, [this] { CheckStopped(); }) {
-  limits_timer_.StartPeriodic(kLimitsCheck);
+      stop_check_timer_(loop, [this] { CheckStopped(); }) {}
+
+void NodePlane::Impl::Announce(const TargetAnnouncement& announcement) {
+  monitor_.Announce(announcement);
+  gate_.SetTargetIdentity(monitor_.identity());
 }
 
 void NodePlane::Impl::SetDraining(bool draining) {
@@ -120,14 +128,20 @@
 void NodePlane::Impl::Stop(Duration limit, std::function<void()> done) {
   constexpr Duration kStopCheck = std::chrono::milliseconds(10);
   stopped_ = std::move(done);
-  callers_.StopListening();
+  callers_.Retire();
   monitor_.SetDraining(true);
+  if (settings_.stop_linger > Duration(0)) {
+    linger_timer_.StartOnce(settings_.stop_linger);
+  } else {
+    callers_.StopListening();
+  }
   stop_timer_.StartOnce(limit);
   stop_check_timer_.StartPeriodic(kStopCheck);
 }
 
 void NodePlane::Impl::CheckStopped() {
-  if (gate_.in_flight() == 0 && ingress_.in_flight() == 0) {
+  if (!linger_timer_.running() && gate_.in_flight() == 0 &&
+      ingress_.in_flight() == 0) {
     FinishStop("idle");
   }
 }
@@ -148,7 +162,7 @@
   PageActions actions;
   actions.set_draining = [this](bool draining) { SetDraining(draining); };
   actions.announce = [this](const TargetAnnouncement& announcement) {
-    monitor_.Announce(announcement.state, announcement.slots);
+    Announce(announcement);
   };
   actions.quarantined = [this] { return gate_.crashes().List(); };
   actions.lift = [this](Digest fingerprint) {
@@ -237,19 +251,24 @@
 
 // Bounds the callers' requests as the file in force says: by the service that
 // allows most, because the connection does not tell which one is asked.
-void NodePlane::Impl::FollowLimits() {
-  if (view_.fleet() == limits_of_ || view_.fleet() == nullptr) {
+void NodePlane::Impl::FollowFleet() {
+  if (view_.fleet() == nullptr) {
     return;
   }
-  limits_of_ = view_.fleet();
-  world::Limits limits;
-  for (const world::Service& service : limits_of_->services) {
-    limits.request_body =
-        std::max(limits.request_body, service.limits.request_body);
-    limits.header_bytes =
-        std::max(limits.header_bytes, service.limits.header_bytes);
+  const world::CallerRules& rules = view_.fleet()->callers;
+  world::Limits most;
+  for (const world::Service& service : view_.fleet()->services) {
+    most.request_body =
+        std::max(most.request_body, service.limits.request_body);
+    most.header_bytes =
+        std::max(most.header_bytes, service.limits.header_bytes);
   }
-  callers_.SetLimits(limits.request_body, limits.header_bytes);
+  CallerLimits limits;
+  limits.http.header_bytes = std::min(rules.header_bytes, most.header_bytes);
+  limits.http.body_bytes = std::min(rules.body_bytes, most.request_body);
+  limits.header_timeout = rules.header_timeout;
+  limits.idle_timeout = rules.idle_timeout;
+  callers_.SetLimits(limits);
 }
 
 NodePlane::NodePlane(net::EventLoop& loop,
@@ -265,6 +284,18 @@
 
 NodePlane::~NodePlane() = default;
 
+void NodePlane::Announce(const TargetAnnouncement& announcement) {
+  impl_->Announce(announcement);
+}
+
+void NodePlane::SetIncarnation(Incarnation incarnation) {
+  impl_->SetIncarnation(incarnation);
+}
+
+void NodePlane::FollowFleet() {
+  impl_->FollowFleet();
+}
+
 void NodePlane::Drain() {
   impl_->SetDraining(true);
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "dataplane/fleet_view.h"
+#include "dataplane/header_names.h"
+#include "dataplane/target_registry.h"
 #include "net/net.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
@@ -14,6 +16,15 @@
 
 namespace ibisvalve::dataplane {
 
+/// This node's part of what all nodes together may send a service again.
+struct RetryShare {
+  double per_request = 1.0;  // of the requests that this node sends on
+  double burst = 10;         // saved up at most
+  double per_second = 0.1;   // besides, for quiet services
+
+  auto operator<=>(const RetryShare&) const = default;
+};
+
 /// Settings of a node's data plane.
 struct PlaneSettings {
   NodeId id;
@@ -30,8 +41,9 @@
   Duration link_silence = std::chrono::milliseconds(300);
   bool target_announces = false;  // not ready until POST /announce
   policy::ChoiceKind choice = policy::ChoiceKind::kWeighed;
-
-  auto operator<=>(const PlaneSettings&) const = default;
+  RetryShare retries;
+  Duration stop_linger{0};  // a planned stop takes callers on for so long
+  HeaderNames names;
 };
 
 /// What the data plane needs of control for keyed requests.
@@ -82,6 +94,12 @@
             PlaneHandlers handlers);
   ~NodePlane();
 
+  /// The target says something of itself.
+  void Announce(const TargetAnnouncement& announcement);
+  /// Peers know this run of the node by another number from now on.
+  void SetIncarnation(Incarnation incarnation);
+  /// Another file has come into force.
+  void FollowFleet();
   /// Takes no new work for the target; work in flight goes on. Undone by
   /// Undrain.
   void Drain();
--- a/src/dataplane/plane_pages.h
+++ b/src/dataplane/plane_pages.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "dataplane/target_registry.h"
 #include "net/net.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
@@ -12,14 +13,6 @@
 
 namespace ibisvalve::dataplane {
 
-/// What a target says of itself.
-struct TargetAnnouncement {
-  world::TargetState state = world::TargetState::kReady;
-  uint32_t slots = 0;  // 0: as in the settings
-
-  auto operator<=>(const TargetAnnouncement&) const = default;
-};
-
 /// State of ingress and gate, for status pages.
 struct PlaneStatus {
   world::TargetState target = world::TargetState::kNone;
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -48,7 +48,8 @@
   std::unique_ptr<net::Timer> hedge_timer;
   std::vector<std::unique_ptr<IngressAttempt>> attempts;  // in flight
   std::set<NodeId> tried;
-  uint32_t made = 0;       // attempts so far
+  uint32_t made = 0;       // attempts so far, refused ones included
+  uint32_t offered = 0;    // attempts that a target may have been sent
   uint32_t broke = 0;      // targets that broke off while they ran it
   bool maybe_ran = false;  // the outcome of one is unknown
   bool committed = false;  // the caller has been sent part of an answer
--- a/src/dataplane/retry_rules.cc
+++ b/src/dataplane/retry_rules.cc
@@ -32,31 +32,23 @@
                   Reason reason,
                   bool repeatable,
                   bool under_retry,
-                  uint32_t made,
-                  uint32_t max_attempts) {
-  if (IsFinal(reason) || outcome == Outcome::kAnswered) {
+                  const AttemptCount& count) {
+  if (IsFinal(reason) || outcome == Outcome::kAnswered ||
+      count.made >= count.max_offered + kExtraFreeAttempts) {
     return RetryRule::kNever;
   }
+  const bool may_offer = !under_retry && count.offered < count.max_offered;
   if (outcome == Outcome::kUnknown) {
-    return repeatable && !under_retry && made < max_attempts
-               ? RetryRule::kBudgeted
-               : RetryRule::kNever;
+    return repeatable && may_offer ? RetryRule::kBudgeted : RetryRule::kNever;
   }
-  switch (reason) {
-    case Reason::kRevision:
-    case Reason::kGateRestarted:
-      return RetryRule::kSoon;
-    case Reason::kDraining:
-    case Reason::kTargetDown:
-    case Reason::kIsolated:
-    case Reason::kNoTarget:
-    case Reason::kFenced:
-      return made < max_attempts + kExtraFreeAttempts ? RetryRule::kFree
-                                                      : RetryRule::kNever;
-    default:
-      return made < max_attempts && !under_retry ? RetryRule::kBudgeted
-                                                 : RetryRule::kNever;
+  if (reason == Reason::kRevision || reason == Reason::kGateRestarted) {
+    return RetryRule::kSoon;
+  }
+  // What no target has seen yet may go on until one has.
+  if (count.offered == 0) {
+    return RetryRule::kFree;
   }
+  return may_offer ? RetryRule::kBudgeted : RetryRule::kNever;
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/retry_rules.h
+++ b/src/dataplane/retry_rules.h
@@ -14,15 +14,22 @@
   kBudgeted,  // elsewhere, if the retry budget allows
 };
 
+/// How often a request has been tried.
+struct AttemptCount {
+  uint32_t made = 0;     // attempts, those that gates refused included
+  uint32_t offered = 0;  // attempts that a target may have been sent
+  uint32_t max_offered = 1;
+
+  auto operator<=>(const AttemptCount&) const = default;
+};
+
 /// Returns the rule for an attempt that ended with `outcome` and `reason`.
-/// `repeatable` tells whether the request may run again, `made` how many
-/// attempts there were, and `under_retry` whether a caller further up is
-/// retrying, which must not multiply.
+/// `repeatable` tells whether the request may run again, and `under_retry`
+/// whether a caller further up is retrying, which must not multiply.
 RetryRule RuleFor(world::Outcome outcome,
                   world::Reason reason,
                   bool repeatable,
                   bool under_retry,
-                  uint32_t made,
-                  uint32_t max_attempts);
+                  const AttemptCount& count);
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/service_policies.cc
+++ b/src/dataplane/service_policies.cc
@@ -1,11 +1,16 @@
 #include "dataplane/service_policies.h"
 
+#include <algorithm>
+
 namespace ibisvalve::dataplane {
 namespace {
 
-policy::BudgetSettings RetrySettings(const world::Service& service) {
+policy::BudgetSettings RetrySettings(const world::Service& service,
+                                     const RetryShare& share) {
   policy::BudgetSettings settings;
-  settings.share = service.retry.budget;
+  settings.share = std::min(service.retry.budget, share.per_request);
+  settings.burst = share.burst;
+  settings.spare_per_second = share.per_second;
   return settings;
 }
 
@@ -18,14 +23,14 @@
   if (found == entries_.end()) {
     ServicePolicy made{policy::AnyChooser(kind_, service.routing),
                        policy::Ejection(),
-                       policy::RetryBudget(RetrySettings(service)),
+                       policy::RetryBudget(RetrySettings(service, retries_)),
                        policy::Hedge(policy::HedgeSettingsFor(service.retry))};
     found = entries_.emplace(service.name, Entry{fleet, std::move(made)}).first;
   } else if (found->second.fleet != fleet) {
     Entry& entry = found->second;
     entry.fleet = fleet;
     entry.policy.chooser = policy::AnyChooser(kind_, service.routing);
-    entry.policy.retries.Configure(RetrySettings(service));
+    entry.policy.retries.Configure(RetrySettings(service, retries_));
     entry.policy.hedge.Configure(policy::HedgeSettingsFor(service.retry));
   }
   return found->second.policy;
--- a/src/dataplane/service_policies.h
+++ b/src/dataplane/service_policies.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 
+#include "dataplane/node_plane.h"
 #include "policy/policy.h"
 #include "world/world.h"
 
@@ -19,7 +20,8 @@
 /// The policies of all services that this ingress has served.
 class ServicePolicies {
  public:
-  explicit ServicePolicies(policy::ChoiceKind kind) : kind_(kind) {}
+  ServicePolicies(policy::ChoiceKind kind, const RetryShare& retries)
+      : kind_(kind), retries_(retries) {}
 
   /// Returns the policy of `service`, which belongs to `fleet`; brought up to
   /// date when another file has come into force. Valid as long as this object.
@@ -33,6 +35,7 @@
   };
 
   policy::ChoiceKind kind_;
+  RetryShare retries_;
   std::map<ServiceName, Entry> entries_;
 };
 
--- a/src/dataplane/target_client.cc
+++ b/src/dataplane/target_client.cc
@@ -1,137 +1,27 @@
 #include "dataplane/target_client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <glog/logging.h>
-
 #include <utility>
 
-#include "dataplane/http_headers.h"
-
 namespace ibisvalve::dataplane {
 namespace {
 
 constexpr size_t kMaxIdle = 32;
-constexpr Duration kIdleLimit = std::chrono::seconds(3);
-constexpr int kConnectionTimeoutSeconds = 3600;  // deadlines are the gate's
-constexpr ev_ssize_t kMaxAnswerHeaderBytes = 64 << 10;
-
-evhttp_cmd_type CommandFor(const std::string& method) {
-  if (method == "POST") {
-    return EVHTTP_REQ_POST;
-  }
-  if (method == "HEAD") {
-    return EVHTTP_REQ_HEAD;
-  }
-  if (method == "PUT") {
-    return EVHTTP_REQ_PUT;
-  }
-  if (method == "DELETE") {
-    return EVHTTP_REQ_DELETE;
-  }
-  if (method == "OPTIONS") {
-    return EVHTTP_REQ_OPTIONS;
-  }
-  return method == "PATCH" ? EVHTTP_REQ_PATCH : EVHTTP_REQ_GET;
-}
-
-bool HasNoBody(const std::string& method, int status) {
-  return method == "HEAD" || status == 204 || status == 304;
-}
+// Shorter than the idle time-outs of usual targets.
+constexpr Duration kIdleLimit = std::chrono::seconds(5);
+// A target may forget an idle connection without a word, so what may not be
+// sent twice goes out only on one that was in use so shortly before.
+constexpr Duration kJustUsed = std::chrono::milliseconds(250);
 
 }  // namespace
 
-struct TargetCall::State : std::enable_shared_from_this<TargetCall::State> {
+struct TargetCall::State {
   TargetClient* client = nullptr;
-  evhttp_connection* connection = nullptr;
-  std::string method;
+  std::shared_ptr<TargetConnection> connection;
+  uint64_t epoch = 0;
   Handlers handlers;
-  bool head_seen = false;
-  bool bounded = false;  // the end of the answer can be told
-  bool over = false;     // cancelled, or evhttp has called OnDone
-  bool reading = true;
-
-  int OnHead(evhttp_request* request);
-  void OnData(evhttp_request* request);
-  void OnDone(evhttp_request* request);
-  void ApplyReading();
+  bool over = false;  // ended or cancelled
 };
 
-// Returns -1, which breaks the connection, where the end of the answer could
-// not be told from a connection that broke.
-int TargetCall::State::OnHead(evhttp_request* request) {
-  if (over) {
-    return -1;
-  }
-  TargetHead head;
-  head.status =
-      static_cast<uint16_t>(evhttp_request_get_response_code(request));
-  if (head.status < 200) {
-    return 0;
-  }
-  head.headers = AllHeaders(evhttp_request_get_input_headers(request));
-  const std::string* length = FindHeader(head.headers, "Content-Length");
-  const std::string* coding = FindHeader(head.headers, "Transfer-Encoding");
-  if (coding != nullptr) {
-    bounded = SameName(*coding, "chunked");
-  } else if (length != nullptr) {
-    head.length = ParseNumber(*length);
-    bounded = head.length.has_value();
-  }
-  if (HasNoBody(method, head.status)) {
-    bounded = true;
-  }
-  if (!bounded) {
-    return -1;
-  }
-  head_seen = true;
-  handlers.on_head(head);
-  return 0;
-}
-
-void TargetCall::State::OnData(evhttp_request* request) {
-  if (over) {
-    return;
-  }
-  evbuffer* input = evhttp_request_get_input_buffer(request);
-  std::string bytes(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, bytes.data(), bytes.size());
-  handlers.on_data(std::move(bytes));
-}
-
-void TargetCall::State::OnDone(evhttp_request* request) {
-  const std::shared_ptr<State> self = shared_from_this();
-  if (over) {
-    return;
-  }
-  over = true;
-  // A request with an answer's code of 0 failed before it was sent.
-  const bool never_sent =
-      request != nullptr && evhttp_request_get_response_code(request) == 0;
-  const bool whole = request != nullptr && !never_sent && head_seen;
-  client->Finish(self, whole);
-  if (whole) {
-    handlers.on_end();
-  } else {
-    handlers.on_fault(never_sent ? TargetFault::kNotReached
-                                 : TargetFault::kBroke);
-  }
-}
-
-void TargetCall::State::ApplyReading() {
-  if (over) {
-    return;
-  }
-  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-  if (reading) {
-    bufferevent_enable(bev, EV_READ);
-  } else {
-    bufferevent_disable(bev, EV_READ);
-  }
-}
-
 TargetCall::TargetCall(std::shared_ptr<State> state)
     : state_(std::move(state)) {}
 
@@ -143,111 +33,132 @@
 }
 
 void TargetCall::SetReading(bool reading) {
-  if (state_->reading == reading || state_->over) {
-    return;
+  if (!state_->over) {
+    state_->connection->SetReading(reading);
   }
-  state_->reading = reading;
-  // Not from here: evhttp enables reading again after each part it hands out.
-  state_->client->loop_.Post([state = state_] { state->ApplyReading(); });
 }
 
-TargetClient::TargetClient(net::EventLoop& loop, const world::Endpoint& target)
-    : loop_(loop), target_(target), idle_timer_(loop, [this] { CloseIdle(); }) {
-  idle_timer_.StartPeriodic(std::chrono::seconds(1));
-}
+TargetClient::TargetClient(net::EventLoop& loop,
+                           const world::Endpoint& target,
+                           const std::string& id_header)
+    : loop_(loop),
+      target_(target),
+      id_header_(id_header),
+      idle_timer_(loop, [this] { CloseIdle(); }) {}
 
 TargetClient::~TargetClient() {
   *alive_ = false;
-  for (const auto& state : active_) {
-    state->over = true;
-    evhttp_connection_free(state->connection);
-  }
-  for (const Idle& idle : idle_) {
-    evhttp_connection_free(idle.connection);
-  }
 }
 
 std::unique_ptr<TargetCall> TargetClient::Call(const TargetRequest& request,
-                                               TargetCall::Handlers handlers) {
+                                               TargetCall::Handlers handlers,
+                                               Reuse reuse) {
   auto state = std::make_shared<TargetCall::State>();
   state->client = this;
-  state->connection = TakeConnection();
-  state->method = request.method;
+  state->connection = TakeConnection(reuse);
+  state->epoch = epoch_;
   state->handlers = std::move(handlers);
-  active_.insert(state);
-  evhttp_request* call = evhttp_request_new(
-      [](evhttp_request* answer, void* argument) {
-        static_cast<TargetCall::State*>(argument)->OnDone(answer);
-      },
-      state.get());
-  evhttp_request_set_header_cb(
-      call, [](evhttp_request* answer, void* argument) {
-        return static_cast<TargetCall::State*>(argument)->OnHead(answer);
-      });
-  evhttp_request_set_chunked_cb(
-      call, [](evhttp_request* answer, void* argument) {
-        static_cast<TargetCall::State*>(argument)->OnData(answer);
-      });
-  evkeyvalq* headers = evhttp_request_get_output_headers(call);
-  for (const auto& [name, value] : request.headers) {
-    evhttp_add_header(headers, name.c_str(), value.c_str());
-  }
-  if (!request.body.empty()) {
-    evhttp_add_header(headers, "Content-Length",
-                      std::to_string(request.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(call), request.body.data(),
-                 request.body.size());
-  }
-  if (evhttp_make_request(state->connection, call, CommandFor(request.method),
-                          request.uri.c_str()) != 0) {
-    loop_.Post([state] {
-      if (!state->over) {
-        state->over = true;
-        state->client->Finish(state, false);
-        state->handlers.on_fault(TargetFault::kNotReached);
-      }
-    });
-  }
+  ++in_use_;
+  const std::weak_ptr<TargetCall::State> weak = state;
+  TargetConnection* raw = state->connection.get();
+  TargetConnection::Handlers events;
+  events.on_head = [weak](const TargetHead& head) {
+    const auto standing = weak.lock();
+    if (standing && !standing->over) {
+      standing->handlers.on_head(head);
+    }
+  };
+  events.on_data = [weak](std::string bytes) {
+    const auto standing = weak.lock();
+    if (standing && !standing->over) {
+      standing->handlers.on_data(std::move(bytes));
+    }
+  };
+  events.on_end = [weak](bool reusable) {
+    const auto standing = weak.lock();
+    if (standing && !std::exchange(standing->over, true)) {
+      standing->client->Finish(standing, reusable);
+      standing->handlers.on_end();
+    }
+  };
+  events.on_fault = [weak](TargetFault fault, const std::string& why) {
+    const auto standing = weak.lock();
+    if (standing && !std::exchange(standing->over, true)) {
+      standing->client->Finish(standing, false);
+      standing->handlers.on_fault(fault, why);
+    }
+  };
+  events.on_idle_closed = [this, alive = alive_, raw] {
+    if (*alive) {
+      Forget(raw);
+    }
+  };
+  raw->Begin(request, std::move(events));
   return std::make_unique<TargetCall>(state);
 }
 
-evhttp_connection* TargetClient::TakeConnection() {
-  if (!idle_.empty()) {
-    evhttp_connection* connection = idle_.back().connection;
+void TargetClient::DropIdle() {
+  ++epoch_;
+  for (Connection& connection : std::exchange(idle_, {})) {
+    Dispose(std::move(connection));
+  }
+}
+
+TargetClient::Connection TargetClient::TakeConnection(Reuse reuse) {
+  const bool usable =
+      !idle_.empty() && (reuse == Reuse::kAny ||
+                         loop_.Now() - idle_.back()->idle_since() <= kJustUsed);
+  if (usable) {
+    Connection connection = std::move(idle_.back());
     idle_.pop_back();
+    connection->SetReading(true);
     return connection;
   }
-  evhttp_connection* connection = evhttp_connection_base_new(
-      loop_.base(), nullptr, target_.ip.c_str(), target_.port);
-  CHECK_NOTNULL(connection);
-  evhttp_connection_set_timeout(connection, kConnectionTimeoutSeconds);
-  evhttp_connection_set_max_headers_size(connection, kMaxAnswerHeaderBytes);
-  return connection;
+  ++opened_;
+  return std::make_shared<TargetConnection>(loop_, target_, id_header_);
 }
 
 void TargetClient::Finish(const std::shared_ptr<TargetCall::State>& state,
                           bool reusable) {
-  if (reusable && idle_.size() < kMaxIdle) {
-    active_.erase(state);
-    idle_.push_back(Idle{state->connection, loop_.Now()});
+  --in_use_;
+  Connection connection = std::move(state->connection);
+  if (reusable && idle_.size() < kMaxIdle && state->epoch == epoch_) {
+    connection->SetReading(true);
+    idle_.push_back(std::move(connection));
+    if (!idle_timer_.running()) {
+      idle_timer_.StartOnce(kIdleLimit);
+    }
     return;
   }
-  // The connection may not be freed from inside its own callback; until then
-  // evhttp may still name the state.
-  loop_.Post([this, state, alive = alive_] {
-    if (*alive) {
-      evhttp_connection_free(state->connection);
-      active_.erase(state);
+  Dispose(std::move(connection));
+}
+
+void TargetClient::Forget(const TargetConnection* connection) {
+  for (auto idle = idle_.begin(); idle != idle_.end(); ++idle) {
+    if (idle->get() == connection) {
+      Connection gone = std::move(*idle);
+      idle_.erase(idle);
+      Dispose(std::move(gone));
+      return;
     }
-  });
+  }
+}
+
+// Closes `connection` from the loop, because its own callback may be running.
+void TargetClient::Dispose(Connection connection) {
+  loop_.Post([gone = std::move(connection)] {});
 }
 
 void TargetClient::CloseIdle() {
   const Time now = loop_.Now();
-  while (!idle_.empty() && now - idle_.front().since > kIdleLimit) {
-    evhttp_connection_free(idle_.front().connection);
+  while (!idle_.empty() && now - idle_.front()->idle_since() >= kIdleLimit) {
+    Dispose(std::move(idle_.front()));
     idle_.erase(idle_.begin());
   }
+  if (!idle_.empty()) {
+    idle_timer_.StartOnce(idle_.front()->idle_since() + kIdleLimit -
+                          loop_.Now());
+  }
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -28,7 +28,7 @@
       slots_(settings.slots),
       timer_(loop, [this] { Check(); }),
       connect_timer_(loop, [this] { OnResult(false); }) {
-  if (settings_.target) {
+  if (settings_.target && checks_enabled()) {
     timer_.StartOnce(Duration(0));
   }
 }
@@ -40,14 +40,32 @@
   }
 }
 
-void TargetMonitor::Announce(world::TargetState state, uint32_t slots) {
-  announced_ = state;
-  slots_ = slots == 0 ? settings_.slots : slots;
+void TargetMonitor::Announce(const TargetAnnouncement& announcement) {
+  if (!registry_.Take(announcement)) {
+    LogEvent(kAnnouncementLate, {{"identity", announcement.identity},
+                                 {"number", announcement.number}});
+    return;
+  }
+  if (identity_ != announcement.identity) {
+    replaced_ = false;
+    identity_ = announcement.identity;
+    LogEvent(kTargetIdentified, {{"identity", identity_},
+                                 {"started_ms", announcement.started_ms}});
+  }
+  slots_ = announcement.slots == 0 ? settings_.slots : announcement.slots;
   // One that says it is ready can be reached; the next check confirms it.
-  reachable_ |= state == world::TargetState::kReady;
+  reachable_ |= announcement.state == world::TargetState::kReady;
   Update();
 }
 
+void TargetMonitor::OnReplaced() {
+  if (!replaced_) {
+    replaced_ = true;
+    LogEvent(kTargetReplaced, {{"identity", identity_}});
+    Update();
+  }
+}
+
 void TargetMonitor::SetDraining(bool draining) {
   if (draining_ != draining) {
     draining_ = draining;
@@ -59,7 +77,7 @@
 void TargetMonitor::OnFault() {
   // The next check is due within the budget anyway; a target that answers
   // nobody is seen there.
-  if (!checking_ && !timer_.running()) {
+  if (checks_enabled() && !checking_ && !timer_.running()) {
     ScheduleNext();
   }
 }
@@ -130,13 +148,15 @@
 }
 
 void TargetMonitor::Update() {
+  const std::optional<TargetAnnouncement>& announced = registry_.present();
   world::TargetState state = world::TargetState::kReady;
-  if (draining_ || announced_ == world::TargetState::kDraining) {
+  if (draining_ ||
+      (announced && announced->state == world::TargetState::kDraining)) {
     state = world::TargetState::kDraining;
-  } else if (!reachable_) {
+  } else if (!reachable_ || replaced_) {
     state = world::TargetState::kDown;
-  } else if (announced_ == world::TargetState::kStarting ||
-             (settings_.target_announces && !announced_)) {
+  } else if (announced ? announced->state == world::TargetState::kStarting
+                       : settings_.target_announces) {
     state = world::TargetState::kStarting;
   }
   state_ = state;
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -8,6 +8,7 @@
 
 #include "dataplane/fleet_view.h"
 #include "dataplane/node_plane.h"
+#include "dataplane/target_registry.h"
 #include "net/net.h"
 
 struct bufferevent;
@@ -29,14 +30,18 @@
   TargetMonitor(const TargetMonitor&) = delete;
   TargetMonitor& operator=(const TargetMonitor&) = delete;
 
-  /// The target says of itself that it is in `state` with `slots`; 0 slots
-  /// keeps those of the settings.
-  void Announce(world::TargetState state, uint32_t slots);
+  /// The target says something of itself.
+  void Announce(const TargetAnnouncement& announcement);
   /// Operators or a planned stop take the target out of use.
   void SetDraining(bool draining);
   /// A request failed at the target: looks at it soon.
   void OnFault();
 
+  /// Another target answers at the address of this node's own, which must
+  /// announce itself before it gets work again.
+  void OnReplaced();
+  /// Returns the identity that the target announced; empty before that.
+  const std::string& identity() const { return identity_; }
   world::TargetState state() const { return state_; }
   uint32_t slots() const { return slots_; }
   bool draining() const { return draining_; }
@@ -44,6 +49,10 @@
   uint64_t checks() const { return checks_; }
 
  private:
+  // A target that announces itself needs no checks unless they cost it little.
+  bool checks_enabled() const {
+    return !settings_.target_announces || !settings_.health_path.empty();
+  }
   void Check();
   void CheckHttp();
   void CheckConnect();
@@ -56,8 +65,10 @@
   const FleetView& view_;
   OnState on_state_;
   world::TargetState state_ = world::TargetState::kNone;
-  std::optional<world::TargetState> announced_;
+  TargetRegistry registry_;
+  std::string identity_;
   bool reachable_ = false;
+  bool replaced_ = false;  // the address belongs to another target
   bool draining_ = false;
   bool checking_ = false;
   uint32_t slots_;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -254,7 +254,7 @@
   }
   if (sender.incarnation < self_.incarnation) {
     actions_.clashes.push_back({sender.incarnation, from, false});
-  } else if (sender.incarnation > self_.incarnation) {
+  } else if (sender.incarnation > self_.incarnation && from != self_.gossip) {
     GiveWay(sender.incarnation, from);
   }
   return false;
@@ -373,6 +373,13 @@
   if (replaced_) {
     return;
   }
+  if (heard.incarnation > self_.incarnation && heard.gossip == self_.gossip) {
+    // Nobody else can be bound to this endpoint: it is a former run of this
+    // node, started before the wall clock was set back.
+    self_.incarnation = Incarnation(heard.incarnation.value + 1);
+    Announce();
+    return;
+  }
   if (heard.incarnation > self_.incarnation) {
     GiveWay(heard.incarnation, heard.gossip);
     return;
--- a/src/net/admin_server.cc
+++ b/src/net/admin_server.cc
@@ -57,6 +57,9 @@
     : http_(evhttp_new(loop.base())) {
   evhttp_set_max_headers_size(http_, kMaxAdminHeaderBytes);
   evhttp_set_max_body_size(http_, kMaxAdminBodyBytes);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
+                                        EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                                        EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(
       http_,
       [](evhttp_request* request, void* argument) {
@@ -83,10 +86,30 @@
   handlers_[{method, path}] = std::move(handler);
 }
 
+void AdminServer::HandleBelow(const std::string& method,
+                              const std::string& prefix,
+                              Handler handler) {
+  below_[{method, prefix}] = std::move(handler);
+}
+
+const AdminServer::Handler* AdminServer::Find(
+    const AdminRequest& request) const {
+  const auto exact = handlers_.find({request.method, request.path});
+  if (exact != handlers_.end()) {
+    return &exact->second;
+  }
+  for (const auto& [key, handler] : below_) {
+    if (key.first == request.method && request.path.starts_with(key.second)) {
+      return &handler;
+    }
+  }
+  return nullptr;
+}
+
 void AdminServer::Dispatch(evhttp_request* request) {
   const AdminRequest parsed = Parse(request);
-  const auto found = handlers_.find({parsed.method, parsed.path});
-  if (found == handlers_.end()) {
+  const Handler* handler = Find(parsed);
+  if (handler == nullptr) {
     SendResponse(request,
                  AdminResponse{404, "application/json",
                                R"({"error":"no such page or method"})"});
@@ -103,7 +126,7 @@
   // The reply keeps `pending` alive for as long as evhttp may name it: until
   // the answer is sent, or in waiting_ when the handler drops the reply.
   waiting_.insert(pending);
-  found->second(parsed, [this, pending](const AdminResponse& response) {
+  (*handler)(parsed, [this, pending](const AdminResponse& response) {
     waiting_.erase(pending);
     evhttp_request* waiting = std::exchange(pending->request, nullptr);
     if (waiting != nullptr) {
--- a/src/net/admin_server.h
+++ b/src/net/admin_server.h
@@ -52,6 +52,11 @@
   void Handle(const std::string& method,
               const std::string& path,
               Handler handler);
+  /// Calls `handler` for `method` on every path that begins with `prefix` and
+  /// has no handler of its own.
+  void HandleBelow(const std::string& method,
+                   const std::string& prefix,
+                   Handler handler);
   /// Returns where it listens.
   world::Endpoint local() const { return local_; }
 
@@ -59,10 +64,12 @@
   struct Pending;
 
   void Dispatch(evhttp_request* request);
+  const Handler* Find(const AdminRequest& request) const;
 
   evhttp* http_;
   world::Endpoint local_;
   std::map<std::pair<std::string, std::string>, Handler> handlers_;
+  std::map<std::pair<std::string, std::string>, Handler> below_;
   std::set<std::shared_ptr<Pending>> waiting_;
 };
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -9,4 +9,5 @@
 #include "net/frame_link.h"       // IWYU pragma: export
 #include "net/http_client.h"      // IWYU pragma: export
 #include "net/http_method.h"      // IWYU pragma: export
+#include "net/http_reader.h"      // IWYU pragma: export
 #include "net/socket_address.h"   // IWYU pragma: export
--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -1,6 +1,8 @@
 #include "node/keeper_process.h"
 
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "node/events.h"
@@ -15,13 +17,18 @@
   keeper.control = settings.control;
   keeper.data = settings.data;
   keeper.keepers = settings.keepers;
+  keeper.may_found = settings.group.found;
+  keeper.grows = settings.group.grow;
+  keeper.bears_lost_disks = settings.group.bears_lost_disks;
   return keeper;
 }
 
-control::CheckedFile CheckText(const std::string& text) {
+control::CheckedFile CheckText(const KeeperOptions& options,
+                               const std::string& text) {
   try {
-    const world::Fleet fleet = config::ParseFleet(text, "applied file");
-    return {"", fleet.control.lease};
+    const world::Fleet fleet = options.parse(text, "applied file");
+    return {"", fleet.control.lease,
+            fleet.control.apply == world::ApplyRule::kMajority};
   } catch (const InvalidInput& error) {
     return {error.what(), {}};
   }
@@ -30,17 +37,64 @@
 }  // namespace
 
 KeeperProcess::KeeperProcess(net::EventLoop& loop,
-                             const config::Settings& settings)
-    : admin_(loop, settings.admin),
-      keeper_(loop, ToKeeperSettings(settings), CheckText) {
+                             const config::Settings& settings,
+                             KeeperOptions options)
+    : loop_(loop),
+      admin_(loop, settings.admin),
+      keeper_(
+          loop,
+          ToKeeperSettings(settings),
+          [options](const std::string& text) {
+            return CheckText(options, text);
+          },
+          options.edit) {
   keeper_.Serve(admin_);
   ServePages();
+  if (!settings.gossip.ip.empty()) {
+    StartMembership(settings);
+  }
   LogEvent(kProcessStarted, {{"role", "keeper"},
                              {"id", settings.id.value},
                              {"control", world::ToString(keeper_.control())},
                              {"admin", world::ToString(admin_.local())}});
 }
 
+void KeeperProcess::Stop(std::function<void()> done) {
+  if (membership_ == nullptr) {
+    done();
+    return;
+  }
+  membership_->Leave(std::move(done));
+}
+
+void KeeperProcess::StartMembership(const config::Settings& settings) {
+  world::Member self;
+  self.id = settings.id;
+  self.incarnation = NewIncarnation();
+  self.location = settings.location;
+  self.gossip = settings.gossip;
+  self.admin = admin_.local();
+  self.control = keeper_.control();
+  membership::MembershipSettings gossip;
+  gossip.seeds = settings.seeds;
+  membership_ = std::make_unique<membership::MembershipService>(
+      loop_, gossip, self, [this](const world::Member& member) {
+        if (!member.control.ip.empty()) {
+          FollowKeepers();
+        }
+      });
+}
+
+void KeeperProcess::FollowKeepers() {
+  std::set<world::Endpoint> found;
+  for (const auto& [id, member] : membership_->members()) {
+    if (world::IsLiveKeeper(member) && member.control != keeper_.control()) {
+      found.insert(member.control);
+    }
+  }
+  keeper_.SetFound(found);
+}
+
 void KeeperProcess::ServePages() {
   admin_.Handle("GET", "/healthz", [](const auto&, const auto& reply) {
     reply({200, "application/json", R"({"ready":true})"});
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -1,5 +1,6 @@
 #include "node/node_process.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,8 +11,13 @@
 namespace {
 
 dataplane::PlaneSettings ToPlaneSettings(const config::Settings& settings,
+                                         const NodeOptions& options,
                                          Incarnation incarnation) {
   dataplane::PlaneSettings plane;
+  plane.names = options.names;
+  plane.stop_linger = settings.limits.stop_linger;
+  plane.retries = {settings.limits.retry_share, settings.limits.retry_burst,
+                   settings.limits.retries_per_second};
   plane.id = settings.id;
   plane.incarnation = incarnation;
   plane.location = settings.location;
@@ -39,22 +45,26 @@
 
 }  // namespace
 
-NodeProcess::NodeProcess(net::EventLoop& loop, const config::Settings& settings)
+NodeProcess::NodeProcess(net::EventLoop& loop,
+                         const config::Settings& settings,
+                         NodeOptions options)
     : loop_(loop),
       settings_(settings),
+      options_(std::move(options)),
       incarnation_(NewIncarnation()),
       admin_(loop, settings.admin) {
   plane_ = std::make_unique<dataplane::NodePlane>(
-      loop_, ToPlaneSettings(settings_, incarnation_), view_, MakeClaimPort(),
-      MakePlaneHandlers());
+      loop_, ToPlaneSettings(settings_, options_, incarnation_), view_,
+      MakeClaimPort(), MakePlaneHandlers());
   membership::MembershipSettings gossip;
   gossip.seeds = settings_.seeds;
   membership_ = std::make_unique<membership::MembershipService>(
       loop_, gossip, MakeSelf(),
-      [this](const world::Member& member) { view_.SetMember(member); });
+      [this](const world::Member& member) { OnMember(member); });
   agent_ = std::make_unique<control::NodeAgent>(
       loop_, settings_.keepers, membership_->self(), MakeAgentHandlers());
   view_.SetLeaseCheck([this] { return agent_->lease_held(); });
+  view_.SetOnFleet([this] { plane_->FollowFleet(); });
   ServePages();
   LogEvent(kProcessStarted,
            {{"role", "node"},
@@ -86,6 +96,56 @@
   });
 }
 
+void NodeProcess::Announce(const dataplane::TargetAnnouncement& announcement) {
+  plane_->Announce(announcement);
+}
+
+bool NodeProcess::ready() const {
+  return !stopping_ && view_.fleet() != nullptr;
+}
+
+void NodeProcess::OnMember(const world::Member& member) {
+  view_.SetMember(member);
+  if (member.id == settings_.id && member.incarnation != incarnation_) {
+    incarnation_ = member.incarnation;
+    plane_->SetIncarnation(incarnation_);
+  }
+  if (!member.control.ip.empty()) {
+    FollowKeepers();
+  }
+}
+
+// Prefers keepers of the own zone, then those that gossip tells of, then those
+// of the settings, which may be long gone.
+void NodeProcess::FollowKeepers() {
+  std::vector<world::Endpoint> near;
+  std::vector<world::Endpoint> far;
+  for (const auto& [id, member] : membership_->members()) {
+    if (world::IsLiveKeeper(member)) {
+      auto& list = member.location == settings_.location ? near : far;
+      list.push_back(member.control);
+    }
+  }
+  const auto spread = [this](std::vector<world::Endpoint>& list) {
+    if (!list.empty()) {
+      const size_t turn = std::hash<NodeId>()(settings_.id) % list.size();
+      std::rotate(list.begin(),
+                  list.begin() + static_cast<std::ptrdiff_t>(turn), list.end());
+    }
+  };
+  spread(near);
+  spread(far);
+  near.insert(near.end(), far.begin(), far.end());
+  for (const world::Endpoint& keeper : settings_.keepers) {
+    if (std::find(near.begin(), near.end(), keeper) == near.end()) {
+      near.push_back(keeper);
+    }
+  }
+  if (agent_ != nullptr) {
+    agent_->SetKeepers(near);
+  }
+}
+
 world::Member NodeProcess::MakeSelf() const {
   world::Member self;
   self.id = settings_.id;
@@ -117,7 +177,9 @@
 dataplane::PlaneHandlers NodeProcess::MakePlaneHandlers() {
   dataplane::PlaneHandlers handlers;
   handlers.on_request = [this](const dataplane::RequestRecord& record) {
-    burn_.Add(ToSample(record), WallMicros());
+    if (settings_.reports) {
+      burn_.Add(ToSample(record), WallMicros());
+    }
   };
   handlers.on_target = [this](world::TargetState state, uint32_t slots) {
     OnTarget(state, slots);
@@ -141,9 +203,12 @@
 
 std::string NodeProcess::CheckFile(const control::ConfigFile& file) const {
   try {
-    const world::Fleet fleet = config::ParseFleet(file.text, "staged");
+    const world::Fleet fleet = options_.parse(file.text, "staged");
     const world::Region* region =
         world::FindRegionOf(fleet, settings_.location.zone);
+    if (fleet.regions.empty()) {
+      return "";  // such a file leaves places to the processes' settings
+    }
     if (region == nullptr || region->name != settings_.location.region) {
       return "node " + settings_.id.value + " stands in zone " +
              settings_.location.zone.value + " of region " +
@@ -158,8 +223,10 @@
 void NodeProcess::Activate(const control::ConfigFile& file) {
   try {
     const auto fleet = std::make_shared<const world::Fleet>(
-        config::ParseFleet(file.text, "active"));
-    burn_.Configure(*fleet);
+        options_.parse(file.text, "active"));
+    if (settings_.reports) {
+      burn_.Configure(*fleet);
+    }
     view_.SetFleet(fleet, file.revision);
   } catch (const InvalidInput& error) {
     // Every member checks a file before it is in force, so only a node of
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -14,12 +14,22 @@
 
 namespace ibisvalve::node {
 
+/// What a node needs to speak to callers and operators in their own terms.
+struct NodeOptions {
+  dataplane::HeaderNames names;
+  /// Reads a fleet's file, called `name` in faults; throws InvalidInput.
+  std::function<world::Fleet(const std::string& text, const std::string& name)>
+      parse = config::ParseFleet;
+};
+
 /// The process in the node role: membership, control and data plane of one
 /// host on one loop.
 class NodeProcess {
  public:
   /// Binds every address of `settings` and starts. Throws SystemError.
-  NodeProcess(net::EventLoop& loop, const config::Settings& settings);
+  NodeProcess(net::EventLoop& loop,
+              const config::Settings& settings,
+              NodeOptions options = {});
   ~NodeProcess();
   NodeProcess(const NodeProcess&) = delete;
   NodeProcess& operator=(const NodeProcess&) = delete;
@@ -27,6 +37,10 @@
   /// Planned stop: offers no new work, lets everything in flight end, says
   /// goodbye, then calls `done`. A second call does nothing.
   void Stop(std::function<void()> done);
+  /// The target beside this node says something of itself.
+  void Announce(const dataplane::TargetAnnouncement& announcement);
+  /// Returns whether callers should use this node.
+  bool ready() const;
 
  private:
   world::Member MakeSelf() const;
@@ -36,13 +50,16 @@
   std::string CheckFile(const control::ConfigFile& file) const;
   void Activate(const control::ConfigFile& file);
   void OnLease(bool held);
+  void OnMember(const world::Member& member);
+  void FollowKeepers();
   void OnTarget(world::TargetState state, uint32_t slots);
   void ServePages();
   std::string StatusJson() const;
 
   net::EventLoop& loop_;
   const config::Settings settings_;
-  const Incarnation incarnation_;
+  const NodeOptions options_;
+  Incarnation incarnation_;
   bool stopping_ = false;
   uint64_t in_force_since_us_ = 0;  // wall clock, for display
   world::TargetState target_state_ = world::TargetState::kNone;
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -157,10 +157,11 @@
   ReplicaId replica;
   NodeId id;
   world::Endpoint control;
+  bool may_found = false;  // its folder was empty at the fleet's first start
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(group, replica, id, control);
+    archive(group, replica, id, control, may_found);
   }
 };
 
--- a/src/wire/gossip_messages.cc
+++ b/src/wire/gossip_messages.cc
@@ -36,10 +36,12 @@
       NameIndex(member.gossip.ip),
       NameIndex(member.mesh.ip),
       NameIndex(member.admin.ip),
+      NameIndex(member.control.ip),
       NameIndex(member.service.value),
       member.gossip.port,
       member.mesh.port,
       member.admin.port,
+      member.control.port,
       member.state,
       member.target,
       member.slots,
@@ -70,6 +72,7 @@
     member.gossip = {NameAt(packed.gossip_name), packed.gossip_port};
     member.mesh = {NameAt(packed.mesh_name), packed.mesh_port};
     member.admin = {NameAt(packed.admin_name), packed.admin_port};
+    member.control = {NameAt(packed.control_name), packed.control_port};
     member.state = CheckedState(packed.state);
     member.service = ServiceName(NameAt(packed.service_name));
     member.target = CheckedTarget(packed.target);
--- a/src/wire/gossip_messages.h
+++ b/src/wire/gossip_messages.h
@@ -19,10 +19,12 @@
   uint8_t gossip_name = 0;
   uint8_t mesh_name = 0;
   uint8_t admin_name = 0;
+  uint8_t control_name = 0;
   uint8_t service_name = 0;
   uint16_t gossip_port = 0;
   uint16_t mesh_port = 0;
   uint16_t admin_port = 0;
+  uint16_t control_port = 0;
   world::MemberState state = world::MemberState::kAlive;
   world::TargetState target = world::TargetState::kNone;
   uint32_t slots = 0;
@@ -32,8 +34,8 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, incarnation, version, region_name, zone_name, gossip_name,
-            mesh_name, admin_name, service_name, gossip_port, mesh_port,
-            admin_port, state, target, slots);
+            mesh_name, admin_name, control_name, service_name, gossip_port,
+            mesh_port, admin_port, control_port, state, target, slots);
   }
 };
 
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -62,12 +62,15 @@
   uint64_t body_bytes = 0;
   std::string body;  // first part
   bool body_complete = true;
+  ServiceName caller;         // beside the ingress: who asks
+  uint64_t objective_us = 0;  // until the answer should come; 0: it is late
+  uint32_t priority = 0;      // 0 is the most urgent
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
-            body_complete);
+            body_complete, caller, objective_us, priority);
   }
 };
 
--- a/src/world/fleet.cc
+++ b/src/world/fleet.cc
@@ -1,6 +1,7 @@
 #include "world/fleet.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ibisvalve::world {
 namespace {
@@ -15,6 +16,15 @@
   return method_fits && path.starts_with(contract.path_prefix);
 }
 
+struct HostOrder {
+  bool operator()(const Route& route, const std::string& host) const {
+    return route.host < host;
+  }
+  bool operator()(const std::string& host, const Route& route) const {
+    return host < route.host;
+  }
+};
+
 bool IsSafeMethod(const std::string& method) {
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
@@ -28,6 +38,31 @@
   return found == fleet.services.end() ? nullptr : &*found;
 }
 
+const Route* FindRoute(const Fleet& fleet,
+                       const std::string& host,
+                       const std::string& path) {
+  const auto of_host = std::equal_range(fleet.routes.begin(),
+                                        fleet.routes.end(), host, HostOrder());
+  const auto found = std::find_if(
+      of_host.first, of_host.second,
+      [&](const Route& route) { return path.starts_with(route.path_prefix); });
+  return found == of_host.second ? nullptr : &*found;
+}
+
+void SortRoutes(Fleet& fleet) {
+  std::sort(fleet.routes.begin(), fleet.routes.end(),
+            [](const Route& a, const Route& b) {
+              if (a.host != b.host) {
+                return a.host < b.host;
+              }
+              if (a.path_prefix.size() != b.path_prefix.size()) {
+                return a.path_prefix.size() > b.path_prefix.size();
+              }
+              return std::tie(a.path_prefix, a.name) <
+                     std::tie(b.path_prefix, b.name);
+            });
+}
+
 const Region* FindRegionOf(const Fleet& fleet, const ZoneName& zone) {
   for (const Region& region : fleet.regions) {
     if (std::find(region.zones.begin(), region.zones.end(), zone) !=
--- a/src/world/fleet.h
+++ b/src/world/fleet.h
@@ -98,6 +98,7 @@
   MeasuringBudget measuring;
   Limits limits;
   std::optional<Objective> objective;
+  std::string health_path;  // where a target says how it is; may be empty
 
   auto operator<=>(const Service&) const = default;
 };
@@ -119,16 +120,58 @@
   auto operator<=>(const Link&) const = default;
 };
 
+/// One of the services that share the requests of a route.
+struct RouteTarget {
+  ServiceName service;
+  double weight = 1.0;  // relative to the route's other targets; may be 0
+
+  auto operator<=>(const RouteTarget&) const = default;
+};
+
+/// Requests of one host below one path, where they go and what holds for them.
+struct Route {
+  std::string name;
+  std::string host;                  // lower case, without a port
+  std::string path_prefix;           // begins and ends with '/'
+  std::vector<RouteTarget> targets;  // at least one
+  Repeat repeat = Repeat::kNever;
+  Duration timeout = std::chrono::seconds(1);    // longest wait for an answer
+  Duration objective = std::chrono::seconds(1);  // answers should come within
+  uint32_t priority = 0;                         // 0 is the most urgent
+  uint32_t max_attempts = 1;  // targets that may be sent the same request
+
+  auto operator<=>(const Route&) const = default;
+};
+
+/// What callers may send, whatever they ask for.
+struct CallerRules {
+  uint32_t header_bytes = 16 << 10;
+  uint64_t body_bytes = 64 << 20;
+  Duration header_timeout = std::chrono::seconds(10);  // for a whole header
+  Duration idle_timeout = std::chrono::seconds(60);    // between requests
+
+  auto operator<=>(const CallerRules&) const = default;
+};
+
 /// What a node cut off from all keepers does once its lease has run out.
 enum class IsolatedPolicy : uint8_t {
   kRefuse,      // refuses every request as not run
   kServeReads,  // goes on with requests that may be repeated
+  kServe,       // goes on with all, by the newest file it has; a gate then
+                // takes requests of an ingress at any revision
+};
+
+/// Whom an apply waits for before the file is in force.
+enum class ApplyRule : uint8_t {
+  kAll,       // every node that holds a lease has accepted the file
+  kMajority,  // a majority of the keepers has it on disk; nodes follow
 };
 
 /// Rules of the control plane.
 struct ControlRules {
   Duration lease = std::chrono::seconds(8);  // of a node's configuration
   IsolatedPolicy isolated = IsolatedPolicy::kRefuse;
+  ApplyRule apply = ApplyRule::kAll;
 
   auto operator<=>(const ControlRules&) const = default;
 };
@@ -139,6 +182,8 @@
   std::vector<Region> regions;
   std::vector<Link> links;
   std::vector<Service> services;
+  std::vector<Route> routes;  // by host, longest path first; may be empty
+  CallerRules callers;
   ControlRules control;
 
   auto operator<=>(const Fleet&) const = default;
@@ -147,6 +192,15 @@
 /// Returns the service called `name`, or null. Valid as long as `fleet`.
 const Service* FindService(const Fleet& fleet, const ServiceName& name);
 
+/// Returns the route with the longest path that begins `path`, among those of
+/// `host`, or null. Valid as long as `fleet`.
+const Route* FindRoute(const Fleet& fleet,
+                       const std::string& host,
+                       const std::string& path);
+
+/// Brings the routes of `fleet` into the order that FindRoute relies on.
+void SortRoutes(Fleet& fleet);
+
 /// Returns the region that holds `zone`, or null. Valid as long as `fleet`.
 const Region* FindRegionOf(const Fleet& fleet, const ZoneName& zone);
 
--- a/src/world/member.cc
+++ b/src/world/member.cc
@@ -34,6 +34,11 @@
   return "invalid";
 }
 
+bool IsLiveKeeper(const Member& member) {
+  return !member.control.ip.empty() && (member.state == MemberState::kAlive ||
+                                        member.state == MemberState::kSuspect);
+}
+
 bool IsServing(const Member& member) {
   return (member.state == MemberState::kAlive ||
           member.state == MemberState::kSuspect) &&
--- a/src/world/member.h
+++ b/src/world/member.h
@@ -46,9 +46,10 @@
   Incarnation incarnation;
   uint32_t version = 0;  // grows with each change of the announcement
   Location location;
-  Endpoint gossip;  // UDP
-  Endpoint mesh;    // TCP between nodes
-  Endpoint admin;   // HTTP for operators
+  Endpoint gossip;   // UDP
+  Endpoint mesh;     // TCP between nodes
+  Endpoint admin;    // HTTP for operators
+  Endpoint control;  // keepers only: TCP for keepers and nodes
   MemberState state = MemberState::kAlive;
   ServiceName service;  // empty where the node has no target
   TargetState target = TargetState::kNone;
@@ -58,8 +59,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, incarnation, version, location, gossip, mesh, admin, state,
-            service, target, slots);
+    archive(id, incarnation, version, location, gossip, mesh, admin, control,
+            state, service, target, slots);
   }
 };
 
@@ -67,6 +68,9 @@
 std::string ToString(MemberState state);
 std::string ToString(TargetState state);
 
+/// Returns whether `member` is a keeper that is there as far as is known.
+bool IsLiveKeeper(const Member& member);
+
 /// Returns whether `member` can be offered new work.
 bool IsServing(const Member& member);
 
--- a/src/world/outcome.cc
+++ b/src/world/outcome.cc
@@ -60,6 +60,12 @@
       return "cancelled";
     case Reason::kBadRequest:
       return "bad-request";
+    case Reason::kNoRoute:
+      return "no-route";
+    case Reason::kTargetRefused:
+      return "target-refused";
+    case Reason::kStopping:
+      return "stopping";
   }
   return "invalid";
 }
--- a/src/world/outcome.h
+++ b/src/world/outcome.h
@@ -36,6 +36,9 @@
   kTargetBroke,    // the target died before its answer was whole
   kCancelled,      // the caller hung up
   kBadRequest,
+  kNoRoute,        // no route fits the host and path
+  kTargetRefused,  // the target says that it did not run it
+  kStopping,       // the node ends and takes no more
 };
 
 /// Returns "answered", "not-run" or "unknown", as in the Ibis-Outcome header.
--- a/tests/base/event_catalogue_test.cc
+++ b/tests/base/event_catalogue_test.cc
@@ -40,10 +40,12 @@
   std::set<std::string> code_numbers;
   const std::regex code_pattern(
       R"(EventCode\s+k\w+\s*\{\s*(\d+)\s*,\s*Severity::k(\w+)\s*,\s*"([^"]+)\")");
-  for (const auto& entry :
-       std::filesystem::recursive_directory_iterator(source / "src")) {
-    if (entry.path().filename() == "events.h") {
-      Collect(ReadWhole(entry.path()), code_pattern, in_code, code_numbers);
+  for (const char* folder : {"src", "platform"}) {
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(source / folder)) {
+      if (entry.path().filename() == "events.h") {
+        Collect(ReadWhole(entry.path()), code_pattern, in_code, code_numbers);
+      }
     }
   }
   std::set<std::string> in_docs;
--- a/tests/config/settings_parser_test.cc
+++ b/tests/config/settings_parser_test.cc
@@ -62,8 +62,8 @@
               ElementsAre("data"));
   EXPECT_THAT(PathsOf("id: k\nrole: keeper\nregion: r\nzone: z\ndata: /d\n"
                       "control: 127.0.0.1:1\nkeepers: [127.0.0.1:1]\n"
-                      "callers: 127.0.0.1:2\nseeds: []\n"),
-              ElementsAre("callers", "seeds"));
+                      "callers: 127.0.0.1:2\nreports: true\n"),
+              ElementsAre("callers", "reports"));
 }
 
 TEST(SettingsParserTest, FindsEveryFaultAtOnce) {
--- a/tests/dataplane/hedge_test.cc
+++ b/tests/dataplane/hedge_test.cc
@@ -24,6 +24,12 @@
   for (int i = 0; i < kSamples; ++i) {
     Fetch(ingress, {"GET", "/rooms", {}, ""});
   }
+  // Samples may have been hedged as well.
+  const auto cancelled = [&] {
+    return Metric(first, "ibis_gate_cancelled_total") +
+           Metric(second, "ibis_gate_cancelled_total");
+  };
+  const double before = cancelled();
   const CallerAnswer answer = Fetch(ingress, {"GET", "/slow", {}, ""});
   EXPECT_EQ(answer.body, "quick");
   EXPECT_EQ(answer.Get("Ibis-Attempts"), "2");
@@ -32,9 +38,41 @@
     return Metric(first, "ibis_gate_in_flight") == 0 &&
            Metric(second, "ibis_gate_in_flight") == 0;
   });
-  EXPECT_EQ(Metric(first, "ibis_gate_cancelled_total") +
-                Metric(second, "ibis_gate_cancelled_total"),
-            1);
+  EXPECT_EQ(cancelled() - before, 1);
+}
+
+// A route that allows one target must not be hedged at a second one.
+TEST_F(PlaneTest, NoHedgeGoesBeyondTheAllowedAttempts) {
+  service_.retry.max_attempts = 1;
+  size_t slow = 0;
+  std::vector<evhttp_request*> held;
+  const auto handler = [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) == "/slow") {
+      ++slow;
+      held.push_back(request);
+    } else {
+      Answer(request, "quick");
+    }
+  };
+  FakeTarget one(loop_, handler);
+  FakeTarget two(loop_, handler);
+  Node& ingress = AddNode("suva-1", nullptr);
+  WaitReady(AddNode("suva-2", &one));
+  WaitReady(AddNode("suva-3", &two));
+  constexpr int kSamples = 100;  // from which the usual latency is known
+  for (int i = 0; i < kSamples; ++i) {
+    Fetch(ingress, {"GET", "/rooms", {}, ""});
+  }
+  const auto answer = Send(ingress, {"GET", "/slow", {}, ""});
+  net::Timer later(loop_, [this] { loop_.Stop(); });
+  later.StartOnce(std::chrono::milliseconds(300));
+  loop_.Run();
+  EXPECT_EQ(slow, 1U);
+  EXPECT_EQ(Metric(ingress, "ibis_ingress_hedges_total"), 0);
+  for (evhttp_request* request : held) {
+    Answer(request, "late");
+  }
+  RunUntil([&] { return answer->whole; });
 }
 
 }  // namespace
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -228,7 +228,7 @@
                     answer->whole = true;
                     ++ended_;
                   },
-                  [this](TargetFault) { ++ended_; }}));
+                  [this](TargetFault, const std::string&) { ++ended_; }}));
     ++sent_;
     return answer;
   }
--- a/tests/dataplane/raw_socket.h
+++ b/tests/dataplane/raw_socket.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/net.h"
 
@@ -66,13 +67,17 @@
   bool closed_ = false;
 };
 
+/// What a RawServer does with a connection after its answer.
+enum class RawEnd : uint8_t { kStay, kClose, kReset };
+
 /// A server that sends fixed bytes once a request's header has come, and then
 /// closes or waits.
 class RawServer {
  public:
-  RawServer(net::EventLoop& loop, std::string answer, bool close)
+  RawServer(net::EventLoop& loop, std::string answer, RawEnd end)
       : answer_(std::move(answer)),
-        close_(close),
+        end_(end),
+        loop_(loop),
         listener_(loop, {"127.0.0.1", 0}, [this, &loop](int fd) {
           Accept(loop, fd);
         }) {}
@@ -99,9 +104,18 @@
         },
         [](bufferevent* written, void* argument) {
           auto* self = static_cast<RawServer*>(argument);
-          if (self->close_ && self->requests_ > 0) {
-            shutdown(bufferevent_getfd(written), SHUT_RDWR);
+          if (self->requests_ == 0 || self->end_ == RawEnd::kStay) {
+            return;
+          }
+          const int socket = bufferevent_getfd(written);
+          if (self->end_ == RawEnd::kClose) {
+            shutdown(socket, SHUT_RDWR);
+            return;
           }
+          // Bytes and reset must not reach the peer as one.
+          self->reset_.push_back(std::make_unique<net::Timer>(
+              self->loop_, [self, written] { self->Reset(written); }));
+          self->reset_.back()->StartOnce(std::chrono::milliseconds(20));
         },
         [](bufferevent* closed, int16_t what, void* argument) {
           auto* self = static_cast<RawServer*>(argument);
@@ -124,8 +138,19 @@
     bufferevent_write(end, answer_.data(), answer_.size());
   }
 
+  void Reset(bufferevent* end) {
+    const linger hard{1, 0};
+    setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &hard,
+               sizeof(hard));
+    ends_.remove(end);
+    asked_.erase(end);
+    bufferevent_free(end);
+  }
+
   std::string answer_;
-  bool close_;
+  RawEnd end_;
+  net::EventLoop& loop_;
+  std::vector<std::unique_ptr<net::Timer>> reset_;
   std::list<bufferevent*> ends_;
   std::set<bufferevent*> asked_;
   size_t requests_ = 0;
--- a/tests/dataplane/streaming_test.cc
+++ b/tests/dataplane/streaming_test.cc
@@ -125,7 +125,8 @@
 }
 
 TEST_F(StreamingTest, ALargeAnswerCutShortNeverLooksWhole) {
-  RawServer target(loop_, Head(1 << 20) + std::string(512 << 10, 'x'), true);
+  RawServer target(loop_, Head(1 << 20) + std::string(512 << 10, 'x'),
+                   RawEnd::kClose);
   Node& ingress = AddNode("suva-1", nullptr);
   Node& gate = AddNode("suva-2", target.local());
   WaitReady(gate);
@@ -135,7 +136,7 @@
 }
 
 TEST_F(StreamingTest, ASmallAnswerCutShortIsTriedElsewhere) {
-  RawServer bad(loop_, Head(1000) + std::string(500, 'x'), true);
+  RawServer bad(loop_, Head(1000) + std::string(500, 'x'), RawEnd::kClose);
   Node& ingress = AddNode("suva-1", nullptr);
   Node& broken = AddNode("suva-2", bad.local());
   WaitReady(broken);
@@ -154,8 +155,22 @@
   }
 }
 
+// The users' letter: an answer may end with its connection, but one that is
+// reset on the way is not whole.
+TEST_F(StreamingTest, AnAnswerThatEndsWithItsConnectionIsWhole) {
+  RawServer target(loop_, "HTTP/1.1 200 OK\r\n\r\nall of it", RawEnd::kClose);
+  Node& ingress = AddNode("suva-1", nullptr);
+  Node& gate = AddNode("suva-2", target.local());
+  WaitReady(gate);
+  const CallerAnswer answer = Fetch(ingress, {"GET", "/rooms", {}, ""});
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "all of it");
+  EXPECT_EQ(answer.Get("Content-Length"), "9");
+}
+
 TEST_F(StreamingTest, AnAnswerWithoutAnEndIsNeverPassedOn) {
-  RawServer target(loop_, "HTTP/1.1 200 OK\r\n\r\nhalf or whole?", true);
+  RawServer target(loop_, "HTTP/1.1 200 OK\r\n\r\nhalf or whole?",
+                   RawEnd::kReset);
   Node& ingress = AddNode("suva-1", nullptr);
   Node& gate = AddNode("suva-2", target.local());
   WaitReady(gate);
--- /dev/null
+++ b/tests/platform/desired_state_test.cc
@@ -0,0 +1,189 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/platform.h"
+
+namespace ibisvalve::platform {
+namespace {
+
+using control::EditedFile;
+using Json = nlohmann::json;
+
+Json Route(const std::string& name, const std::string& service) {
+  return {{"type", "routes"},
+          {"metadata", {{"name", name}}},
+          {"spec",
+           {{"host", "jepu9.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", "idempotent"},
+            {"timeoutS", 1.2},
+            {"targetLatencyS", 0.5},
+            {"priority", 2},
+            {"service", service},
+            {"maxAttempts", 2}}}};
+}
+
+Json Service(const std::string& name) {
+  return {{"type", "services"},
+          {"metadata", {{"name", name}}},
+          {"spec", {{"healthPath", "/health"}, {"maxConnections", 220}}}};
+}
+
+Json State(const std::string& version, const std::string& base) {
+  return {{"version", version},
+          {"baseVersion", base},
+          {"resources",
+           {Route("a", "huvo"),
+            Service("huvo"),
+            {{"type", "limits"},
+             {"metadata", Json::object()},
+             {"spec",
+              {{"maxHeaderBytes", 16384},
+               {"maxBodyBytes", 67108864},
+               {"headerTimeoutS", 3},
+               {"idleTimeoutS", 15}}}}}}};
+}
+
+TEST(DesiredStateTest, BecomesAFleet) {
+  const world::Fleet fleet =
+      ParseDesiredState(State("00000007", "00000000").dump(), "state");
+  ASSERT_EQ(fleet.routes.size(), 1U);
+  const world::Route& route = fleet.routes.front();
+  EXPECT_EQ(route.host, "jepu9.example");
+  EXPECT_EQ(route.repeat, world::Repeat::kAllowed);
+  EXPECT_EQ(route.timeout, std::chrono::milliseconds(1200));
+  EXPECT_EQ(route.objective, std::chrono::milliseconds(500));
+  EXPECT_EQ(route.targets.front().service, ServiceName("huvo"));
+  EXPECT_EQ(fleet.services.front().health_path, "/health");
+  EXPECT_EQ(fleet.callers.idle_timeout, std::chrono::seconds(15));
+  EXPECT_EQ(fleet.control.apply, world::ApplyRule::kMajority);
+}
+
+TEST(DesiredStateTest, EveryFaultIsRefusedWithItsPlace) {
+  const auto faults = [](const std::function<void(Json&)>& spoil) {
+    Json state = State("00000007", "00000000");
+    spoil(state["resources"][0]["spec"]);
+    try {
+      ParseDesiredState(state.dump(), "state");
+    } catch (const InvalidInput& error) {
+      return error.findings().front().place.path + " " +
+             error.findings().front().problem;
+    }
+    return std::string();
+  };
+  EXPECT_EQ(faults([](Json&) {}), "");
+  EXPECT_THAT(faults([](Json& spec) { spec["service"] = "gone"; }),
+              testing::HasSubstr("unknown service gone"));
+  EXPECT_THAT(faults([](Json& spec) { spec["timeoutS"] = 0; }),
+              testing::HasSubstr("timeoutS"));
+  EXPECT_THAT(faults([](Json& spec) { spec["targetLatencyS"] = 61.2; }),
+              testing::HasSubstr("targetLatencyS"));
+  EXPECT_THAT(faults([](Json& spec) { spec["maxAttempts"] = 0; }),
+              testing::HasSubstr("maxAttempts"));
+  EXPECT_THAT(faults([](Json& spec) { spec["pathPrefix"] = "a/"; }),
+              testing::HasSubstr("pathPrefix"));
+  EXPECT_THAT(
+      faults([](Json& spec) {
+        spec["weightedBackends"] = {{{"service", "huvo"}, {"weight", -1}}};
+      }),
+      testing::HasSubstr("weight below 0"));
+  EXPECT_THROW(ParseDesiredState("{\"resources\":[", "state"), InvalidInput);
+}
+
+TEST(DesiredStateTest, AChangeNeedsTheVersionInForceAndAHigherOne) {
+  const std::string present = State("00000007", "00000000").dump();
+  EXPECT_EQ(EditDesiredState("", kReplace, present).result,
+            EditedFile::Result::kEdited);
+  EXPECT_EQ(
+      EditDesiredState(present, kReplace, State("00000009", "00000007").dump())
+          .result,
+      EditedFile::Result::kEdited);
+  EXPECT_EQ(
+      EditDesiredState(present, kReplace, State("00000009", "00000005").dump())
+          .result,
+      EditedFile::Result::kOtherBase);
+  EXPECT_EQ(
+      EditDesiredState(present, kReplace, State("00000007", "00000007").dump())
+          .result,
+      EditedFile::Result::kInvalid);
+  const std::string cut = State("00000009", "00000007").dump().substr(0, 90);
+  EXPECT_EQ(EditDesiredState(present, kReplace, cut).result,
+            EditedFile::Result::kInvalid);
+}
+
+TEST(DesiredStateTest, APatchReplacesAndRemovesNamedItemsOnly) {
+  const std::string present = State("00000007", "00000000").dump();
+  Json moved = Route("a", "huvo");
+  moved["spec"]["timeoutS"] = 3;
+  const Json patch = {{"version", "00000009"},
+                      {"baseVersion", "00000007"},
+                      {"upsert", {{"resources", {moved, Route("b", "huvo")}}}},
+                      {"remove", {{"routes", {"gone"}}}}};
+  const EditedFile edited = EditDesiredState(present, kPatch, patch.dump());
+  ASSERT_EQ(edited.result, EditedFile::Result::kEdited) << edited.detail;
+  const Json state = Json::parse(edited.text);
+  EXPECT_EQ(state["version"], "00000009");
+  EXPECT_EQ(state["resources"].size(), 4U);
+  EXPECT_EQ(state["resources"][0]["spec"]["timeoutS"], 3);
+  const Json removal = {{"version", "0000000b"},
+                        {"baseVersion", "00000009"},
+                        {"remove", {{"routes", {"a"}}}}};
+  const EditedFile after =
+      EditDesiredState(edited.text, kPatch, removal.dump());
+  EXPECT_EQ(Json::parse(after.text)["resources"].size(), 3U);
+}
+
+const OwnTarget kOwn{ServiceName("huvo"), {"10.1.0.8", 8301}};
+
+TEST(HeartbeatTest, IsDecoded) {
+  const auto announcement =
+      ParseHeartbeat("i-7f", R"({"address":"10.1.0.8:8301","born":1700000000123,
+      "info":{"service":"huvo","version":"v1","zone":"suva","slots":6},
+      "status":{"state":"draining","sequence":4,"coldLeftS":1.5}})",
+                     kOwn);
+  EXPECT_EQ(announcement.state, world::TargetState::kDraining);
+  EXPECT_EQ(announcement.identity, "i-7f");
+  EXPECT_EQ(announcement.slots, 6U);
+  EXPECT_EQ(announcement.number, 4U);
+  EXPECT_EQ(announcement.started_ms, 1700000000123U);
+  EXPECT_EQ(announcement.cold_left, std::chrono::milliseconds(1500));
+}
+
+TEST(HeartbeatTest, OfAnotherWriterIsRefused) {
+  const Json good = {
+      {"address", "10.1.0.8:8301"},
+      {"info", {{"service", "huvo"}, {"slots", 6}}},
+      {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftS", 0}}}};
+  EXPECT_NO_THROW(ParseHeartbeat("i-7f", good.dump(), kOwn));
+  const auto refused = [&](const char* part, const char* key, Json value) {
+    Json bad = good;
+    if (std::string(key).empty()) {
+      bad[part] = std::move(value);
+    } else {
+      bad[part][key] = std::move(value);
+    }
+    EXPECT_THROW(ParseHeartbeat("i-7f", bad.dump(), kOwn), InvalidInput) << bad;
+  };
+  refused("info", "service", "other");
+  refused("info", "slots", "6");
+  refused("info", "", 3);
+  refused("status", "state", "sleeping");
+  refused("status", "sequence", -1);
+  refused("status", "coldLeftS", nullptr);
+  refused("address", "", "10.1.0.9:8301");
+  EXPECT_THROW(ParseHeartbeat("i-7f", "\xff\x00{", kOwn), InvalidInput);
+  EXPECT_THROW(ParseHeartbeat("", good.dump(), kOwn), InvalidInput);
+}
+
+TEST(HeadersTest, ALoadIsReadWithAndWithoutItsFourthFigure) {
+  const auto parse = Headers().parse_load;
+  EXPECT_EQ(parse("3,0,8"), (dataplane::TargetLoad{3, 0, 8, 1.0}));
+  EXPECT_EQ(parse("3,1,8,250"), (dataplane::TargetLoad{3, 1, 8, 2.5}));
+  EXPECT_FALSE(parse("3,1"));
+  EXPECT_FALSE(parse("many"));
+}
+
+}  // namespace
+}  // namespace ibisvalve::platform
--- a/tests/support/test_fleet.cc
+++ b/tests/support/test_fleet.cc
@@ -80,6 +80,12 @@
     std::filesystem::create_directory(keeper.data);
     Launch(keeper);
   }
+  // An apply that finds nobody listening fails at once, as it should.
+  for (const TestKeeper& keeper : keepers_) {
+    EXPECT_TRUE(WaitFor([&] {
+      return Page(keeper.admin, "/healthz").value("ready", false);
+    })) << keeper.id;
+  }
 }
 
 TestNode& TestFleet::StartNode(const std::string& service,
