--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -29,8 +29,9 @@
   kWeighed,  // several choices over aged hints
   kRandom,
   kRoundRobin,
-  kLeastLocal,  // fewest in flight from this ingress
-  kTwoStale,    // two choices over periodic reports
+  kLeastLocal,     // fewest in flight from this ingress
+  kTwoStale,       // two choices over periodic reports
+  kExpectedValue,  // where the answer is likeliest to be on time
 };
 
 /// Bounds of one process.
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -133,13 +133,15 @@
 }
 
 void SettingsParser::ReadPolicy() {
-  map_.Read("policy",
-            OneOf<ChoicePolicy>({{"weighed", ChoicePolicy::kWeighed},
-                                 {"random", ChoicePolicy::kRandom},
-                                 {"round-robin", ChoicePolicy::kRoundRobin},
-                                 {"least-local", ChoicePolicy::kLeastLocal},
-                                 {"two-stale", ChoicePolicy::kTwoStale}}),
-            settings_.policy);
+  map_.Read(
+      "policy",
+      OneOf<ChoicePolicy>({{"weighed", ChoicePolicy::kWeighed},
+                           {"random", ChoicePolicy::kRandom},
+                           {"round-robin", ChoicePolicy::kRoundRobin},
+                           {"least-local", ChoicePolicy::kLeastLocal},
+                           {"two-stale", ChoicePolicy::kTwoStale},
+                           {"expected-value", ChoicePolicy::kExpectedValue}}),
+      settings_.policy);
 }
 
 void SettingsParser::ReadLimits(YamlMap& map) {
--- a/src/control/events.h
+++ b/src/control/events.h
@@ -35,6 +35,7 @@
                                            "keeper-link-lost"};
 inline constexpr EventCode kConfigRefused{1423, Severity::kError,
                                           "config-refused"};
+inline constexpr EventCode kDiskFailed{1425, Severity::kError, "disk-failed"};
 inline constexpr EventCode kChangeRefused{1424, Severity::kInfo,
                                           "change-refused"};
 
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -14,9 +14,11 @@
 namespace ibisvalve::control {
 namespace {
 
-constexpr Duration kHeartbeat = std::chrono::seconds(1);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
 constexpr Duration kTick = std::chrono::milliseconds(250);
-constexpr Duration kPatience = std::chrono::milliseconds(2500);  // for a grant
+// For a confirmation, before another keeper is followed: two heartbeats and
+// the time of a slow one.
+constexpr Duration kPatience = std::chrono::milliseconds(1200);
 constexpr Duration kLeaveLimit = std::chrono::seconds(1);
 
 }  // namespace
@@ -32,6 +34,8 @@
   bool lease_held() const { return lease_.HeldAt(loop_.Now()); }
   void SetKeepers(const std::vector<world::Endpoint>& keepers);
   void CatchUp(Revision seen);
+  void Offer(const ConfigFile& file);
+  const std::optional<ConfigFile>& present() const { return present_; }
   void Claim(const wire::ClaimRequest& request,
              Duration timeout,
              std::function<void(const wire::ClaimReply&)> done);
@@ -47,6 +51,7 @@
     std::unique_ptr<net::Timer> timeout;
   };
 
+  const world::Endpoint& NextKeeper() const;
   void Dial();
   void Rotate(const std::string& why);
   void OnConnected();
@@ -65,14 +70,15 @@
   std::vector<world::Endpoint> keepers_;
   wire::FollowKeeper follow_;
   Handlers handlers_;
-  size_t keeper_;           // the one to dial next
-  world::Endpoint dialed_;  // of the present link
+  std::map<world::Endpoint, Time> failed_;  // when each keeper last failed
+  world::Endpoint dialed_;                  // of the present link
   std::unique_ptr<net::FrameLink> link_;
   Time granted_at_{};  // or when the link was dialed
   Time heartbeat_at_{};
   wire::NodeReport report_;
   std::string sent_status_;  // on this link
   std::optional<ConfigFile> staged_;
+  std::optional<ConfigFile> present_;  // in force here
   LeaseClock lease_;
   bool lease_told_ = false;
   uint64_t next_call_ = 1;
@@ -97,12 +103,16 @@
       follow_{self.id,      self.incarnation, self.location,
               self.service, self.admin,       wire::GroupId()},
       handlers_(std::move(handlers)),
-      keeper_(std::hash<NodeId>()(self.id) %
-              std::max<size_t>(keepers.size(), 1)),
       tick_(loop, [this] { Tick(); }),
       lease_end_(loop, [this] { NoticeLease(); }),
       leave_limit_(loop, [this] { OnLeft(); }) {
   CHECK(!keepers_.empty()) << "a node needs the endpoint of a keeper";
+  // Nodes that start together do not all ask the same keeper.
+  std::rotate(
+      keepers_.begin(),
+      keepers_.begin() + static_cast<std::ptrdiff_t>(
+                             std::hash<NodeId>()(self.id) % keepers_.size()),
+      keepers_.end());
   Dial();
   tick_.StartPeriodic(kTick);
 }
@@ -112,7 +122,24 @@
     return;
   }
   keepers_ = keepers;
-  keeper_ = 0;
+  std::erase_if(failed_, [&](const auto& entry) {
+    return std::find(keepers.begin(), keepers.end(), entry.first) ==
+           keepers.end();
+  });
+}
+
+// Returns the keeper to follow next: the first that has not failed, else the
+// one whose failure is longest ago.
+const world::Endpoint& NodeAgent::Impl::NextKeeper() const {
+  const auto failed_at = [this](const world::Endpoint& keeper) {
+    const auto found = failed_.find(keeper);
+    return found == failed_.end() ? Time() : found->second;
+  };
+  return *std::min_element(
+      keepers_.begin(), keepers_.end(),
+      [&](const world::Endpoint& a, const world::Endpoint& b) {
+        return failed_at(a) < failed_at(b);
+      });
 }
 
 void NodeAgent::Impl::CatchUp(Revision seen) {
@@ -176,8 +203,7 @@
 void NodeAgent::Impl::Dial() {
   granted_at_ = loop_.Now();
   sent_status_.clear();
-  dialed_ = keepers_[keeper_];
-  keeper_ = (keeper_ + 1) % keepers_.size();
+  dialed_ = NextKeeper();
   link_ = net::FrameLink::Connect(
       loop_, dialed_,
       {[this] { OnConnected(); },
@@ -195,6 +221,7 @@
   }
   former_bytes_ += link_->sent_bytes() + link_->received_bytes();
   link_.reset();
+  failed_[dialed_] = loop_.Now();
   ++rotations_;
 }
 
@@ -273,6 +300,7 @@
   report_.staged = update.revision;
   if (update.active) {
     report_.active = update.revision;
+    present_ = staged_;
     handlers_.activate(*staged_);
     lease_.Activated(update.revision);
     NoticeLease();
@@ -280,6 +308,23 @@
   Heartbeat();
 }
 
+void NodeAgent::Impl::Offer(const ConfigFile& file) {
+  if (leaving_ || file.revision <= report_.active) {
+    return;
+  }
+  const std::string refusal = Check(file);
+  if (!refusal.empty()) {
+    LogEvent(kConfigRefused,
+             {{"revision", file.revision.value}, {"why", refusal}});
+    return;
+  }
+  present_ = staged_ = file;
+  report_.staged = report_.active = file.revision;
+  handlers_.activate(file);
+  lease_.Activated(file.revision);
+  NoticeLease();
+}
+
 void NodeAgent::Impl::OnClaimReply(wire::ClaimReply reply) {
   const auto found = claims_.find(reply.call);
   if (found == claims_.end()) {
@@ -377,6 +422,14 @@
   impl_->SetKeepers(keepers);
 }
 
+void NodeAgent::Offer(const ConfigFile& file) {
+  impl_->Offer(file);
+}
+
+const std::optional<ConfigFile>& NodeAgent::present() const {
+  return impl_->present();
+}
+
 void NodeAgent::CatchUp(Revision seen) {
   impl_->CatchUp(seen);
 }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,11 @@
   bool lease_held() const;
   /// A frame of a higher revision was seen: asks the keepers at once.
   void CatchUp(Revision seen);
+  /// Another node says that `file` is in force; taken if it is newer than what
+  /// is in force here. Only files in force may be passed on.
+  void Offer(const ConfigFile& file);
+  /// Returns the file in force here, if any.
+  const std::optional<ConfigFile>& present() const;
   /// Asks to claim a key; calls `done` once, after `timeout` at the latest
   /// (kUnavailable). After kUnavailable the holder may not run the request: the
   /// claim, if it was granted, is released.
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <cstdlib>
 #include <random>
 #include <utility>
 
@@ -12,7 +13,8 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(20);
 constexpr uint64_t kCompactBytes = 4 << 20;  // of log; or twice the snapshot
-constexpr uint64_t kKeptEntries = 2000;      // for replicas a little behind
+constexpr int kExitDiskFailed = 3;
+constexpr uint64_t kKeptEntries = 2000;  // for replicas a little behind
 
 uint64_t RandomSeed() {
   std::random_device device;
@@ -126,7 +128,8 @@
     CompactIfLarge();
   } catch (const SystemError& error) {
     // What is on the disk is no longer known; only a restart can tell.
-    LOG(FATAL) << "the data folder failed: " << error.what();
+    LogEvent(kDiskFailed, {{"why", error.what()}});
+    std::_Exit(kExitDiskFailed);
   }
 }
 
--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -135,6 +135,7 @@
     return Refuse(Reason::kUnknownService, "no such service is in force");
   }
   parsed_.terms = {route->repeat, world::KeyRule::kOptional, route->timeout};
+  parsed_.kind = route->name + '>' + parsed_.service->name.value;
   parsed_.objective = route->objective;
   parsed_.priority = route->priority;
   parsed_.max_attempts = route->max_attempts;
@@ -148,6 +149,7 @@
   }
   parsed_.terms =
       world::TermsFor(*parsed_.service, request_.method, PathOf(request_.uri));
+  parsed_.kind = parsed_.service->name.value;
   parsed_.objective = parsed_.service->objective
                           ? parsed_.service->objective->within
                           : parsed_.terms.deadline;
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -22,6 +22,7 @@
   Duration objective{0};      // time in which the answer should come
   uint32_t priority = 0;      // 0 is the most urgent
   uint32_t max_attempts = 1;  // targets that may be sent the request
+  std::string kind;           // requests of one kind take about the same time
 };
 
 /// Why a request is refused before anything is tried.
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -11,10 +11,12 @@
       random_(settings.incarnation.value ^
               std::hash<std::string>()(settings.id.value)) {}
 
-std::optional<NodeId> CandidateTable::Choose(const world::Service& service,
-                                             ServicePolicy& policy,
-                                             const std::set<NodeId>& tried,
-                                             Time now) {
+std::optional<CandidateTable::Choice> CandidateTable::Choose(
+    const world::Service& service,
+    ServicePolicy& policy,
+    const policy::RequestTerms& terms,
+    const std::set<NodeId>& tried,
+    Time now) {
   std::vector<policy::Candidate> candidates;
   for (const world::Member* member : view_.Targets(service.name)) {
     if (!tried.contains(member->id)) {
@@ -33,7 +35,20 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  return candidates[policy.chooser.Choose(candidates, now, random_)].id;
+  if (settings_.choice != policy::ChoiceKind::kExpectedValue) {
+    const size_t chosen = policy.chooser.Choose(candidates, now, random_);
+    return Choice{candidates[chosen].id, candidates.size() > 1};
+  }
+  const policy::ExpectedValueChooser::Choice choice =
+      by_value_.Choose(candidates, terms, now, random_);
+  return Choice{candidates[choice.index].id, choice.has_alternative};
+}
+
+double CandidateTable::SlowdownAt(const NodeId& gate) const {
+  constexpr double kPercent = 100;
+  const auto known = known_.find(gate);
+  return known == known_.end() ? 1
+                               : known->second.hint.slowdown_percent / kPercent;
 }
 
 void CandidateTable::OnHint(const NodeId& gate,
@@ -69,6 +84,9 @@
   candidate.hint_service = Duration(known.hint.service_us);
   constexpr double kPermille = 1000.0;
   candidate.hint_failures = known.hint.error_permille / kPermille;
+  constexpr double kPercent = 100;
+  candidate.slowdown = known.hint.slowdown_percent / kPercent;
+  candidate.pace = known.hint.pace_percent / kPercent;
   candidate.hint_time = known.hint_time;
   candidate.ready_since = *known.ready_since;
   return candidate;
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -19,12 +19,19 @@
   /// Both references must outlive the table.
   CandidateTable(const PlaneSettings& settings, const FleetView& view);
 
-  /// Picks a target of `service` outside `tried` by `policy`; nothing where
-  /// none is left.
-  std::optional<NodeId> Choose(const world::Service& service,
+  /// Picks a target of `service` outside `tried` by `policy`, for a request
+  /// with `terms`; nothing where none is left.
+  struct Choice {
+    NodeId gate;
+    bool has_alternative = false;  // another would do nearly as well
+  };
+  std::optional<Choice> Choose(const world::Service& service,
                                ServicePolicy& policy,
+                               const policy::RequestTerms& terms,
                                const std::set<NodeId>& tried,
                                Time now);
+  /// Returns the slowdown that `gate` last told of its target.
+  double SlowdownAt(const NodeId& gate) const;
   /// A gate has told its load.
   void OnHint(const NodeId& gate, const wire::LoadHint& hint, Time now);
   /// An attempt is in flight at `gate` from now on, or no longer.
@@ -49,6 +56,7 @@
   const PlaneSettings& settings_;
   const FleetView& view_;
   std::map<NodeId, Known> known_;
+  policy::ExpectedValueChooser by_value_;
   policy::Random random_;
   policy::ShareRotation shares_{random_};
 };
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -21,6 +21,12 @@
 constexpr Duration kQueueTick = std::chrono::milliseconds(2);
 constexpr uint16_t kFirstServerError = 500;
 constexpr uint16_t kMisdirected = 421;
+// A slowdown that has changed by this factor is told at once, but not more
+// often than this.
+constexpr double kNoticedChange = 1.3;
+constexpr Duration kProbePatience = std::chrono::milliseconds(20);
+constexpr Duration kLoadIsFresh = std::chrono::milliseconds(10);
+constexpr Duration kNoticePause = std::chrono::milliseconds(40);
 
 }  // namespace
 
@@ -37,9 +43,13 @@
       memory_(memory),
       handlers_(std::move(handlers)),
       crashes_(loop, settings, handlers_.on_crash),
-      admission_(AdmissionFor(view, settings.service, settings.slots)),
+      admission_(AdmissionFor(view,
+                              settings.service,
+                              settings.slots,
+                              settings.names.load.empty())),
       attempts_(claims::AttemptTableLimits{}),
-      queue_timer_(loop, [this] { ExpireQueue(); }) {
+      queue_timer_(loop, [this] { ExpireQueue(); }),
+      probe_timer_(loop, [this] { EndProbe(); }) {
   if (settings_.target) {
     client_ = std::make_unique<TargetClient>(loop_, *settings_.target,
                                              settings_.names.request_id);
@@ -89,7 +99,7 @@
       loop_, [this, id = open.id] { OnDeadline(id); });
   run.deadline_timer->StartOnce(run.deadline - loop_.Now());
   if (open.body_complete) {
-    Admit(run);
+    AdmitByLoad(run);
   }
 }
 
@@ -114,7 +124,7 @@
     return;
   }
   if (part.last) {
-    Admit(*run);
+    AdmitByLoad(*run);
   } else if (run->port.send) {
     run->port.send(
         wire::Credit{part.id, static_cast<uint32_t>(part.bytes.size())});
@@ -229,7 +239,8 @@
 
 void Gate::SetTargetState(world::TargetState state, uint32_t slots) {
   target_state_ = state;
-  admission_.Configure(AdmissionFor(view_, settings_.service, slots));
+  admission_.Configure(AdmissionFor(view_, settings_.service, slots,
+                                    settings_.names.load.empty()));
   if (state == world::TargetState::kReady) {
     return;
   }
@@ -258,7 +269,8 @@
 }
 
 wire::LoadHint Gate::Hint() const {
-  return HintOf(admission_);
+  return HintOf(admission_, slowdown_, pace_.Pace(loop_.Now()),
+                view_.revision());
 }
 
 void Gate::Send(const FinishedAttempt& finished,
@@ -355,6 +367,8 @@
     return;
   }
   run.kept = std::make_shared<claims::KeptAnswer>();
+  pace_.Begin(run.open.id, Duration(static_cast<int64_t>(run.open.expected_us)),
+              run.dispatched);
   ++counts_.dispatched;
   const AttemptId id = run.open.id;
   TargetRequest request = RequestFor(run);
@@ -409,9 +423,84 @@
   }
   if (const std::optional<TargetLoad> load = names.parse_load(*text)) {
     slowdown_ = load->slowdown;
+    load_told_ = loop_.Now();
+    NoticeLoad();
   }
 }
 
+// Tells ingresses at once of a load that has changed much since they were told.
+void Gate::NoticeLoad() {
+  const Time now = loop_.Now();
+  const double told = noticed_.slowdown_percent;
+  const wire::LoadHint hint = Hint();
+  const double ratio = hint.slowdown_percent / std::max(told, 1.0);
+  const bool changed = ratio > kNoticedChange || ratio < 1 / kNoticedChange;
+  if (changed && now >= noticed_at_ + kNoticePause) {
+    noticed_ = hint;
+    noticed_at_ = now;
+    handlers_.on_load();
+  }
+}
+
+void Gate::ProbeLoad(Time since) {
+  if (client_ == nullptr || probe_ != nullptr || load_told_ >= since ||
+      load_path_.empty() || target_state_ != world::TargetState::kReady) {
+    return;
+  }
+  ++probes_;
+  const TargetRequest request{
+      "GET", load_path_, {{"Host", world::ToString(*settings_.target)}}, ""};
+  const auto end = [this] {
+    loop_.Post([this] {
+      probe_ = nullptr;
+      EndProbe();
+    });
+  };
+  probe_ = client_->Call(
+      request, {[this](const TargetHead& head) { NoteLoad(head.headers); },
+                [](const std::string&) {}, end,
+                [end](TargetFault, const std::string&) { end(); }});
+  probe_timer_.StartOnce(kProbePatience);
+}
+
+// Admits what waited for the load; a target that does not tell it in time is
+// taken as it was.
+void Gate::EndProbe() {
+  probe_timer_.Stop();
+  std::vector<AttemptId> waiting;
+  for (const auto& [id, run] : runs_) {
+    if (run->awaits_load) {
+      waiting.push_back(id);
+    }
+  }
+  for (const AttemptId& id : waiting) {
+    GateRun* run = Find(id);
+    if (run != nullptr && std::exchange(run->awaits_load, false)) {
+      if (run->open.may_move && IsSlowFor(run->open)) {
+        Fail(*run, Outcome::kNotRun, Reason::kSlow);
+      } else {
+        Admit(*run);
+      }
+    }
+  }
+}
+
+// A run goes on as slowly as it began, so a request that could go elsewhere
+// does not begin on a load that was told too long ago.
+void Gate::AdmitByLoad(GateRun& run) {
+  run.awaits_load = true;
+  ProbeLoad(loop_.Now() - kLoadIsFresh);
+  if (probe_ == nullptr) {
+    EndProbe();
+  }
+}
+
+bool Gate::IsSlowFor(const wire::OpenAttempt& open) const {
+  const double end = static_cast<double>(open.expected_us) * slowdown_;
+  return slowdown_ > kNoticedChange &&
+         end > static_cast<double>(open.objective_us);
+}
+
 void Gate::OnTargetHead(const AttemptId& id, const TargetHead& head) {
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
@@ -538,6 +627,7 @@
                             ? loop_.Now() - run.dispatched
                             : Duration(0);
   run.stage = RunStage::kSending;
+  pace_.End(id, end == policy::RunEnd::kWell, loop_.Now());
   if (run.keyed() && status != 0) {
     claims_.Record(KeyOf(run), HolderOf(run), status);
   }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -42,6 +42,8 @@
     std::function<void(Revision seen)> on_newer_revision;
     /// The target could not be reached or broke off.
     std::function<void()> on_target_fault;
+    /// The load has changed so much that ingresses should know at once.
+    std::function<void()> on_load;
     /// Another target than this node's own answered at its address.
     std::function<void()> on_replaced;
     /// The target broke off: the other gates of its service must know.
@@ -81,6 +83,13 @@
   void SetTargetIdentity(const std::string& identity);
   /// Returns the load, as it rides on answers.
   wire::LoadHint Hint() const;
+  /// Sets where the target tells its load; empty: nowhere.
+  void SetLoadPath(const std::string& path) { load_path_ = path; }
+  /// Asks the target for its load, unless it has told it since `since`. What
+  /// it says of its health there decides nothing.
+  void ProbeLoad(Time since);
+  /// Returns how often the target was asked for its load.
+  uint64_t probes() const { return probes_; }
   /// Returns how many attempts are not over.
   size_t in_flight() const { return runs_.size(); }
   uint32_t running() const { return admission_.in_flight(); }
@@ -100,6 +109,9 @@
   void Send(const claims::FinishedAttempt& finished,
             const AttemptId& reply_as,
             const ReplyPort& port) const;
+  void AdmitByLoad(GateRun& run);
+  void EndProbe();
+  bool IsSlowFor(const wire::OpenAttempt& open) const;
   void Admit(GateRun& run);
   void Apply(const std::vector<policy::Admission::Release>& released);
   void Decide(GateRun& run, const policy::Admission::Decision& decision);
@@ -110,6 +122,7 @@
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
   bool Declines(const TargetHead& head) const;
   void NoteLoad(const wire::Headers& headers);
+  void NoticeLoad();
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
@@ -141,6 +154,14 @@
   std::unordered_map<AttemptId, std::unique_ptr<GateRun>> runs_;
   net::Timer queue_timer_;
   double slowdown_ = 1.0;  // that the target last told
+  Time load_told_{};
+  policy::PaceMeter pace_;
+  std::string load_path_;
+  std::unique_ptr<TargetCall> probe_;
+  net::Timer probe_timer_;
+  uint64_t probes_ = 0;
+  wire::LoadHint noticed_;  // as ingresses were last told
+  Time noticed_at_{};
   GateCounts counts_;
 };
 
--- a/src/dataplane/gate_checks.cc
+++ b/src/dataplane/gate_checks.cc
@@ -50,10 +50,12 @@
 
 policy::AdmissionSettings AdmissionFor(const FleetView& view,
                                        const ServiceName& service,
-                                       uint32_t slots) {
+                                       uint32_t slots,
+                                       bool adapts) {
   policy::AdmissionSettings settings;
   settings.slots = std::max(slots, 1U);
   settings.max_queue = settings.slots * kQueuePerSlot;
+  settings.adapts = adapts;
   if (view.fleet() != nullptr) {
     const world::Service* known = world::FindService(*view.fleet(), service);
     if (known != nullptr) {
--- a/src/dataplane/gate_checks.h
+++ b/src/dataplane/gate_checks.h
@@ -17,9 +17,12 @@
                                         const FleetView& view,
                                         world::TargetState state);
 
-/// Returns the settings of admission for the target beside the node.
+/// Returns the settings of admission for the target beside the node. `adapts`
+/// says that rising service times mean too many requests at once, which they
+/// do not where the target tells how much others slow its host down.
 policy::AdmissionSettings AdmissionFor(const FleetView& view,
                                        const ServiceName& service,
-                                       uint32_t slots);
+                                       uint32_t slots,
+                                       bool adapts);
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -8,7 +8,10 @@
 namespace ibisvalve::dataplane {
 
 /// Returns the load of a target by its gate's admission.
-wire::LoadHint HintOf(const policy::Admission& admission);
+wire::LoadHint HintOf(const policy::Admission& admission,
+                      double slowdown,
+                      double pace,
+                      Revision revision);
 
 /// Sends how an attempt ended to `port`, in frames that carry `reply_as`: the
 /// kept answer, or that there is none.
--- a/src/dataplane/gate_port.h
+++ b/src/dataplane/gate_port.h
@@ -52,6 +52,12 @@
     }
   }
   const PeerTable& peers() const { return peers_; }
+  /// Asks `peer` for the file that is in force there.
+  void FetchFile(const NodeId& peer) {
+    if (const auto link = peers_.LinkTo(peer)) {
+      peers_.Send(peer, *link, wire::FetchFile{});
+    }
+  }
 
  private:
   void SendLocal(const wire::OpenAttempt& message);
--- a/src/dataplane/gate_run.h
+++ b/src/dataplane/gate_run.h
@@ -43,7 +43,8 @@
   std::unique_ptr<AnswerSender> answer;      // once the target's head has come
   std::shared_ptr<claims::KeptAnswer> kept;  // null once it is too large
   std::vector<RunFollower> followers;
-  bool declined = false;  // the target says that it does not run it
+  bool awaits_load = false;  // is admitted once the target has told its load
+  bool declined = false;     // the target says that it does not run it
 
   /// Returns whether a key must be claimed before it runs.
   bool keyed() const { return !open.key.empty() && !open.may_repeat; }
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -26,6 +26,16 @@
 // A request that broke so many targets is not tried at another one.
 constexpr uint32_t kMaxBroken = 2;
 constexpr uint16_t kFirstServerError = 500;
+// A file that does not come is asked for again, perhaps of another peer.
+// A hedge needs this many times the usual work time to answer, and is not sent
+// before the first target has had so many.
+constexpr double kHedgeNeeds = 1.3;
+constexpr double kHedgePatience = 1.2;
+// Headers both ways and a usual answer, in bytes.
+constexpr size_t kUsualOtherBytes = 2500;
+// Gates may send a request on so often because another may be quicker.
+constexpr uint32_t kMostMoves = 3;
+constexpr Duration kFetchAgain = std::chrono::milliseconds(300);
 constexpr int kTooLarge = 413;
 // A caller that is told to come back does so within this share of its time,
 // later than this at the least.
@@ -60,9 +70,12 @@
               [this](const NodeId& peer, uint64_t link, LinkLoss loss) {
                 recovery_.OnLinkDown(peer, link, loss);
               },
-              [this](Revision seen) {
-                if (handlers_.on_newer_revision) {
-                  handlers_.on_newer_revision(seen);
+              [this](const NodeId& peer, Revision seen) {
+                OnNewerRevision(peer, seen);
+              },
+              [this](const wire::PresentFile& file) {
+                if (handlers_.on_file) {
+                  handlers_.on_file(file);
                 }
               }}),
       recovery_(loop,
@@ -139,6 +152,7 @@
   request->exchange = exchange;
   request->fleet = view_.fleet();
   request->terms = terms;
+  request->work = &work_[terms.kind];
   request->arrived = loop_.Now();
   request->deadline = request->arrived + terms.deadline;
   requests_[request->number] = request;
@@ -180,28 +194,56 @@
         request->reason == Reason::kNone ? Reason::kNoTarget : request->reason);
     return;
   }
-  const std::optional<Duration> delay =
-      request->repeatable() && !request->terms.retry && !request->hedged
-          ? PolicyOf(*request).hedge.Delay(loop_.Now())
-          : std::nullopt;
-  if (delay) {
+  if (const std::optional<Duration> delay = HedgeDelay(*request)) {
     request->hedge_timer->StartOnce(*delay);
   }
 }
 
+// Returns how long to wait for an answer before a second target is asked.
+std::optional<Duration> Ingress::HedgeDelay(const RequestState& request) {
+  if (!request.repeatable() || request.terms.retry || request.hedged ||
+      request.terms.max_attempts < 2) {
+    return std::nullopt;
+  }
+  const Duration work = request.work->usual();
+  if (settings_.choice != policy::ChoiceKind::kExpectedValue ||
+      work == Duration(0)) {
+    return PolicyOf(request).hedge.Delay(loop_.Now());
+  }
+  // As late as the second target can still answer within the objective, but
+  // not before the first one has had its usual time.
+  const Duration left = request.arrived + request.terms.objective - loop_.Now();
+  const auto scaled = [work](double factor) {
+    return std::chrono::duration_cast<Duration>(work * factor);
+  };
+  return std::max(left - scaled(kHedgeNeeds), scaled(kHedgePatience));
+}
+
+policy::RequestTerms Ingress::TermsOf(const RequestState& request) const {
+  constexpr double kBytesPerKib = 1024;
+  const Time now = loop_.Now();
+  return {request.arrived + request.terms.objective - now,
+          request.deadline - now, request.work->usual(),
+          static_cast<double>(request.exchange->request().body.size() +
+                              kUsualOtherBytes) /
+              kBytesPerKib};
+}
+
 bool Ingress::TryOnce(const RequestPtr& request, bool hedge) {
-  const std::optional<NodeId> gate = candidates_.Choose(
-      *request->terms.service, PolicyOf(*request), request->tried, loop_.Now());
-  if (!gate) {
+  const std::optional<CandidateTable::Choice> choice =
+      candidates_.Choose(*request->terms.service, PolicyOf(*request),
+                         TermsOf(*request), request->tried, loop_.Now());
+  if (!choice) {
     return false;
   }
-  IngressAttempt& attempt = AddAttempt(request, *gate);
+  IngressAttempt& attempt = AddAttempt(request, choice->gate);
   attempt.hedge = hedge;
   ++request->made;
   ++counts_.attempts;
-  request->tried.insert(*gate);
-  const wire::OpenAttempt open =
+  request->tried.insert(choice->gate);
+  wire::OpenAttempt open =
       OpenFor(*request, attempt, settings_, view_.revision(), loop_.Now());
+  open.may_move = choice->has_alternative && request->made <= kMostMoves;
   attempt.body_sent = open.body.size();
   attempt.body_credit -= open.body.size();
   gates_.Send(attempt, open);
@@ -277,6 +319,24 @@
   }
 }
 
+// The keepers are asked at once, and the peer as well: a keeper that is cut off
+// from the others does not know the newer file.
+void Ingress::OnNewerRevision(const NodeId& peer, Revision seen) {
+  const Time now = loop_.Now();
+  if (seen <= view_.revision() ||
+      (seen == fetched_ && now < fetched_at_ + kFetchAgain)) {
+    return;
+  }
+  fetched_ = seen;
+  fetched_at_ = now;
+  if (handlers_.on_newer_revision) {
+    handlers_.on_newer_revision(seen);
+  }
+  if (handlers_.on_file) {
+    gates_.FetchFile(peer);
+  }
+}
+
 void Ingress::OnReply(const NodeId& gate, GateReply reply) {
   const AttemptId id =
       std::visit([](const auto& frame) { return frame.id; }, reply);
@@ -294,6 +354,7 @@
 
 void Ingress::Take(const AttemptIndex::Found& found, wire::AnswerHead head) {
   candidates_.OnHint(found.attempt->gate, head.hint, loop_.Now());
+  OnNewerRevision(found.attempt->gate, head.hint.revision);
   const AttemptId id = found.attempt->id;
   if (found.attempt->relay->OnHead(std::move(head))) {
     OnAnswered(found.request, id);
@@ -312,9 +373,7 @@
                    const wire::AttemptFailed& failed) {
   const IngressAttempt& attempt = *found.attempt;
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
-  if (failed.revision > view_.revision() && handlers_.on_newer_revision) {
-    handlers_.on_newer_revision(failed.revision);
-  }
+  OnNewerRevision(attempt.gate, failed.revision);
   if (failed.claimed_status != 0) {
     found.request->first_status = failed.claimed_status;
   }
@@ -347,6 +406,7 @@
   record.status = winner.relay->status();
   ServicePolicy& policy = PolicyOf(*request);
   policy.retries.Earn(now);
+  request->work->Add(now - winner.started, candidates_.SlowdownAt(winner.gate));
   policy.hedge.OnAnswer(now - winner.started, now);
   const bool failed = record.status >= kFirstServerError;
   if (policy.ejection.OnResult(winner.gate, failed, now)) {
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -67,6 +67,8 @@
   void AddTimers(const RequestPtr& request);
   ServicePolicy& PolicyOf(const RequestState& request);
 
+  policy::RequestTerms TermsOf(const RequestState& request) const;
+  std::optional<Duration> HedgeDelay(const RequestState& request);
   void Try(const RequestPtr& request);
   bool TryOnce(const RequestPtr& request, bool hedge);
   void OnHedgeDue(const RequestPtr& request);
@@ -75,6 +77,7 @@
                                       const AttemptId& id);
   void SendBody(const RequestState& request, IngressAttempt& attempt);
 
+  void OnNewerRevision(const NodeId& peer, Revision seen);
   void OnReply(const NodeId& gate, GateReply reply);
   void Take(const AttemptIndex::Found& found, wire::AnswerHead head);
   void Take(const AttemptIndex::Found& found, const wire::AnswerPart& part);
@@ -120,6 +123,9 @@
   AttemptIndex attempts_;
   LinkRecovery recovery_;
   IngressCounts counts_;
+  std::map<std::string, policy::WorkEstimate> work_;  // by kind of request
+  Revision fetched_;  // the newest that a peer was asked for
+  Time fetched_at_{};
 };
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/mesh_link.cc
+++ b/src/dataplane/mesh_link.cc
@@ -74,6 +74,12 @@
     case wire::Credit::kType:
       handlers_.on_reply(wire::Decode<wire::Credit>(payload));
       return;
+    case wire::LoadNotice::kType:
+      handlers_.on_load(wire::Decode<wire::LoadNotice>(payload).hint);
+      return;
+    case wire::PresentFile::kType:
+      handlers_.on_file(wire::Decode<wire::PresentFile>(payload));
+      return;
     case wire::Pong::kType:
       handlers_.on_pong(wire::Decode<wire::Pong>(payload));
       return;
--- a/src/dataplane/mesh_link.h
+++ b/src/dataplane/mesh_link.h
@@ -28,6 +28,8 @@
     std::function<void(const wire::MeshHello& hello)> on_hello;
     std::function<void(GateReply reply)> on_reply;
     std::function<void(const wire::Pong& pong)> on_pong;
+    std::function<void(const wire::LoadHint& hint)> on_load;
+    std::function<void(const wire::PresentFile& file)> on_file;
     /// The link is of no more use: closed, or silent for too long. Destroys it.
     std::function<void(LinkLoss loss, const std::string& why)> on_down;
   };
--- a/src/dataplane/mesh_server.cc
+++ b/src/dataplane/mesh_server.cc
@@ -20,14 +20,17 @@
 
 }  // namespace
 
-MeshServer::MeshServer(net::EventLoop& loop,
-                       const PlaneSettings& settings,
-                       const FleetView& view,
-                       Gate& gate)
+MeshServer::MeshServer(
+    net::EventLoop& loop,
+    const PlaneSettings& settings,
+    const FleetView& view,
+    Gate& gate,
+    std::function<std::optional<wire::PresentFile>()> present_file)
     : loop_(loop),
       settings_(settings),
       view_(view),
       gate_(gate),
+      present_file_(std::move(present_file)),
       silence_timer_(loop, [this] { CloseSilent(); }),
       listener_(loop, settings.mesh, [this](int fd) { Accept(fd); }) {
   silence_timer_.StartPeriodic(kSilenceCheck);
@@ -83,6 +86,12 @@
     case wire::LiftNotice::kType:
       gate_.crashes().Lift(wire::Decode<wire::LiftNotice>(payload).fingerprint);
       return;
+    case wire::FetchFile::kType:
+      wire::Decode<wire::FetchFile>(payload);
+      if (const auto file = present_file_ ? present_file_() : std::nullopt) {
+        link.frames->Send(*file);
+      }
+      return;
     case wire::Ping::kType:
       link.frames->Send(wire::Pong{wire::Decode<wire::Ping>(payload).number,
                                    view_.revision(), false, gate_.Hint()});
@@ -130,6 +139,15 @@
   }
 }
 
+void MeshServer::Broadcast(const wire::LoadNotice& notice) {
+  const std::string frame = wire::EncodeFrame(notice);
+  for (const auto& [number, link] : links_) {
+    if (link.greeted) {
+      link.frames->SendRaw(frame);
+    }
+  }
+}
+
 ReplyPort MeshServer::PortOf(uint64_t number) {
   return ReplyPort{
       number, [this, number](const GateReply& reply) {
--- a/src/dataplane/mesh_server.h
+++ b/src/dataplane/mesh_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,12 +24,15 @@
   MeshServer(net::EventLoop& loop,
              const PlaneSettings& settings,
              const FleetView& view,
-             Gate& gate);
+             Gate& gate,
+             std::function<std::optional<wire::PresentFile>()> present_file);
   ~MeshServer();
 
   /// Returns where it listens.
   world::Endpoint local() const { return listener_.local(); }
   size_t links() const { return links_.size(); }
+  /// Sends `notice` to every ingress that is linked.
+  void Broadcast(const wire::LoadNotice& notice);
 
  private:
   struct Link {
@@ -48,6 +53,7 @@
   const PlaneSettings& settings_;
   const FleetView& view_;
   Gate& gate_;
+  std::function<std::optional<wire::PresentFile>()> present_file_;
   std::map<uint64_t, Link> links_;
   uint64_t next_number_ = 0;
   net::Timer silence_timer_;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -33,6 +33,7 @@
        PlaneHandlers handlers);
 
   void FollowFleet();
+  void FetchFile(const NodeId& peer) { ingress_.gates().FetchFile(peer); }
   void SetIncarnation(Incarnation incarnation) {
     settings_.incarnation = incarnation;
   }
@@ -47,6 +48,8 @@
   const MeshServer& mesh() const { return mesh_; }
 
  private:
+  void FollowProbes();
+  void ProbeLoad();
   void OnTargetState(world::TargetState state, uint32_t slots);
   void CheckStopped();
   void FinishStop(const std::string& how);
@@ -68,6 +71,8 @@
   net::Timer linger_timer_;
   net::Timer stop_timer_;
   net::Timer stop_check_timer_;
+  net::Timer probe_timer_;
+  Duration probe_interval_{0};
 };
 
 NodePlane::Impl::Impl(net::EventLoop& loop,
@@ -91,12 +96,14 @@
                  handlers_.on_newer_revision(seen);
                }
              },
-             [this] { monitor_.OnFault(); }, [this] { monitor_.OnReplaced(); },
+             [this] { monitor_.OnFault(); },
+             [this] { mesh_.Broadcast(wire::LoadNotice{gate_.Hint()}); },
+             [this] { monitor_.OnReplaced(); },
              [this](const wire::CrashNotice& notice) {
                ingress_.gates().Broadcast(settings_.service, notice);
              }}),
       ingress_(loop, settings_, view, gate_, memory_, handlers_),
-      mesh_(loop, settings_, view, gate_),
+      mesh_(loop, settings_, view, gate_, handlers_.present_file),
       callers_(loop,
                settings_.callers,
                settings_.caller_connections,
@@ -114,7 +121,8 @@
                }),
       linger_timer_(loop, [this] { callers_.StopListening(); }),
       stop_timer_(loop, [this] { FinishStop("limit"); }),
-      stop_check_timer_(loop, [this] { CheckStopped(); }) {}
+      stop_check_timer_(loop, [this] { CheckStopped(); }),
+      probe_timer_(loop, [this] { ProbeLoad(); }) {}
 
 void NodePlane::Impl::Announce(const TargetAnnouncement& announcement) {
   monitor_.Announce(announcement);
@@ -231,6 +239,8 @@
       static_cast<double>(ingress_.gates().peers().pings()), true);
   Add(out, "ibis_measuring_target_checks_total",
       static_cast<double>(monitor_.checks()), true);
+  Add(out, "ibis_measuring_load_probes_total",
+      static_cast<double>(gate_.probes()), true);
   Add(out, "ibis_body_memory_bytes", static_cast<double>(memory_.used()),
       false);
 }
@@ -269,6 +279,32 @@
   limits.header_timeout = rules.header_timeout;
   limits.idle_timeout = rules.idle_timeout;
   callers_.SetLimits(limits);
+  FollowProbes();
+}
+
+// A target that tells its load is asked for it where answers are too rare, as
+// often as the service's budget for measuring allows.
+void NodePlane::Impl::FollowProbes() {
+  const world::Service* service =
+      world::FindService(*view_.fleet(), settings_.service);
+  const bool probes = service != nullptr && !settings_.names.load.empty() &&
+                      !service->health_path.empty() &&
+                      service->measuring.reports_per_second > 0;
+  gate_.SetLoadPath(probes ? service->health_path : "");
+  if (!probes) {
+    probe_timer_.Stop();
+    return;
+  }
+  const auto interval = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1 / service->measuring.reports_per_second));
+  if (interval != probe_interval_ || !probe_timer_.running()) {
+    probe_interval_ = interval;
+    probe_timer_.StartPeriodic(interval);
+  }
+}
+
+void NodePlane::Impl::ProbeLoad() {
+  gate_.ProbeLoad(loop_.Now() - probe_interval_);
 }
 
 NodePlane::NodePlane(net::EventLoop& loop,
@@ -292,6 +328,10 @@
   impl_->SetIncarnation(incarnation);
 }
 
+void NodePlane::FetchFile(const NodeId& peer) {
+  impl_->FetchFile(peer);
+}
+
 void NodePlane::FollowFleet() {
   impl_->FollowFleet();
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -80,6 +80,10 @@
   std::function<void(world::TargetState state, uint32_t slots)> on_target;
   /// A peer is at a higher revision than this node.
   std::function<void(Revision seen)> on_newer_revision;
+  /// The file that is in force at a peer, which may be newer.
+  std::function<void(const wire::PresentFile& file)> on_file;
+  /// Returns the file that is in force here, for peers that lack it.
+  std::function<std::optional<wire::PresentFile>()> present_file;
 };
 
 /// Ingress and gate of one node: HTTP from callers, mesh links, HTTP to the
@@ -96,6 +100,8 @@
 
   /// The target says something of itself.
   void Announce(const TargetAnnouncement& announcement);
+  /// Asks `peer` for the file that is in force there; it comes with on_file.
+  void FetchFile(const NodeId& peer);
   /// Peers know this run of the node by another number from now on.
   void SetIncarnation(Incarnation incarnation);
   /// Another file has come into force.
--- a/src/dataplane/peer_table.cc
+++ b/src/dataplane/peer_table.cc
@@ -99,7 +99,7 @@
     }
     peers_[gate].incarnation = hello.incarnation;
     if (hello.revision > view_.revision()) {
-      handlers_.on_newer_revision(hello.revision);
+      handlers_.on_newer_revision(gate, hello.revision);
     }
   };
   handlers.on_reply = [this, gate](GateReply reply) {
@@ -108,9 +108,18 @@
   handlers.on_pong = [this, gate](const wire::Pong& pong) {
     handlers_.on_hint(gate, pong.hint);
     if (pong.revision > view_.revision()) {
-      handlers_.on_newer_revision(pong.revision);
+      handlers_.on_newer_revision(gate, pong.revision);
     }
   };
+  handlers.on_load = [this, gate](const wire::LoadHint& hint) {
+    handlers_.on_hint(gate, hint);
+    if (hint.revision > view_.revision()) {
+      handlers_.on_newer_revision(gate, hint.revision);
+    }
+  };
+  handlers.on_file = [this](const wire::PresentFile& file) {
+    handlers_.on_file(file);
+  };
   handlers.on_down = [this, gate, number](LinkLoss loss,
                                           const std::string& why) {
     OnDown(gate, number, loss, why);
--- a/src/dataplane/peer_table.h
+++ b/src/dataplane/peer_table.h
@@ -26,7 +26,10 @@
     /// Link number `link` to `gate` is of no more use.
     std::function<void(const NodeId& gate, uint64_t link, LinkLoss loss)>
         on_down;
-    std::function<void(Revision seen)> on_newer_revision;
+    /// `gate` is at a higher revision than this node.
+    std::function<void(const NodeId& gate, Revision seen)> on_newer_revision;
+    /// The file that is in force at a peer has come.
+    std::function<void(const wire::PresentFile& file)> on_file;
   };
 
   /// All references must outlive the table.
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -13,6 +13,7 @@
 #include "dataplane/gate_reply.h"
 #include "dataplane/memory_budget.h"
 #include "net/net.h"
+#include "policy/policy.h"
 #include "world/world.h"
 
 namespace ibisvalve::dataplane {
@@ -57,6 +58,7 @@
   bool grace = false;     // past its deadline, waits for the gate's verdict
   uint64_t progress = 0;  // bytes of the answer at the last look
   world::Reason reason = world::Reason::kNone;  // of the last failure
+  policy::WorkEstimate* work = nullptr;  // of its kind; lives as the ingress
   uint16_t first_status = 0;  // of the first run of its key, if known
 
   bool repeatable() const {
--- a/src/node/admin_pages.cc
+++ b/src/node/admin_pages.cc
@@ -85,6 +85,8 @@
       return policy::ChoiceKind::kLeastLocal;
     case config::ChoicePolicy::kTwoStale:
       return policy::ChoiceKind::kTwoStale;
+    case config::ChoicePolicy::kExpectedValue:
+      return policy::ChoiceKind::kExpectedValue;
   }
   return policy::ChoiceKind::kWeighed;
 }
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -10,6 +10,9 @@
 namespace ibisvalve::node {
 namespace {
 
+// A keeper that is there answers well within this time.
+constexpr Duration kAskPeer = std::chrono::milliseconds(500);
+
 dataplane::PlaneSettings ToPlaneSettings(const config::Settings& settings,
                                          const NodeOptions& options,
                                          Incarnation incarnation) {
@@ -52,7 +55,8 @@
       settings_(settings),
       options_(std::move(options)),
       incarnation_(NewIncarnation()),
-      admin_(loop, settings.admin) {
+      admin_(loop, settings.admin),
+      ask_peer_(loop, [this] { AskPeer(); }) {
   plane_ = std::make_unique<dataplane::NodePlane>(
       loop_, ToPlaneSettings(settings_, options_, incarnation_), view_,
       MakeClaimPort(), MakePlaneHandlers());
@@ -65,6 +69,7 @@
       loop_, settings_.keepers, membership_->self(), MakeAgentHandlers());
   view_.SetLeaseCheck([this] { return agent_->lease_held(); });
   view_.SetOnFleet([this] { plane_->FollowFleet(); });
+  ask_peer_.StartPeriodic(kAskPeer);
   ServePages();
   LogEvent(kProcessStarted,
            {{"role", "node"},
@@ -146,6 +151,25 @@
   }
 }
 
+// While no keeper answers, a node that has just started takes the file that is
+// in force at another node.
+void NodeProcess::AskPeer() {
+  if (view_.fleet() != nullptr) {
+    ask_peer_.Stop();
+    return;
+  }
+  std::vector<NodeId> peers;
+  for (const auto& [id, member] : membership_->members()) {
+    if (member.state == world::MemberState::kAlive && !member.mesh.ip.empty() &&
+        id != settings_.id) {
+      peers.push_back(id);
+    }
+  }
+  if (!peers.empty()) {
+    plane_->FetchFile(peers[asked_peers_++ % peers.size()]);
+  }
+}
+
 world::Member NodeProcess::MakeSelf() const {
   world::Member self;
   self.id = settings_.id;
@@ -185,6 +209,16 @@
     OnTarget(state, slots);
   };
   handlers.on_newer_revision = [this](Revision seen) { agent_->CatchUp(seen); };
+  handlers.on_file = [this](const wire::PresentFile& file) {
+    agent_->Offer({file.revision, file.digest, file.text});
+  };
+  handlers.present_file = [this]() -> std::optional<wire::PresentFile> {
+    if (agent_ == nullptr || !agent_->present()) {
+      return std::nullopt;
+    }
+    const control::ConfigFile& file = *agent_->present();
+    return wire::PresentFile{file.revision, file.digest, file.text};
+  };
   return handlers;
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -52,6 +52,7 @@
   void OnLease(bool held);
   void OnMember(const world::Member& member);
   void FollowKeepers();
+  void AskPeer();
   void OnTarget(world::TargetState state, uint32_t slots);
   void ServePages();
   std::string StatusJson() const;
@@ -69,6 +70,8 @@
   std::unique_ptr<dataplane::NodePlane> plane_;
   std::unique_ptr<membership::MembershipService> membership_;
   std::unique_ptr<control::NodeAgent> agent_;
+  net::Timer ask_peer_;
+  size_t asked_peers_ = 0;
 };
 
 }  // namespace ibisvalve::node
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -43,7 +43,9 @@
   // A refusal is quick and says nothing of how long real work takes.
   if (end == RunEnd::kWell) {
     times_.Add(service_time, now);
-    limit_.Add(service_time, saturated, now);
+    if (settings_.adapts) {
+      limit_.Add(service_time, saturated, now);
+    }
   }
   return Fill(now);
 }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -18,6 +18,7 @@
   uint32_t slots = 1;                                 // declared by the target
   Duration max_wait = std::chrono::milliseconds(20);  // in the queue
   uint32_t max_queue = 64;                            // requests
+  bool adapts = true;  // fewer than the slots run while service times rise
 
   auto operator<=>(const AdmissionSettings&) const = default;
 };
--- a/src/policy/any_chooser.cc
+++ b/src/policy/any_chooser.cc
@@ -28,6 +28,8 @@
     case ChoiceKind::kTwoStale:
       chooser_ = TwoStaleChooser();
       return;
+    case ChoiceKind::kExpectedValue:
+      return;  // stands in where a request has no terms of its own
   }
 }
 
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -18,6 +18,7 @@
   kRoundRobin,
   kLeastLocal,
   kTwoStale,
+  kExpectedValue,  // by the request's own terms; see ExpectedValueChooser
 };
 
 /// One target that an ingress may choose, as the ingress knows it.
@@ -35,6 +36,8 @@
   uint32_t hint_limit = 0;
   Duration hint_service{0};
   double hint_failures = 0;  // share, 0 to 1
+  double slowdown = 1;  // that the target tells of its host, for the moment
+  double pace = 1;      // of its runs against what was expected of them
   std::optional<Time> hint_time;
   Time ready_since{};  // first seen ready, for cold start
   double ejected = 0;  // 0: in use; 1: ejected; between: re-entering
--- /dev/null
+++ b/src/policy/pace_meter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "base/base.h"
+
+namespace ibisvalve::policy {
+
+/// How long runs take at one target in proportion to what was expected of
+/// them. Sees that a target has turned slow while its runs are still going on.
+class PaceMeter {
+ public:
+  /// A run that is expected to take `expected` (0: not known) has begun.
+  void Begin(const AttemptId& id, Duration expected, Time now);
+  /// It ended; `whole` says that it went to its end at the target.
+  void End(const AttemptId& id, bool whole, Time now);
+  /// Returns the pace: 1 as usual, 4 for four times as long. Never below 1.
+  double Pace(Time now) const;
+
+ private:
+  struct Run {
+    Time since;
+    Duration expected;
+  };
+
+  std::unordered_map<AttemptId, Run> running_;
+  double recent_ = 1;  // of runs that ended
+};
+
+}  // namespace ibisvalve::policy
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -8,10 +8,13 @@
 #include "policy/choice.h"             // IWYU pragma: export
 #include "policy/ejection.h"           // IWYU pragma: export
 #include "policy/events.h"             // IWYU pragma: export
+#include "policy/expected_value.h"     // IWYU pragma: export
 #include "policy/hedge.h"              // IWYU pragma: export
+#include "policy/pace_meter.h"         // IWYU pragma: export
 #include "policy/probe_budget.h"       // IWYU pragma: export
 #include "policy/quarantine.h"         // IWYU pragma: export
 #include "policy/retry_budget.h"       // IWYU pragma: export
 #include "policy/share_rotation.h"     // IWYU pragma: export
 #include "policy/subset.h"             // IWYU pragma: export
 #include "policy/weighed_chooser.h"    // IWYU pragma: export
+#include "policy/work_estimate.h"      // IWYU pragma: export
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -13,17 +13,21 @@
 
 /// Load of a target as its gate knows it; rides on every answer.
 struct LoadHint {
-  uint16_t in_flight = 0;       // running at the target
-  uint16_t queued = 0;          // waiting at the gate
-  uint16_t limit = 0;           // requests the gate lets run at once
-  uint32_t service_us = 0;      // recent mean service time
-  uint32_t error_permille = 0;  // recent share of failed answers
+  uint16_t in_flight = 0;           // running at the target
+  uint16_t queued = 0;              // waiting at the gate
+  uint16_t limit = 0;               // requests the gate lets run at once
+  uint32_t service_us = 0;          // recent mean service time
+  uint32_t error_permille = 0;      // recent share of failed answers
+  uint16_t slowdown_percent = 100;  // that the target tells of its host
+  uint16_t pace_percent = 100;      // of its runs against what was expected
+  Revision revision;                // in force at the gate
 
   auto operator<=>(const LoadHint&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(in_flight, queued, limit, service_us, error_permille);
+    archive(in_flight, queued, limit, service_us, error_permille,
+            slowdown_percent, pace_percent, revision);
   }
 };
 
@@ -64,13 +68,16 @@
   bool body_complete = true;
   ServiceName caller;         // beside the ingress: who asks
   uint64_t objective_us = 0;  // until the answer should come; 0: it is late
+  uint64_t expected_us = 0;   // usual time of such a run; 0: not known
   uint32_t priority = 0;      // 0 is the most urgent
+  bool may_move = false;      // another target would do nearly as well
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
-            body_complete, caller, objective_us, priority);
+            body_complete, caller, objective_us, expected_us, priority,
+            may_move);
   }
 };
 
@@ -220,6 +227,38 @@
   }
 };
 
+/// Tells an ingress of a load that has changed since the last answer.
+struct LoadNotice {
+  static constexpr FrameType kType = 17;
+  LoadHint hint;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(hint);
+  }
+};
+
+/// Asks a node for the file that is in force there. Answered by PresentFile.
+struct FetchFile {
+  static constexpr FrameType kType = 15;
+
+  template <typename Archive>
+  void serialize(Archive&) {}
+};
+
+/// The file that is in force at a node.
+struct PresentFile {
+  static constexpr FrameType kType = 16;
+  Revision revision;
+  Digest digest;
+  std::string text;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(revision, digest, text);
+  }
+};
+
 /// Echo of Ping; also answers a probe, so it carries the load.
 struct Pong {
   static constexpr FrameType kType = 12;
--- a/src/world/outcome.cc
+++ b/src/world/outcome.cc
@@ -66,6 +66,8 @@
       return "target-refused";
     case Reason::kStopping:
       return "stopping";
+    case Reason::kSlow:
+      return "slow";
   }
   return "invalid";
 }
--- a/src/world/outcome.h
+++ b/src/world/outcome.h
@@ -39,6 +39,7 @@
   kNoRoute,        // no route fits the host and path
   kTargetRefused,  // the target says that it did not run it
   kStopping,       // the node ends and takes no more
+  kSlow,           // the target's host is slowed down; another is quicker
 };
 
 /// Returns "answered", "not-run" or "unknown", as in the Ibis-Outcome header.
--- a/tests/control/keeper_test.cc
+++ b/tests/control/keeper_test.cc
@@ -37,6 +37,41 @@
   }
 };
 
+// A keeper that is cut off from the others accepts connections and confirms
+// nothing. The list of keepers changes all the while, as gossip does when
+// members are suspected; that must not bring the node back to the same keeper.
+TEST_F(OneKeeperTest, ANodeLeavesAKeeperThatConfirmsNothing) {
+  net::Listener silent(loop_, {"127.0.0.1", 0}, [](int) {});
+  const world::Endpoint good = endpoints_.front();
+  EXPECT_EQ(AskJson(0, "POST", "/apply?change=one&base=0", "good")["result"],
+            "staged");
+  endpoints_ = {silent.local()};
+  const auto node = StartNode("node-1");
+  const std::vector<std::vector<world::Endpoint>> lists = {
+      {silent.local(), good}, {silent.local(), good, {"127.0.0.1", 1}}};
+  size_t turn = 0;
+  net::Timer change(
+      loop_, [&] { node->agent->SetKeepers(lists[++turn % lists.size()]); });
+  change.StartPeriodic(std::chrono::milliseconds(50));
+  EXPECT_TRUE(RunUntil([&] { return !node->activated.empty(); },
+                       std::chrono::seconds(4)));
+}
+
+TEST_F(OneKeeperTest, AFileThatAnotherNodeOffersIsTakenOnlyIfItIsNewer) {
+  endpoints_ = {{"127.0.0.1", 1}};  // nobody listens
+  const auto node = StartNode("node-1");
+  const auto offer = [&](uint64_t revision, const std::string& text,
+                         Digest digest) {
+    node->agent->Offer({Revision(revision), digest, text});
+  };
+  offer(5, "five", DigestOf("five"));
+  offer(4, "four", DigestOf("four"));
+  offer(6, "six", DigestOf("else"));
+  offer(7, "seven", DigestOf("seven"));
+  EXPECT_THAT(node->activated, ElementsAre(5, 7));
+  EXPECT_EQ(node->agent->present()->text, "seven");
+}
+
 TEST_F(OneKeeperTest, PutsAFileInForceAtEveryNode) {
   const auto first = StartNode("a");
   const auto second = StartNode("b");
--- /dev/null
+++ b/tests/control/member_plan_test.cc
@@ -0,0 +1,174 @@
+#include <gtest/gtest.h>
+
+#include "control/config_ledger.h"
+#include "control/member_plan.h"
+
+namespace ibisvalve::control {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Time kNow = Time(seconds(100));
+
+world::Endpoint At(int number) {
+  return {"10.0.0." + std::to_string(number), 7100};
+}
+
+// A group of `count` voters that all answer, and what the leader sees of it.
+GroupView Group(int count) {
+  GroupView view;
+  view.members.group = wire::GroupId(1);
+  view.commit = 50;
+  view.election = milliseconds(800);
+  view.replaces = true;
+  view.bears_lost_disks = 2;
+  for (int i = 1; i <= count; ++i) {
+    const wire::ReplicaId replica(static_cast<uint64_t>(i));
+    const NodeId id("k" + std::to_string(i));
+    view.members.members.push_back({replica, id, At(i), true});
+    view.hellos[At(i)] = {view.members.group, replica, id, At(i), false};
+    view.peers[replica].match = 50;
+    view.peers[replica].heard = kNow;
+  }
+  return view;
+}
+
+void Silence(GroupView& view, int number) {
+  view.hellos.erase(At(number));
+  view.peers[wire::ReplicaId(static_cast<uint64_t>(number))].heard =
+      kNow - seconds(10);
+}
+
+// A keeper that is in no group answers at place `number`.
+void Find(GroupView& view, int number, uint64_t replica) {
+  view.found.insert(At(number));
+  view.hellos[At(number)] = {wire::GroupId(), wire::ReplicaId(replica),
+                             NodeId("n" + std::to_string(replica)), At(number),
+                             false};
+}
+
+size_t Voters(const wire::KeeperMembers& members) {
+  return static_cast<size_t>(
+      std::count_if(members.members.begin(), members.members.end(),
+                    [](const auto& member) { return member.voter; }));
+}
+
+TEST(MemberPlanTest, AKeeperThatIsFoundLearnsAndThenVotes) {
+  GroupView view = Group(3);
+  Find(view, 4, 44);
+  const auto learning = NextMembers(view, kNow);
+  ASSERT_TRUE(learning);
+  EXPECT_EQ(learning->members.size(), 4U);
+  EXPECT_EQ(Voters(*learning), 3U);
+  view.members = *learning;
+  EXPECT_FALSE(NextMembers(view, kNow)) << "it has not caught up";
+  view.peers[wire::ReplicaId(44)].match = 50;
+  view.peers[wire::ReplicaId(44)].heard = kNow;
+  const auto voting = NextMembers(view, kNow);
+  ASSERT_TRUE(voting);
+  EXPECT_EQ(Voters(*voting), 4U);
+}
+
+TEST(MemberPlanTest, AKeeperOfAnotherGroupIsLeftAlone) {
+  GroupView view = Group(3);
+  Find(view, 4, 44);
+  view.hellos[At(4)].group = wire::GroupId(9);
+  EXPECT_FALSE(NextMembers(view, kNow));
+}
+
+// Two of five are away for a while: nothing may shrink the group, because a
+// change that three have on disk would then be counted on two.
+TEST(MemberPlanTest, VotersThatAreAwayStayMembers) {
+  GroupView view = Group(5);
+  Silence(view, 4);
+  Silence(view, 5);
+  EXPECT_FALSE(NextMembers(view, kNow));
+}
+
+TEST(MemberPlanTest, ALearnerThatIsReadyTakesThePlaceOfAVoterThatIsGone) {
+  GroupView view = Group(5);
+  Silence(view, 5);
+  Find(view, 6, 66);
+  view.members = *NextMembers(view, kNow);
+  view.peers[wire::ReplicaId(66)].match = 50;
+  view.peers[wire::ReplicaId(66)].heard = kNow;
+  const auto dropped = NextMembers(view, kNow);
+  ASSERT_TRUE(dropped);
+  EXPECT_EQ(Voters(*dropped), 4U);
+  view.members = *dropped;
+  EXPECT_EQ(Voters(*NextMembers(view, kNow)), 5U);
+}
+
+TEST(MemberPlanTest, WithASixthVoterOneThatIsGoneIsDropped) {
+  GroupView view = Group(6);
+  EXPECT_FALSE(NextMembers(view, kNow));
+  Silence(view, 2);
+  ASSERT_TRUE(NextMembers(view, kNow));
+  EXPECT_EQ(Voters(*NextMembers(view, kNow)), 5U);
+}
+
+TEST(MemberPlanTest, OnlyKeepersFromTheFirstStartFoundAGroup) {
+  wire::KeeperHello self{wire::GroupId(), wire::ReplicaId(1), NodeId("k1"),
+                         At(1), true};
+  std::map<world::Endpoint, wire::KeeperHello> others = {
+      {At(2),
+       {wire::GroupId(), wire::ReplicaId(2), NodeId("k2"), At(2), true}}};
+  EXPECT_TRUE(FoundingMembers(self, {At(1), At(2)}, others));
+  others[At(2)].may_found = false;
+  EXPECT_FALSE(FoundingMembers(self, {At(1), At(2)}, others));
+  others[At(2)].may_found = true;
+  self.may_found = false;
+  EXPECT_FALSE(FoundingMembers(self, {At(1), At(2)}, others));
+  // One that is not among the first does not found either.
+  self = {wire::GroupId(), wire::ReplicaId(3), NodeId("k0"), At(0), true};
+  EXPECT_FALSE(FoundingMembers(self, {At(1), At(2)}, others));
+}
+
+StageConfig Stage(const std::string& change, uint64_t base) {
+  StageConfig stage;
+  stage.change = ChangeId(change);
+  stage.base = Revision(base);
+  stage.text = "text of " + change;
+  stage.at_once = true;
+  stage.forget_refusal = true;
+  return stage;
+}
+
+TEST(ConfigLedgerTest, AChangeAtOnceIsInForceWithItsCommit) {
+  ConfigLedger ledger;
+  EXPECT_EQ(ledger.Apply(Stage("a", 0)).result, ChangeResult::kActive);
+  EXPECT_EQ(ledger.active()->text, "text of a");
+  EXPECT_EQ(ledger.Apply(Stage("b", 1)).result, ChangeResult::kActive);
+  EXPECT_EQ(ledger.Apply(Stage("a", 0)).result, ChangeResult::kActive)
+      << "sent again, it keeps its answer";
+  EXPECT_EQ(ledger.active()->text, "text of b");
+}
+
+TEST(ConfigLedgerTest, OfTwoChangesOnOneBaseOneIsRefusedAndMayComeAgain) {
+  ConfigLedger ledger;
+  ledger.Apply(Stage("a", 0));
+  EXPECT_EQ(ledger.Apply(Stage("b", 1)).result, ChangeResult::kActive);
+  EXPECT_EQ(ledger.Apply(Stage("c", 1)).result, ChangeResult::kConflict);
+  EXPECT_EQ(ledger.AnswerTo(ChangeId("c")).result, ChangeResult::kUnknown);
+  EXPECT_EQ(ledger.Apply(Stage("c", 2)).result, ChangeResult::kActive);
+}
+
+TEST(ConfigLedgerTest, OldTextsAreDroppedByTheirBytes) {
+  ConfigLedger ledger;
+  constexpr uint64_t kRevisions = 8;
+  for (uint64_t i = 0; i < kRevisions; ++i) {
+    StageConfig stage = Stage(std::to_string(i), i);
+    stage.text.assign(1 << 20, static_cast<char>('a' + i));
+    ledger.Apply(stage);
+  }
+  size_t bytes = 0;
+  for (const ConfigRecord& record : ledger.history()) {
+    bytes += record.text.size();
+  }
+  EXPECT_LE(bytes, size_t{3} << 20);
+  EXPECT_FALSE(ledger.active()->text.empty());
+}
+
+}  // namespace
+}  // namespace ibisvalve::control
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -91,6 +91,7 @@
     FleetView view;
     world::Member member;
     std::vector<RequestRecord> records;
+    std::vector<wire::PresentFile> files;  // that peers sent
     std::unique_ptr<NodePlane> plane;
   };
 
@@ -136,6 +137,8 @@
     settings.callers = settings.mesh = kAnyPort;
     settings.link_silence = silence_;
     settings.body_memory = body_memory_;
+    settings.names = names_;
+    settings.choice = choice_;
     if (target) {
       settings.target = target;
       settings.service = service_.name;
@@ -150,6 +153,13 @@
     handlers.on_request = [raw](const RequestRecord& record) {
       raw->records.push_back(record);
     };
+    handlers.on_file = [raw](const wire::PresentFile& file) {
+      raw->files.push_back(file);
+    };
+    handlers.present_file = [raw]() -> std::optional<wire::PresentFile> {
+      return wire::PresentFile{raw->view.revision(), Digest(1),
+                               "of " + raw->member.id.value};
+    };
     handlers.on_target = [this, raw](world::TargetState state, uint32_t slots) {
       raw->member.target = state;
       raw->member.slots = slots;
@@ -158,6 +168,7 @@
     node.plane = std::make_unique<NodePlane>(loop_, settings, node.view,
                                              claims_, handlers);
     node.member.mesh = node.plane->mesh();
+    node.view.SetOnFleet([raw] { raw->plane->FollowFleet(); });
     PutInForce();
     for (const auto& other : nodes_) {
       Spread(other->member);
@@ -186,6 +197,9 @@
   void PutInForce(uint64_t revision = 1) {
     auto fleet = std::make_shared<world::Fleet>();
     fleet->services = {service_};
+    fleet->routes = routes_;
+    fleet->control.isolated = isolated_;
+    world::SortRoutes(*fleet);
     for (const auto& node : nodes_) {
       node->view.SetFleet(fleet, Revision(revision));
       node->view.SetLeaseCheck([] { return true; });
@@ -244,6 +258,10 @@
   net::Timer guard_;
   world::Service service_;
   ClaimPort claims_;
+  HeaderNames names_;
+  policy::ChoiceKind choice_ = policy::ChoiceKind::kWeighed;
+  std::vector<world::Route> routes_;
+  world::IsolatedPolicy isolated_ = world::IsolatedPolicy::kRefuse;
   Duration silence_ = std::chrono::milliseconds(300);
   uint64_t body_memory_ = 24 << 20;
   uint32_t slots_ = 4;
--- /dev/null
+++ b/tests/policy/placement_test.cc
@@ -0,0 +1,141 @@
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "policy/policy.h"
+
+namespace ibisvalve::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Time kNow = Time(seconds(100));
+
+Candidate Target(const std::string& id, bool same_zone) {
+  Candidate candidate;
+  candidate.id = NodeId(id);
+  candidate.same_zone = same_zone;
+  candidate.slots = 18;
+  candidate.hint_limit = 18;
+  candidate.hint_time = kNow;
+  return candidate;
+}
+
+RequestTerms Lookup() {
+  return {milliseconds(500), milliseconds(1200), milliseconds(160), 2.5};
+}
+
+std::map<size_t, int> Picks(const std::vector<Candidate>& candidates,
+                            const RequestTerms& terms) {
+  Random random(20261204);
+  std::map<size_t, int> picks;
+  for (int i = 0; i < 1000; ++i) {
+    ++picks
+        [ExpectedValueChooser().Choose(candidates, terms, kNow, random).index];
+  }
+  return picks;
+}
+
+// Pattern: neighbours slow some hosts down for a second or two.
+TEST(ExpectedValueTest, SlowedHostsGetNothingWhileAnotherIsQuick) {
+  std::vector<Candidate> candidates = {Target("a", true), Target("b", true),
+                                       Target("c", false)};
+  candidates[0].slowdown = candidates[1].slowdown = 7;
+  EXPECT_EQ(Picks(candidates, Lookup())[2], 1000);
+}
+
+// Pattern: an upload that is carried to another zone costs as much as it may
+// gain there.
+TEST(ExpectedValueTest, AnUploadStaysInItsZoneUnlessItWouldBeLate) {
+  RequestTerms upload = Lookup();
+  upload.kib = 60;
+  std::vector<Candidate> candidates = {Target("a", true), Target("c", false)};
+  candidates[0].hint_in_flight = 14;
+  EXPECT_EQ(Picks(candidates, upload)[0], 1000);
+  candidates[0].slowdown = 7;
+  EXPECT_EQ(Picks(candidates, upload)[1], 1000);
+}
+
+// Pattern: many ingresses with the same hints.
+TEST(ExpectedValueTest, EqualTargetsShareByTheirFreeSlots) {
+  std::vector<Candidate> candidates = {Target("a", true), Target("b", true)};
+  candidates[0].hint_in_flight = 2;
+  candidates[1].hint_in_flight = 0;
+  const auto picks = Picks(candidates, Lookup());
+  EXPECT_GT(picks.at(0), 350);
+  EXPECT_GT(picks.at(1), 350);
+}
+
+// Pattern: a target that fails part of its requests while it says it is well.
+TEST(ExpectedValueTest, FailuresCountAsMuchAsLateness) {
+  std::vector<Candidate> candidates = {Target("a", true), Target("c", false)};
+  candidates[0].hint_failures = 0.4;
+  EXPECT_EQ(Picks(candidates, Lookup())[1], 1000);
+}
+
+TEST(ExpectedValueTest, AFullTargetIsLeftForOneWithRoom) {
+  std::vector<Candidate> candidates = {Target("a", true), Target("c", false)};
+  candidates[0].hint_in_flight = 18;
+  candidates[0].hint_queued = 30;
+  EXPECT_EQ(Picks(candidates, Lookup())[1], 1000);
+}
+
+TEST(ExpectedValueTest, SaysWhetherAnotherWouldDoNearlyAsWell) {
+  std::vector<Candidate> candidates = {Target("a", true), Target("c", false)};
+  Random random(7);
+  const ExpectedValueChooser chooser;
+  EXPECT_TRUE(
+      chooser.Choose(candidates, Lookup(), kNow, random).has_alternative);
+  candidates[1].slowdown = 7;
+  EXPECT_FALSE(
+      chooser.Choose(candidates, Lookup(), kNow, random).has_alternative);
+}
+
+TEST(WorkEstimateTest, LearnsFromUndisturbedRunsOnly) {
+  WorkEstimate work;
+  for (int i = 0; i < 50; ++i) {
+    work.Add(milliseconds(160), 1.0);
+    work.Add(milliseconds(1120), 7.0);
+  }
+  EXPECT_EQ(work.usual(), milliseconds(160));
+  work.Add(seconds(5), 1.0);
+  EXPECT_LT(work.usual(), milliseconds(200));
+}
+
+// Pattern: a target turns five times slower and tells nobody.
+TEST(PaceMeterTest, SeesASlowTargetBeforeItsRunsEnd) {
+  PaceMeter meter;
+  Time now = kNow;
+  for (uint64_t i = 1; i <= 40; ++i) {
+    const AttemptId id{Incarnation(1), i};
+    meter.Begin(id, milliseconds(100), now);
+    now += milliseconds(110);
+    meter.End(id, true, now);
+  }
+  EXPECT_EQ(meter.Pace(now), 1);
+  for (uint64_t i = 100; i < 110; ++i) {
+    meter.Begin({Incarnation(1), i}, milliseconds(100), now);
+  }
+  EXPECT_EQ(meter.Pace(now + milliseconds(50)), 1);
+  EXPECT_GT(meter.Pace(now + milliseconds(250)), 2);
+}
+
+TEST(PaceMeterTest, ACancelledRunDoesNotMakeATargetLookQuick) {
+  PaceMeter meter;
+  for (uint64_t i = 1; i <= 40; ++i) {
+    const AttemptId id{Incarnation(1), i};
+    meter.Begin(id, milliseconds(100), kNow);
+    meter.End(id, true, kNow + milliseconds(500));
+  }
+  const double slow = meter.Pace(kNow);
+  for (uint64_t i = 50; i <= 90; ++i) {
+    const AttemptId id{Incarnation(1), i};
+    meter.Begin(id, milliseconds(100), kNow);
+    meter.End(id, false, kNow + milliseconds(5));
+  }
+  EXPECT_EQ(meter.Pace(kNow), slow);
+}
+
+}  // namespace
+}  // namespace ibisvalve::policy
