--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,11 +1,59 @@
 #include "base/event_log.h"
 
-#include <glog/logging.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
 #include <iomanip>
 #include <sstream>
 
+#include "base/events.h"
+#include "base/line_sink.h"
+#include "base/time.h"
+
 namespace ibisvalve {
+namespace {
+
+// More lines in a second than an engineer or a log store can use.
+constexpr uint32_t kLinesPerSecond = 300;
+constexpr size_t kLongestLine = 3000;  // bytes; a pipe takes it whole
+
+LineSink& Sink() {
+  static LineSink sink(STDOUT_FILENO, kLinesPerSecond);
+  return sink;
+}
+
+// Returns the time of day in UTC and the severity.
+std::string Prefix(Severity severity) {
+  const uint64_t micros = WallMicros();
+  constexpr uint64_t kMicrosPerSecond = 1'000'000;
+  const auto seconds = static_cast<time_t>(micros / kMicrosPerSecond);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 48> text{};
+  const size_t length =
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  const size_t room = text.size() - length;
+  std::snprintf(text.data() + length, room, ".%06uZ ",
+                static_cast<unsigned>(micros % kMicrosPerSecond));
+  const char* name = severity == Severity::kInfo      ? "info "
+                     : severity == Severity::kWarning ? "warning "
+                                                      : "error ";
+  return std::string(text.data()) + name;
+}
+
+std::string Bounded(std::string line) {
+  if (line.size() > kLongestLine) {
+    line.resize(kLongestLine);
+  }
+  std::replace(line.begin(), line.end(), '\n', ' ');
+  line += '\n';
+  return line;
+}
+
+}  // namespace
 
 std::string FormatEvent(const EventCode& code,
                         std::initializer_list<EventField> fields) {
@@ -24,18 +72,20 @@
 }
 
 void LogEvent(const EventCode& code, std::initializer_list<EventField> fields) {
-  const std::string line = FormatEvent(code, fields);
-  switch (code.severity) {
-    case Severity::kInfo:
-      LOG(INFO) << line;
-      break;
-    case Severity::kWarning:
-      LOG(WARNING) << line;
-      break;
-    case Severity::kError:
-      LOG(ERROR) << line;
-      break;
+  const bool urgent = code.severity != Severity::kInfo;
+  const Time now = SystemClock().Now();
+  if (Sink().Write(Prefix(code.severity) + Bounded(FormatEvent(code, fields)),
+                   urgent, now)) {
+    if (const uint64_t dropped = Sink().TakeDropped(); dropped > 0) {
+      Sink().Write(Prefix(kLogDropped.severity) +
+                       Bounded(FormatEvent(kLogDropped, {{"lines", dropped}})),
+                   true, now);
+    }
   }
 }
 
+uint64_t DroppedLogLines() {
+  return Sink().dropped();
+}
+
 }  // namespace ibisvalve
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -31,11 +31,16 @@
       : key(name), value(std::to_string(number)) {}
 };
 
-/// Writes one line "IV1001 name key=value ..." to glog. Values with spaces or
-/// quotes are quoted.
+/// Writes one line "TIME severity IV1001 name key=value ..." to standard
+/// output. Values with spaces or quotes are quoted. Never blocks: a line that
+/// the reader has no room for, or that goes beyond the bound of its severity a
+/// second, is dropped; a later line says how many were.
 void LogEvent(const EventCode& code, std::initializer_list<EventField> fields);
 
-/// Returns the line that LogEvent writes, for tests and admin pages.
+/// Returns how many lines were dropped since the start.
+uint64_t DroppedLogLines();
+
+/// Returns the line without its time and severity, for tests and admin pages.
 std::string FormatEvent(const EventCode& code,
                         std::initializer_list<EventField> fields);
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -56,6 +56,7 @@
   bool found = true;              // may be founded from an empty folder
   bool grow = false;              // every keeper that is found becomes a voter
   uint32_t bears_lost_disks = 1;  // with `grow`
+  Duration election = std::chrono::milliseconds(800);  // shortest time-out
 
   auto operator<=>(const KeeperGroup&) const = default;
 };
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -172,6 +172,8 @@
   KeeperGroup& group = settings_.group;
   map.Read("found", Boolean(), group.found);
   map.Read("grow", Boolean(), group.grow);
+  map.Read("election", DurationBetween(milliseconds(100), seconds(10)),
+           group.election);
   map.Read("bears_lost_disks", WholeBetween(0, kMostLosses),
            group.bears_lost_disks);
 }
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -114,6 +114,11 @@
 }
 
 void NodeSessions::SendFiles(InboundPeer& peer) {
+  // While a restarted or lagging keeper applies what was committed long ago,
+  // nodes must not be taken back to files that were replaced since.
+  if (driver_.state().applied() < driver_.replica().commit()) {
+    return;
+  }
   const ConfigLedger& config = driver_.state().config();
   const wire::NodeReport& report = peer.heartbeat.report;
   const ConfigRecord* active = config.active();
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -37,11 +37,23 @@
   }
   if (settings_.choice != policy::ChoiceKind::kExpectedValue) {
     const size_t chosen = policy.chooser.Choose(candidates, now, random_);
-    return Choice{candidates[chosen].id, candidates.size() > 1};
+    return Choice{candidates[chosen].id, candidates.size() > 1, true};
   }
   const policy::ExpectedValueChooser::Choice choice =
       by_value_.Choose(candidates, terms, now, random_);
-  return Choice{candidates[choice.index].id, choice.has_alternative};
+  return Choice{candidates[choice.index].id, choice.has_alternative,
+                by_value_.IsWorthTrying(choice)};
+}
+
+std::pair<wire::LoadHint, uint64_t> CandidateTable::LastHint(const NodeId& gate,
+                                                             Time now) const {
+  const auto known = known_.find(gate);
+  if (known == known_.end() || !known->second.hint_time) {
+    return {};
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - *known->second.hint_time);
+  return {known->second.hint, static_cast<uint64_t>(age.count())};
 }
 
 double CandidateTable::SlowdownAt(const NodeId& gate) const {
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "dataplane/fleet_view.h"
@@ -24,12 +25,16 @@
   struct Choice {
     NodeId gate;
     bool has_alternative = false;  // another would do nearly as well
+    bool worth_trying = true;      // the answer may come in time there
   };
   std::optional<Choice> Choose(const world::Service& service,
                                ServicePolicy& policy,
                                const policy::RequestTerms& terms,
                                const std::set<NodeId>& tried,
                                Time now);
+  /// Returns the last hint of `gate` and its age in milliseconds, for logs.
+  std::pair<wire::LoadHint, uint64_t> LastHint(const NodeId& gate,
+                                               Time now) const;
   /// Returns the slowdown that `gate` last told of its target.
   double SlowdownAt(const NodeId& gate) const;
   /// A gate has told its load.
--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -21,6 +21,19 @@
                                            "target_replaced"};
 inline constexpr EventCode kAnnouncementLate{1510, Severity::kInfo,
                                              "announcement_late"};
+inline constexpr EventCode kRequestSent{1520, Severity::kInfo, "request_sent"};
+inline constexpr EventCode kRequestAnswered{1521, Severity::kInfo,
+                                            "request_answered"};
+inline constexpr EventCode kRequestFailed{1522, Severity::kWarning,
+                                          "request_failed"};
+inline constexpr EventCode kRequestRefused{1523, Severity::kWarning,
+                                           "request_refused"};
+inline constexpr EventCode kAttemptWaits{1524, Severity::kInfo,
+                                         "attempt_waits"};
+inline constexpr EventCode kAttemptRefused{1525, Severity::kInfo,
+                                           "attempt_refused"};
+inline constexpr EventCode kAttemptEnded{1526, Severity::kInfo,
+                                         "attempt_ended"};
 inline constexpr EventCode kPlaneStopped{1507, Severity::kInfo,
                                          "plane_stopped"};
 
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -21,6 +21,7 @@
 constexpr Duration kQueueTick = std::chrono::milliseconds(2);
 constexpr uint16_t kFirstServerError = 500;
 constexpr uint16_t kMisdirected = 421;
+constexpr uint64_t kMicrosPerMs = 1000;
 // A slowdown that has changed by this factor is told at once, but not more
 // often than this.
 constexpr double kNoticedChange = 1.3;
@@ -95,6 +96,8 @@
   run.port = port;
   run.deadline =
       loop_.Now() + Duration(static_cast<int64_t>(open.remaining_us));
+  run.objective =
+      loop_.Now() + Duration(static_cast<int64_t>(open.objective_us));
   run.deadline_timer = std::make_unique<net::Timer>(
       loop_, [this, id = open.id] { OnDeadline(id); });
   run.deadline_timer->StartOnce(run.deadline - loop_.Now());
@@ -109,6 +112,7 @@
   const FinishedAttempt finished{Outcome::kNotRun, reason, 0, nullptr};
   attempts_.Finish(open.id, finished, false);
   Count(finished);
+  LogDecision(kAttemptRefused, open, reason);
   Send(finished, open.id, port);
 }
 
@@ -281,7 +285,19 @@
 
 void Gate::Admit(GateRun& run) {
   run.stage = RunStage::kQueued;
-  Decide(run, admission_.Arrive(run.open.id, run.deadline, loop_.Now()));
+  const Time now = loop_.Now();
+  policy::AdmissionTerms terms{run.open.id, run.deadline, run.objective};
+  terms.expected = ExpectedRun(run.open);
+  terms.priority = run.open.priority;
+  Decide(run, admission_.Arrive(terms, now));
+}
+
+// Returns how long a request would run if it began now; 0 where that is not
+// known.
+Duration Gate::ExpectedRun(const wire::OpenAttempt& open) const {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(open.expected_us) * std::max(slowdown_, 1.0) *
+      pace_.Pace(loop_.Now())));
 }
 
 void Gate::Apply(const std::vector<policy::Admission::Release>& released) {
@@ -292,7 +308,26 @@
   }
 }
 
+void Gate::LogDecision(const EventCode& code,
+                       const wire::OpenAttempt& open,
+                       Reason reason) const {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      loop_.Now() - load_told_);
+  LogEvent(code, {{"request", RequestIdOf(open.headers, settings_.names)},
+                  {"attempt", ToString(open.id)},
+                  {"reason", world::ToString(reason)},
+                  {"running", admission_.in_flight()},
+                  {"queued", admission_.queued()},
+                  {"limit", admission_.limit()},
+                  {"slowdown", static_cast<uint64_t>(slowdown_ * 100)},
+                  {"load_age_ms", static_cast<uint64_t>(age.count())},
+                  {"target", world::ToString(target_state_)}});
+}
+
 void Gate::Decide(GateRun& run, const policy::Admission::Decision& decision) {
+  if (decision.admit == policy::Admit::kQueue) {
+    LogDecision(kAttemptWaits, run.open, decision.reason);
+  }
   switch (decision.admit) {
     case policy::Admit::kQueue:
       if (!queue_timer_.running()) {
@@ -476,7 +511,7 @@
   for (const AttemptId& id : waiting) {
     GateRun* run = Find(id);
     if (run != nullptr && std::exchange(run->awaits_load, false)) {
-      if (run->open.may_move && IsSlowFor(run->open)) {
+      if (run->open.may_move && IsSlowFor(*run)) {
         Fail(*run, Outcome::kNotRun, Reason::kSlow);
       } else {
         Admit(*run);
@@ -495,10 +530,9 @@
   }
 }
 
-bool Gate::IsSlowFor(const wire::OpenAttempt& open) const {
-  const double end = static_cast<double>(open.expected_us) * slowdown_;
+bool Gate::IsSlowFor(const GateRun& run) const {
   return slowdown_ > kNoticedChange &&
-         end > static_cast<double>(open.objective_us);
+         loop_.Now() + ExpectedRun(run.open) > run.objective;
 }
 
 void Gate::OnTargetHead(const AttemptId& id, const TargetHead& head) {
@@ -645,6 +679,7 @@
     claims_.Release(KeyOf(run), HolderOf(run));
   }
   Count(finished);
+  LogEnded(run, finished);
   const bool failed = finished.reason != Reason::kCancelled &&
                       (finished.outcome == Outcome::kUnknown ||
                        finished.reason == Reason::kTargetDown);
@@ -658,6 +693,24 @@
   }
 }
 
+void Gate::LogEnded(const GateRun& run, const FinishedAttempt& finished) const {
+  if (!run.reached() && finished.outcome == Outcome::kNotRun) {
+    LogDecision(kAttemptRefused, run.open, finished.reason);
+    return;
+  }
+  const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
+      loop_.Now() - run.dispatched);
+  LogEvent(kAttemptEnded,
+           {{"request", RequestIdOf(run.open.headers, settings_.names)},
+            {"attempt", ToString(run.open.id)},
+            {"outcome", world::ToString(finished.outcome)},
+            {"reason", world::ToString(finished.reason)},
+            {"status", finished.status},
+            {"ran_ms", static_cast<uint64_t>(ran.count())},
+            {"expected_ms", run.open.expected_us / kMicrosPerMs},
+            {"target_is", target_identity_}});
+}
+
 void Gate::Count(const FinishedAttempt& finished) {
   switch (finished.outcome) {
     case Outcome::kAnswered:
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -111,7 +111,8 @@
             const ReplyPort& port) const;
   void AdmitByLoad(GateRun& run);
   void EndProbe();
-  bool IsSlowFor(const wire::OpenAttempt& open) const;
+  bool IsSlowFor(const GateRun& run) const;
+  Duration ExpectedRun(const wire::OpenAttempt& open) const;
   void Admit(GateRun& run);
   void Apply(const std::vector<policy::Admission::Release>& released);
   void Decide(GateRun& run, const policy::Admission::Decision& decision);
@@ -133,6 +134,11 @@
   void EndCall(GateRun& run, uint16_t status, policy::RunEnd end);
   void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
   void Finish(GateRun& run, claims::FinishedAttempt finished);
+  void LogDecision(const EventCode& code,
+                   const wire::OpenAttempt& open,
+                   world::Reason reason) const;
+  void LogEnded(const GateRun& run,
+                const claims::FinishedAttempt& finished) const;
   void Count(const claims::FinishedAttempt& finished);
   wire::RequestKey KeyOf(const GateRun& run) const;
   wire::ClaimHolder HolderOf(const GateRun& run) const;
--- a/src/dataplane/gate_checks.cc
+++ b/src/dataplane/gate_checks.cc
@@ -56,6 +56,7 @@
   settings.slots = std::max(slots, 1U);
   settings.max_queue = settings.slots * kQueuePerSlot;
   settings.adapts = adapts;
+  settings.by_objective = !adapts;
   if (view.fleet() != nullptr) {
     const world::Service* known = world::FindService(*view.fleet(), service);
     if (known != nullptr) {
--- a/src/dataplane/gate_run.h
+++ b/src/dataplane/gate_run.h
@@ -36,6 +36,7 @@
   ReplyPort port;          // `send` is null while no link reaches the ingress
   RunStage stage = RunStage::kReceiving;
   Time deadline;
+  Time objective;  // the answer should come by then
   Time dispatched;
   MemoryShare memory;
   std::unique_ptr<net::Timer> deadline_timer;
--- a/src/dataplane/http_headers.cc
+++ b/src/dataplane/http_headers.cc
@@ -108,6 +108,14 @@
   return kept;
 }
 
+std::string RequestIdOf(const wire::Headers& headers,
+                        const HeaderNames& names) {
+  const std::string* id = names.request_id.empty()
+                              ? nullptr
+                              : FindHeader(headers, names.request_id);
+  return id == nullptr ? "" : *id;
+}
+
 std::optional<uint64_t> ParseNumber(std::string_view text) {
   uint64_t number = 0;
   const char* end = text.data() + text.size();
--- a/src/dataplane/http_headers.h
+++ b/src/dataplane/http_headers.h
@@ -39,6 +39,9 @@
 /// `names` tells.
 wire::Headers EndToEnd(const wire::Headers& headers, const HeaderNames& names);
 
+/// Returns the id that the caller gave its request, or an empty string.
+std::string RequestIdOf(const wire::Headers& headers, const HeaderNames& names);
+
 /// Parses a whole decimal number without sign; nothing where it is not one.
 std::optional<uint64_t> ParseNumber(std::string_view text);
 
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -26,6 +26,13 @@
 // A request that broke so many targets is not tried at another one.
 constexpr uint32_t kMaxBroken = 2;
 constexpr uint16_t kFirstServerError = 500;
+
+uint64_t ToMs(Duration duration) {
+  return static_cast<uint64_t>(std::max<int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
+      0));
+}
+
 // A file that does not come is asked for again, perhaps of another peer.
 // A hedge needs this many times the usual work time to answer, and is not sent
 // before the first target has had so many.
@@ -123,6 +130,13 @@
 void Ingress::RefuseEarly(const std::shared_ptr<CallerExchange>& exchange,
                           const CallerRefusal& refusal,
                           const ServiceName& service) {
+  LogEvent(
+      kRequestRefused,
+      {{"request", RequestIdOf(exchange->request().headers, settings_.names)},
+       {"reason", world::ToString(refusal.reason)},
+       {"detail", refusal.detail},
+       {"service", service.value},
+       {"revision", view_.revision().value}});
   const int status = ReplyWithoutAnswer(*exchange, settings_.names,
                                         {Outcome::kNotRun,
                                          refusal.reason,
@@ -236,6 +250,12 @@
   if (!choice) {
     return false;
   }
+  if (!choice->worth_trying) {
+    if (!hedge && request->reason == Reason::kNone) {
+      request->reason = Reason::kBusy;
+    }
+    return false;
+  }
   IngressAttempt& attempt = AddAttempt(request, choice->gate);
   attempt.hedge = hedge;
   ++request->made;
@@ -244,6 +264,7 @@
   wire::OpenAttempt open =
       OpenFor(*request, attempt, settings_, view_.revision(), loop_.Now());
   open.may_move = choice->has_alternative && request->made <= kMostMoves;
+  LogSent(*request, attempt, hedge);
   attempt.body_sent = open.body.size();
   attempt.body_credit -= open.body.size();
   gates_.Send(attempt, open);
@@ -579,6 +600,45 @@
   return Duration(spread(candidates_.random()));
 }
 
+void Ingress::LogSent(const RequestState& request,
+                      const IngressAttempt& attempt,
+                      bool hedge) const {
+  const Time now = loop_.Now();
+  const auto [hint, age] = candidates_.LastHint(attempt.gate, now);
+  LogEvent(kRequestSent,
+           {{"request",
+             RequestIdOf(request.exchange->request().headers, settings_.names)},
+            {"attempt", ToString(attempt.id)},
+            {"kind", request.terms.kind},
+            {"gate", attempt.gate.value},
+            {"hedge", hedge ? "yes" : "no"},
+            {"made", request.made},
+            {"left_ms", ToMs(request.deadline - now)},
+            {"hint_age_ms", age},
+            {"in_flight", hint.in_flight},
+            {"queued", hint.queued},
+            {"slowdown", hint.slowdown_percent},
+            {"pace", hint.pace_percent},
+            {"revision", view_.revision().value}});
+}
+
+void Ingress::LogEnd(const RequestState& request,
+                     const RequestRecord& record) const {
+  const bool answered =
+      record.outcome == Outcome::kAnswered && record.status < kFirstServerError;
+  LogEvent(answered ? kRequestAnswered : kRequestFailed,
+           {{"request",
+             RequestIdOf(request.exchange->request().headers, settings_.names)},
+            {"kind", request.terms.kind},
+            {"outcome", world::ToString(record.outcome)},
+            {"reason", world::ToString(record.reason)},
+            {"status", record.status},
+            {"gate", record.gate.value},
+            {"made", record.attempts},
+            {"took_ms", ToMs(record.took)},
+            {"hung_up", record.hung_up ? "yes" : "no"}});
+}
+
 void Ingress::End(const RequestPtr& request, RequestRecord record) {
   record.service = request->terms.service->name;
   if (const world::Member* gate = view_.Find(record.gate)) {
@@ -588,6 +648,7 @@
   record.deadline = request->terms.deadline;
   record.attempts = request->made;
   record.hedged = request->hedged;
+  LogEnd(*request, record);
   request->exchange->SetOnGone(nullptr);
   while (!request->attempts.empty()) {
     DropAttempt(AttemptId(request->attempts.back()->id));
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -107,6 +107,10 @@
                 world::Reason reason);
   std::optional<Duration> RetryAfter(const RequestState& request,
                                      world::Outcome outcome);
+  void LogSent(const RequestState& request,
+               const IngressAttempt& attempt,
+               bool hedge) const;
+  void LogEnd(const RequestState& request, const RequestRecord& record) const;
   void End(const RequestPtr& request, RequestRecord record);
 
   net::EventLoop& loop_;
--- a/src/ibisvalved/main.cc
+++ b/src/ibisvalved/main.cc
@@ -3,10 +3,8 @@
 
 #include <csignal>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <memory>
-#include <sstream>
 
 #include "config/config.h"
 #include "node/node.h"
@@ -22,22 +20,16 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    throw SystemError("cannot read " + path, errno);
-  }
-  return text.str();
-}
-
 // Runs until a planned stop has ended.
 void RunNode(net::EventLoop& loop, const config::Settings& settings) {
   node::NodeProcess process(loop, settings);
   const auto stop = [&] { process.Stop([&loop] { loop.Stop(); }); };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
+  node::SettingsWatch watch(
+      loop, FLAGS_settings, settings,
+      [&](const config::Settings& changed) { process.Reload(changed); });
+  loop.OnSignal(SIGHUP, [&] { watch.Check(); });
   loop.Run();
 }
 
@@ -45,12 +37,15 @@
   node::KeeperProcess process(loop, settings);
   loop.OnSignal(SIGTERM, [&loop] { loop.Stop(); });
   loop.OnSignal(SIGINT, [&loop] { loop.Stop(); });
+  node::SettingsWatch watch(
+      loop, FLAGS_settings, settings,
+      [&](const config::Settings& changed) { process.Reload(changed); });
+  loop.OnSignal(SIGHUP, [&] { watch.Check(); });
   loop.Run();
 }
 
 int Run() {
-  const config::Settings settings =
-      config::ParseSettings(ReadFile(FLAGS_settings), FLAGS_settings);
+  const config::Settings settings = node::LoadSettings(FLAGS_settings);
   if (FLAGS_check) {
     std::cout << FLAGS_settings << ": no faults\n";
     return kExitOk;
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -57,6 +57,10 @@
                           world::TargetState state,
                           uint32_t slots,
                           Time now);
+  /// Other seeds help to find the fleet from now on.
+  void SetSeeds(std::vector<world::Endpoint> seeds) {
+    seeds_.SetSeeds(std::move(seeds));
+  }
   /// Says goodbye. `left` is reported once, after some peers have confirmed or
   /// a time-out.
   GossipActions Leave(Time now);
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -61,6 +61,10 @@
     Perform(gossip_.SetTarget(service, state, slots, loop_.Now()));
   }
 
+  void SetSeeds(const std::vector<world::Endpoint>& seeds) {
+    gossip_.SetSeeds(seeds);
+  }
+
   void Leave(std::function<void()> done) {
     on_left_ = std::move(done);
     Perform(gossip_.Leave(loop_.Now()));
@@ -162,6 +166,10 @@
   impl_->SetTarget(service, state, slots);
 }
 
+void MembershipService::SetSeeds(const std::vector<world::Endpoint>& seeds) {
+  impl_->SetSeeds(seeds);
+}
+
 void MembershipService::Leave(std::function<void()> done) {
   impl_->Leave(std::move(done));
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -28,6 +28,8 @@
   void SetTarget(const ServiceName& service,
                  world::TargetState state,
                  uint32_t slots);
+  /// Other seeds help to find the fleet from now on.
+  void SetSeeds(const std::vector<world::Endpoint>& seeds);
   /// Says goodbye; the process may end once `done` is called.
   void Leave(std::function<void()> done);
   /// Returns every member known, this node included, by id.
--- a/src/membership/seed_schedule.h
+++ b/src/membership/seed_schedule.h
@@ -19,6 +19,10 @@
   explicit SeedSchedule(std::vector<world::Endpoint> seeds)
       : seeds_(std::move(seeds)) {}
 
+  /// Replaces the seeds.
+  void SetSeeds(std::vector<world::Endpoint> seeds) {
+    seeds_ = std::move(seeds);
+  }
   /// Returns the seeds to ping in `round`, which grows with each call.
   std::vector<world::Endpoint> Due(uint64_t round,
                                    const MemberTable& table,
--- a/src/node/admin_pages.cc
+++ b/src/node/admin_pages.cc
@@ -69,6 +69,10 @@
     parts.plane.Collect(samples);
     parts.agent.Collect(samples);
     parts.burn.Collect(samples);
+    samples.push_back({"ibis_log_dropped_lines_total",
+                       {},
+                       static_cast<double>(DroppedLogLines()),
+                       true});
     reply({200, kMetricsText, observe::RenderMetrics(samples)});
   });
 }
--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -19,6 +19,7 @@
   keeper.keepers = settings.keepers;
   keeper.may_found = settings.group.found;
   keeper.grows = settings.group.grow;
+  keeper.election = settings.group.election;
   keeper.bears_lost_disks = settings.group.bears_lost_disks;
   return keeper;
 }
@@ -59,6 +60,12 @@
                              {"admin", world::ToString(admin_.local())}});
 }
 
+void KeeperProcess::Reload(const config::Settings& settings) {
+  if (membership_ != nullptr) {
+    membership_->SetSeeds(settings.seeds);
+  }
+}
+
 void KeeperProcess::Stop(std::function<void()> done) {
   if (membership_ == nullptr) {
     done();
@@ -102,6 +109,10 @@
   admin_.Handle("GET", "/metrics", [this](const auto&, const auto& reply) {
     std::vector<MetricSample> samples;
     keeper_.Collect(samples);
+    samples.push_back({"ibis_log_dropped_lines_total",
+                       {},
+                       static_cast<double>(DroppedLogLines()),
+                       true});
     reply({200, "text/plain; version=0.0.4", observe::RenderMetrics(samples)});
   });
 }
--- a/src/node/keeper_process.h
+++ b/src/node/keeper_process.h
@@ -32,6 +32,8 @@
   KeeperProcess(const KeeperProcess&) = delete;
   KeeperProcess& operator=(const KeeperProcess&) = delete;
 
+  /// The settings file has changed: other peers are named from now on.
+  void Reload(const config::Settings& settings);
   /// Planned stop: says goodbye, then calls `done`.
   void Stop(std::function<void()> done);
   control::Keeper& keeper() { return keeper_; }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,3 +5,4 @@
 #include "node/events.h"          // IWYU pragma: export
 #include "node/keeper_process.h"  // IWYU pragma: export
 #include "node/node_process.h"    // IWYU pragma: export
+#include "node/settings_watch.h"  // IWYU pragma: export
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -55,6 +55,7 @@
       settings_(settings),
       options_(std::move(options)),
       incarnation_(NewIncarnation()),
+      named_keepers_(settings.keepers),
       admin_(loop, settings.admin),
       ask_peer_(loop, [this] { AskPeer(); }) {
   plane_ = std::make_unique<dataplane::NodePlane>(
@@ -105,6 +106,12 @@
   plane_->Announce(announcement);
 }
 
+void NodeProcess::Reload(const config::Settings& settings) {
+  named_keepers_ = settings.keepers;
+  membership_->SetSeeds(settings.seeds);
+  FollowKeepers();
+}
+
 bool NodeProcess::ready() const {
   return !stopping_ && view_.fleet() != nullptr;
 }
@@ -141,7 +148,7 @@
   spread(near);
   spread(far);
   near.insert(near.end(), far.begin(), far.end());
-  for (const world::Endpoint& keeper : settings_.keepers) {
+  for (const world::Endpoint& keeper : named_keepers_) {
     if (std::find(near.begin(), near.end(), keeper) == near.end()) {
       near.push_back(keeper);
     }
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/base.h"
 #include "config/config.h"
@@ -37,6 +38,8 @@
   /// Planned stop: offers no new work, lets everything in flight end, says
   /// goodbye, then calls `done`. A second call does nothing.
   void Stop(std::function<void()> done);
+  /// The settings file has changed: other peers are named from now on.
+  void Reload(const config::Settings& settings);
   /// The target beside this node says something of itself.
   void Announce(const dataplane::TargetAnnouncement& announcement);
   /// Returns whether callers should use this node.
@@ -61,6 +64,7 @@
   const config::Settings settings_;
   const NodeOptions options_;
   Incarnation incarnation_;
+  std::vector<world::Endpoint> named_keepers_;  // by the newest settings
   bool stopping_ = false;
   uint64_t in_force_since_us_ = 0;  // wall clock, for display
   world::TargetState target_state_ = world::TargetState::kNone;
--- /dev/null
+++ b/src/node/settings_watch.cc
@@ -0,0 +1,65 @@
+#include "node/settings_watch.h"
+
+#include <cerrno>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "node/events.h"
+
+namespace ibisvalve::node {
+namespace {
+
+// Files may change without a signal.
+constexpr Duration kCheckInterval = std::chrono::seconds(5);
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    throw SystemError("cannot read " + path, errno);
+  }
+  return text.str();
+}
+
+}  // namespace
+
+SettingsWatch::SettingsWatch(
+    net::EventLoop& loop,
+    std::string path,
+    const config::Settings& present,
+    std::function<void(const config::Settings&)> on_changed)
+    : path_(std::move(path)),
+      present_(present),
+      on_changed_(std::move(on_changed)),
+      timer_(loop, [this] { Check(); }) {
+  timer_.StartPeriodic(kCheckInterval);
+}
+
+void SettingsWatch::Check() {
+  std::string fault;
+  try {
+    const config::Settings settings = LoadSettings(path_);
+    refused_.clear();
+    if (settings != present_) {
+      present_ = settings;
+      LogEvent(kSettingsChanged, {{"file", path_}});
+      on_changed_(settings);
+    }
+    return;
+  } catch (const InvalidInput& error) {
+    fault = error.what();
+  } catch (const SystemError& error) {
+    fault = error.what();
+  }
+  if (std::exchange(refused_, fault) != fault) {
+    LogEvent(kSettingsRefused, {{"file", path_}, {"why", fault}});
+  }
+}
+
+config::Settings LoadSettings(const std::string& path) {
+  return config::ParseSettings(ReadFile(path), path);
+}
+
+}  // namespace ibisvalve::node
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -10,21 +10,37 @@
 
 constexpr double kFailureWeight = 1.0 / 16;  // of the latest run
 constexpr double kFailureHalfLifeUs = 2e6;   // while nothing runs
+// A request of a lower rank goes before one of the next higher rank whose
+// objective is later than its own by more than this, so that no rank starves.
+constexpr Duration kRankWorth = std::chrono::milliseconds(150);
+
+Time Urgency(const AdmissionTerms& terms) {
+  constexpr uint32_t kMostRanks = 10;
+  return terms.objective + kRankWorth * static_cast<int64_t>(std::min(
+                                            terms.priority, kMostRanks));
+}
 
 }  // namespace
 
 Admission::Admission(const AdmissionSettings& settings)
     : settings_(settings), limit_(settings.slots) {}
 
-Admission::Decision Admission::Arrive(const AttemptId& id,
-                                      Time deadline,
-                                      Time now) {
+Admission::Decision Admission::Arrive(const AdmissionTerms& terms, Time now) {
   DecayFailures(now);
-  const Decision decision = DecideOn(deadline, now);
+  const Decision decision = settings_.by_objective
+                                ? DecideByObjective(terms, now)
+                                : DecideOn(terms, now);
   if (decision.admit == Admit::kRun) {
-    CHECK(running_.insert(id).second) << "attempt runs already";
+    CHECK(running_.insert(terms.id).second) << "attempt runs already";
   } else if (decision.admit == Admit::kQueue) {
-    queue_.push_back(Waiting{id, deadline, now});
+    const auto place =
+        settings_.by_objective
+            ? std::upper_bound(queue_.begin(), queue_.end(), terms,
+                               [](const AdmissionTerms& a, const Waiting& b) {
+                                 return Urgency(a) < Urgency(b.terms);
+                               })
+            : queue_.end();
+    queue_.insert(place, Waiting{terms, now});
   }
   return decision;
 }
@@ -51,7 +67,7 @@
 }
 
 void Admission::Forget(const AttemptId& id) {
-  std::erase_if(queue_, [&](const Waiting& one) { return one.id == id; });
+  std::erase_if(queue_, [&](const Waiting& one) { return one.terms.id == id; });
 }
 
 std::vector<Admission::Release> Admission::Expire(Time now) {
@@ -86,17 +102,18 @@
   return failure_share_;
 }
 
-Duration Admission::WaitAhead() const {
+Duration Admission::WaitAhead(size_t ahead) const {
   // One run ends every mean / limit; this request takes the turn after all
-  // that wait.
-  const auto ahead = static_cast<int64_t>(queue_.size() + 1);
-  return times_.mean() * ahead / static_cast<int64_t>(limit_.limit());
+  // that go before it.
+  return times_.mean() * static_cast<int64_t>(ahead + 1) /
+         static_cast<int64_t>(limit_.limit());
 }
 
-Admission::Decision Admission::DecideOn(Time deadline, Time now) const {
+Admission::Decision Admission::DecideOn(const AdmissionTerms& terms,
+                                        Time now) const {
   const Decision too_late{Admit::kRefuse, world::Reason::kDeadline};
   const Decision busy{Admit::kRefuse, world::Reason::kBusy};
-  if (now + times_.Quickest(now) >= deadline) {
+  if (now + times_.Quickest(now) >= terms.deadline) {
     return too_late;
   }
   if (running_.size() < limit_.limit() && queue_.empty()) {
@@ -105,18 +122,40 @@
   if (queue_.size() >= settings_.max_queue) {
     return busy;
   }
-  const Duration wait = WaitAhead();
+  const Duration wait = WaitAhead(queue_.size());
   if (wait > settings_.max_wait) {
     return busy;
   }
-  if (now + wait + times_.Typical(now) >= deadline) {
+  if (now + wait + times_.Typical(now) >= terms.deadline) {
     return too_late;
   }
   return {Admit::kQueue, world::Reason::kNone};
 }
 
+Admission::Decision Admission::DecideByObjective(const AdmissionTerms& terms,
+                                                 Time now) const {
+  if (now + terms.expected >= terms.deadline) {
+    return {Admit::kRefuse, world::Reason::kDeadline};
+  }
+  if (running_.size() < limit_.limit()) {
+    return {Admit::kRun, world::Reason::kNone};
+  }
+  const auto ahead = static_cast<size_t>(
+      std::count_if(queue_.begin(), queue_.end(), [&](const Waiting& waiting) {
+        return Urgency(waiting.terms) <= Urgency(terms);
+      }));
+  if (queue_.size() >= settings_.max_queue ||
+      now + WaitAhead(ahead) + terms.expected > terms.objective) {
+    return {Admit::kRefuse, world::Reason::kBusy};
+  }
+  return {Admit::kQueue, world::Reason::kNone};
+}
+
 world::Reason Admission::TooLate(const Waiting& waiting, Time now) const {
-  if (now + times_.Quickest(now) >= waiting.deadline) {
+  if (settings_.by_objective) {
+    return TooLateForObjective(waiting, now);
+  }
+  if (now + times_.Quickest(now) >= waiting.terms.deadline) {
     return world::Reason::kDeadline;
   }
   if (now - waiting.since > settings_.max_wait) {
@@ -125,16 +164,30 @@
   return world::Reason::kNone;
 }
 
+// What can't be on time any more runs only if a slot is free this moment: it
+// would take the time of others that still can.
+world::Reason Admission::TooLateForObjective(const Waiting& waiting,
+                                             Time now) const {
+  const AdmissionTerms& terms = waiting.terms;
+  if (now + terms.expected >= terms.deadline) {
+    return world::Reason::kDeadline;
+  }
+  const bool late = now + terms.expected > terms.objective;
+  return late && running_.size() >= limit_.limit() ? world::Reason::kBusy
+                                                   : world::Reason::kNone;
+}
+
 std::vector<Admission::Release> Admission::Fill(Time now) {
   std::vector<Release> releases;
   std::deque<Waiting> still_waiting;
   for (const Waiting& waiting : queue_) {
     const world::Reason reason = TooLate(waiting, now);
     if (reason != world::Reason::kNone) {
-      releases.push_back({waiting.id, {Admit::kRefuse, reason}});
+      releases.push_back({waiting.terms.id, {Admit::kRefuse, reason}});
     } else if (running_.size() < limit_.limit()) {
-      CHECK(running_.insert(waiting.id).second) << "attempt runs already";
-      releases.push_back({waiting.id, {Admit::kRun, world::Reason::kNone}});
+      CHECK(running_.insert(waiting.terms.id).second) << "attempt runs already";
+      releases.push_back(
+          {waiting.terms.id, {Admit::kRun, world::Reason::kNone}});
     } else {
       still_waiting.push_back(waiting);
     }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -19,10 +19,24 @@
   Duration max_wait = std::chrono::milliseconds(20);  // in the queue
   uint32_t max_queue = 64;                            // requests
   bool adapts = true;  // fewer than the slots run while service times rise
+  // A request waits only if it will still be on time, whatever `max_wait` says,
+  // and the most urgent one runs first.
+  bool by_objective = false;
 
   auto operator<=>(const AdmissionSettings&) const = default;
 };
 
+/// What admission must know of a request.
+struct AdmissionTerms {
+  AttemptId id;
+  Time deadline;          // nobody waits for the answer any longer
+  Time objective;         // the answer should come by then
+  Duration expected{0};   // how long it would run now; 0: not known
+  uint32_t priority = 0;  // 0 is the most urgent
+
+  auto operator<=>(const AdmissionTerms&) const = default;
+};
+
 /// What becomes of a request that arrives at a gate.
 enum class Admit : uint8_t { kRun, kQueue, kRefuse };
 
@@ -53,9 +67,13 @@
 
   explicit Admission(const AdmissionSettings& settings);
 
-  /// Decides on attempt `id`, which must end by `deadline`. Refuses at once
-  /// what cannot finish in time by the recent service times.
-  Decision Arrive(const AttemptId& id, Time deadline, Time now);
+  /// Decides on a request. Refuses at once what cannot finish in time by the
+  /// recent service times.
+  Decision Arrive(const AdmissionTerms& terms, Time now);
+  /// The same for a request of which only the deadline is known.
+  Decision Arrive(const AttemptId& id, Time deadline, Time now) {
+    return Arrive(AdmissionTerms{id, deadline, deadline}, now);
+  }
   /// A running attempt ended as `end` says after `service_time`. Returns the
   /// attempts that may run now or are too late.
   std::vector<Release> Finish(const AttemptId& id,
@@ -81,12 +99,13 @@
 
  private:
   struct Waiting {
-    AttemptId id;
-    Time deadline;
+    AdmissionTerms terms;
     Time since;
   };
-  Duration WaitAhead() const;
-  Decision DecideOn(Time deadline, Time now) const;
+  Duration WaitAhead(size_t ahead) const;
+  Decision DecideOn(const AdmissionTerms& terms, Time now) const;
+  Decision DecideByObjective(const AdmissionTerms& terms, Time now) const;
+  world::Reason TooLateForObjective(const Waiting& waiting, Time now) const;
   world::Reason TooLate(const Waiting& waiting, Time now) const;
   std::vector<Release> Fill(Time now);
   void DecayFailures(Time now);
--- a/src/policy/expected_value.cc
+++ b/src/policy/expected_value.cc
@@ -63,6 +63,7 @@
   Choice choice;
   choice.index = std::discrete_distribution<size_t>(weights.begin(),
                                                     weights.end())(random);
+  choice.value = values[choice.index];
   for (size_t i = 0; i < candidates.size(); ++i) {
     choice.has_alternative |=
         i != choice.index && values[i] >= best * kNearlyAsGood;
--- a/src/policy/expected_value.h
+++ b/src/policy/expected_value.h
@@ -22,6 +22,9 @@
   double late_value = 0.1;  // of an answer after the objective, in time 1
   double crossing_per_kib = 0.006;  // cost of carrying a KiB to another zone
   double close_enough = 0.005;      // differences below this do not count
+  // A request that is worth less is not begun: it would only keep others from
+  // their slots.
+  double least_value = 0.04;
   Duration hint_half_life = std::chrono::milliseconds(800);
 
   auto operator<=>(const ValueSettings&) const = default;
@@ -41,6 +44,7 @@
     /// Whether another would do nearly as well, if this one turns out worse
     /// than its hint says.
     bool has_alternative = false;
+    double value = 0;  // of the request there
   };
 
   /// Picks one of `candidates`, which are not empty.
@@ -48,6 +52,10 @@
                 const RequestTerms& terms,
                 Time now,
                 Random& random) const;
+  /// Returns whether a request with such a choice should be begun at all.
+  bool IsWorthTrying(const Choice& choice) const {
+    return choice.value >= settings_.least_value;
+  }
   /// Returns what the request is worth at `candidate`: 1 for an answer that
   /// is sure to come within the objective.
   double Value(const Candidate& candidate,
--- a/tests/control/keeper_test.cc
+++ b/tests/control/keeper_test.cc
@@ -143,6 +143,27 @@
             wire::ClaimVerdict::kGranted);
 }
 
+// A keeper that restarts applies its whole log again; a node that restarts with
+// it must not live through all files of the past.
+TEST_F(OneKeeperTest, ARestartedKeeperSendsOnlyTheNewestFile) {
+  for (int base = 0; base < 5; ++base) {
+    const std::string number = std::to_string(base);
+    Ask(0, "POST", "/apply?change=c" + number + "&base=" + number,
+        "f" + number);
+    ASSERT_TRUE(RunUntil([&] {
+      const nlohmann::json fleet = AskJson(0, "GET", "/fleet");
+      return fleet.value("active", 0) == base + 1;
+    }));
+  }
+  StopKeeper(0);
+  const auto node = StartNode("node-1");
+  RunFor(std::chrono::milliseconds(50));
+  StartKeeper(0);
+  ASSERT_TRUE(RunUntil([&] { return !node->activated.empty(); }));
+  RunFor(std::chrono::milliseconds(300));
+  EXPECT_THAT(node->activated, ElementsAre(5));
+}
+
 TEST_F(OneKeeperTest, ReleasesAndRecordsClaims) {
   const auto node = StartNode("a");
   EXPECT_EQ(Claim(*node, ClaimOf("k", 1)).verdict,
