--- a/src/control/keeper_links.cc
+++ b/src/control/keeper_links.cc
@@ -7,9 +7,9 @@
 namespace ibisvalve::control {
 namespace {
 
-constexpr Duration kTend = std::chrono::milliseconds(250);
+constexpr Duration kTend = std::chrono::milliseconds(100);
 constexpr Duration kSilence = std::chrono::seconds(2);
-constexpr Duration kRedial = std::chrono::milliseconds(400);
+constexpr Duration kRedial = std::chrono::milliseconds(150);
 
 }  // namespace
 
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace ibisvalve::dataplane {
+namespace {
+
+// A cut lasts seconds; each try costs a request the time of a silent link.
+constexpr Duration kShortestAvoidance = std::chrono::seconds(1);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
+
+}  // namespace
 
 CandidateTable::CandidateTable(const PlaneSettings& settings,
                                const FleetView& view)
@@ -22,7 +29,8 @@
     if (!tried.contains(member->id)) {
       policy.ejection.Add(member->id);
       candidates.push_back(CandidateFor(service, *member, now));
-      candidates.back().ejected = policy.ejection.Factor(member->id, now);
+      candidates.back().ejected = std::max(
+          candidates.back().ejected, policy.ejection.Factor(member->id, now));
     }
   }
   // Another region is used only where the own one has nothing left.
@@ -63,12 +71,24 @@
                                : known->second.hint.slowdown_percent / kPercent;
 }
 
+void CandidateTable::OnUnreachable(const NodeId& gate, Time now) {
+  Known& known = known_[gate];
+  if (now < known.avoid_until) {
+    return;  // of the same silence
+  }
+  known.avoided =
+      std::clamp(known.avoided * 2, kShortestAvoidance, kLongestAvoidance);
+  known.avoid_until = now + known.avoided;
+}
+
 void CandidateTable::OnHint(const NodeId& gate,
                             const wire::LoadHint& hint,
                             Time now) {
   Known& known = known_[gate];
   known.hint = hint;
   known.hint_time = now;
+  known.avoid_until = Time();
+  known.avoided = Duration(0);
 }
 
 policy::Candidate CandidateTable::CandidateFor(const world::Service& service,
@@ -99,6 +119,9 @@
   constexpr double kPercent = 100;
   candidate.slowdown = known.hint.slowdown_percent / kPercent;
   candidate.pace = known.hint.pace_percent / kPercent;
+  if (now < known.avoid_until) {
+    candidate.ejected = 1;
+  }
   candidate.hint_time = known.hint_time;
   candidate.ready_since = *known.ready_since;
   return candidate;
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -37,6 +37,9 @@
                                                Time now) const;
   /// Returns the slowdown that `gate` last told of its target.
   double SlowdownAt(const NodeId& gate) const;
+  /// A link to `gate` went silent or could not be opened: it is left alone for
+  /// a while, longer each time until it is heard of again.
+  void OnUnreachable(const NodeId& gate, Time now);
   /// A gate has told its load.
   void OnHint(const NodeId& gate, const wire::LoadHint& hint, Time now);
   /// An attempt is in flight at `gate` from now on, or no longer.
@@ -52,6 +55,8 @@
     wire::LoadHint hint;
     std::optional<Time> hint_time;
     std::optional<Time> ready_since;
+    Time avoid_until{};
+    Duration avoided{0};  // the last time; 0: it was heard of since
   };
 
   policy::Candidate CandidateFor(const world::Service& service,
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -64,27 +64,31 @@
       handlers_(handlers),
       candidates_(settings, view),
       policies_(settings.choice, settings.retries),
-      gates_(loop,
-             settings,
-             view,
-             gate,
-             {[this](const NodeId& peer, GateReply reply) {
-                OnReply(peer, std::move(reply));
-              },
-              [this](const NodeId& peer, const wire::LoadHint& hint) {
-                candidates_.OnHint(peer, hint, loop_.Now());
-              },
-              [this](const NodeId& peer, uint64_t link, LinkLoss loss) {
-                recovery_.OnLinkDown(peer, link, loss);
-              },
-              [this](const NodeId& peer, Revision seen) {
-                OnNewerRevision(peer, seen);
-              },
-              [this](const wire::PresentFile& file) {
-                if (handlers_.on_file) {
-                  handlers_.on_file(file);
-                }
-              }}),
+      gates_(
+          loop,
+          settings,
+          view,
+          gate,
+          {[this](const NodeId& peer, GateReply reply) {
+             OnReply(peer, std::move(reply));
+           },
+           [this](const NodeId& peer, const wire::LoadHint& hint) {
+             candidates_.OnHint(peer, hint, loop_.Now());
+           },
+           [this](const NodeId& peer, uint64_t link, LinkLoss loss) {
+             if (loss == LinkLoss::kSilent || loss == LinkLoss::kNeverStood) {
+               candidates_.OnUnreachable(peer, loop_.Now());
+             }
+             recovery_.OnLinkDown(peer, link, loss);
+           },
+           [this](const NodeId& peer, Revision seen) {
+             OnNewerRevision(peer, seen);
+           },
+           [this](const wire::PresentFile& file) {
+             if (handlers_.on_file) {
+               handlers_.on_file(file);
+             }
+           }}),
       recovery_(loop,
                 attempts_,
                 gates_,
--- /dev/null
+++ b/tests/dataplane/candidate_table_test.cc
@@ -0,0 +1,76 @@
+#include "dataplane/candidate_table.h"
+
+#include <gtest/gtest.h>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CandidateTableTest : public testing::Test {
+ protected:
+  CandidateTableTest() {
+    settings_.choice = policy::ChoiceKind::kExpectedValue;
+    service_.name = ServiceName("ledger");
+    for (const char* id : {"a", "b"}) {
+      world::Member member;
+      member.id = NodeId(id);
+      member.service = service_.name;
+      member.target = world::TargetState::kReady;
+      member.slots = 4;
+      view_.SetMember(member);
+    }
+  }
+
+  // Returns how often `gate` is chosen of 50 times.
+  int Chosen(const std::string& gate, Time now) {
+    int count = 0;
+    for (int i = 0; i < 50; ++i) {
+      const auto choice = table_.Choose(
+          service_, policy_,
+          {milliseconds(500), seconds(1), milliseconds(100), 1}, {}, now);
+      count += choice && choice->gate.value == gate ? 1 : 0;
+    }
+    return count;
+  }
+
+  PlaneSettings settings_;
+  world::Service service_;
+  FleetView view_;
+  CandidateTable table_{settings_, view_};
+  ServicePolicy policy_{
+      policy::AnyChooser(policy::ChoiceKind::kExpectedValue, {}),
+      policy::Ejection(), policy::RetryBudget(), policy::Hedge()};
+  Time now_{seconds(100)};
+};
+
+// Pattern: a host is cut off for seconds; each request sent there would wait
+// for the silence of its link to be noticed.
+TEST_F(CandidateTableTest, ASilentGateIsLeftAloneLongerEachTime) {
+  EXPECT_GT(Chosen("a", now_), 0);
+  table_.OnUnreachable(NodeId("a"), now_);
+  EXPECT_EQ(Chosen("a", now_ + milliseconds(900)), 0);
+  now_ += milliseconds(1100);
+  EXPECT_GT(Chosen("a", now_), 0);
+  table_.OnUnreachable(NodeId("a"), now_);
+  EXPECT_EQ(Chosen("a", now_ + milliseconds(1900)), 0);
+}
+
+TEST_F(CandidateTableTest, AGateThatIsHeardOfIsUsedAgainAtOnce) {
+  table_.OnUnreachable(NodeId("a"), now_);
+  table_.OnHint(NodeId("a"), wire::LoadHint{}, now_);
+  EXPECT_GT(Chosen("a", now_), 0);
+}
+
+TEST_F(CandidateTableTest, TheOnlyGateLeftIsStillTried) {
+  table_.OnUnreachable(NodeId("a"), now_);
+  const auto choice = table_.Choose(
+      service_, policy_, {milliseconds(500), seconds(1), milliseconds(100), 1},
+      {NodeId("b")}, now_);
+  ASSERT_TRUE(choice);
+  EXPECT_EQ(choice->gate, NodeId("a"));
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
