--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -39,7 +39,7 @@
 
 KeeperProcess::KeeperProcess(net::EventLoop& loop,
                              const config::Settings& settings,
-                             KeeperOptions options)
+                             const KeeperOptions& options)
     : loop_(loop),
       admin_(loop, settings.admin),
       keeper_(
--- a/src/node/keeper_process.h
+++ b/src/node/keeper_process.h
@@ -28,7 +28,7 @@
   /// InvalidInput.
   KeeperProcess(net::EventLoop& loop,
                 const config::Settings& settings,
-                KeeperOptions options = {});
+                const KeeperOptions& options = {});
   KeeperProcess(const KeeperProcess&) = delete;
   KeeperProcess& operator=(const KeeperProcess&) = delete;
 
