--- a/tests/control/keeper_test.cc
+++ b/tests/control/keeper_test.cc
@@ -147,9 +147,11 @@
 // it must not live through all files of the past.
 TEST_F(OneKeeperTest, ARestartedKeeperSendsOnlyTheNewestFile) {
   for (int base = 0; base < 5; ++base) {
-    const std::string number = std::to_string(base);
-    Ask(0, "POST", "/apply?change=c" + number + "&base=" + number,
-        "f" + number);
+    std::string page = "/apply?change=c";
+    page += std::to_string(base);
+    page += "&base=";
+    page += std::to_string(base);
+    Ask(0, "POST", page, "file " + std::to_string(base));
     ASSERT_TRUE(RunUntil([&] {
       const nlohmann::json fleet = AskJson(0, "GET", "/fleet");
       return fleet.value("active", 0) == base + 1;
