--- a/tests/dataplane/own_terms_test.cc
+++ b/tests/dataplane/own_terms_test.cc
@@ -1,4 +1,4 @@
-#include <gmock/gmock.h>
+#include <gtest/gtest.h>
 
 #include <charconv>
 
@@ -8,8 +8,6 @@
 namespace ibisvalve::dataplane {
 namespace {
 
-using testing::HasSubstr;
-
 std::optional<TargetLoad> ParsePercent(std::string_view text) {
   uint32_t percent = 0;
   std::from_chars(text.data(), text.data() + text.size(), percent);
