--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -173,7 +173,7 @@
   refused("status", "sequence", -1);
   refused("status", "coldLeftS", nullptr);
   refused("address", "", "10.1.0.9:8301");
-  EXPECT_THROW(ParseHeartbeat("i-7f", "\xff\x00{", kOwn), InvalidInput);
+  EXPECT_THROW(ParseHeartbeat("i-7f", "\xff\x01{", kOwn), InvalidInput);
   EXPECT_THROW(ParseHeartbeat("", good.dump(), kOwn), InvalidInput);
 }
 
