--- a/tests/dataplane/candidate_table_test.cc
+++ b/tests/dataplane/candidate_table_test.cc
@@ -63,13 +63,15 @@
   EXPECT_GT(Chosen("a", now_), 0);
 }
 
-TEST_F(CandidateTableTest, TheOnlyGateLeftIsStillTried) {
+// The caller is then refused at once, rather than held for a silent link.
+TEST_F(CandidateTableTest, ASilentGateThatIsTheOnlyOneIsNotWorthTrying) {
   table_.OnUnreachable(NodeId("a"), now_);
   const auto choice = table_.Choose(
       service_, policy_, {milliseconds(500), seconds(1), milliseconds(100), 1},
       {NodeId("b")}, now_);
   ASSERT_TRUE(choice);
   EXPECT_EQ(choice->gate, NodeId("a"));
+  EXPECT_FALSE(choice->worth_trying);
 }
 
 }  // namespace
