Learn work times at the gate, and let requests move on instead of waiting

On the grown halls the estimate was 390 to 480 ms for work of 240 ms, because it held the wait at the gate, and 80 of 100 attempts waited at a full gate while others had room (hints 0.1 to 1 s old). A told slowdown counted twice, as such and as pace. Now: the gate tells how long a run took and what slowdown the target had told; slowed runs count, divided by it, until ten others are known; before the first run a third of the objective is supposed; pace is measured against the told slowdown and fades while nothing runs; a request that may move waits 10 ms and 5 ms a KiB of its body at most.

--- a/src/dataplane/answer_sender.h
+++ b/src/dataplane/answer_sender.h
@@ -19,6 +19,9 @@
   /// Frames carry `id` and go to `send`.
   AnswerSender(const AttemptId& id, Send send);
 
+  /// The target began to answer after `ran`, and had told `slowdown` (1 is
+  /// usual) when it was sent the request.
+  void SetRun(Duration ran, double slowdown);
   /// The answer starts.
   void OnHead(uint16_t status,
               wire::Headers headers,
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -29,6 +29,23 @@
 constexpr Duration kLoadIsFresh = std::chrono::milliseconds(10);
 constexpr Duration kNoticePause = std::chrono::milliseconds(40);
 
+// A request that may move waits no longer than it takes to ask another gate,
+// and to carry its body there.
+constexpr Duration kAskingElsewhere = std::chrono::milliseconds(10);
+constexpr Duration kCarryingKib = std::chrono::milliseconds(5);
+
+Duration PatienceFor(const wire::OpenAttempt& open) {
+  constexpr uint64_t kBytesPerKib = 1024;
+  return kAskingElsewhere +
+         kCarryingKib * static_cast<int64_t>(open.body_bytes / kBytesPerKib);
+}
+
+// Returns how long a run takes at `slowdown` that usually takes `usual_us`.
+Duration AtSlowdown(uint64_t usual_us, double slowdown) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(usual_us) * slowdown));
+}
+
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
@@ -289,15 +306,17 @@
   policy::AdmissionTerms terms{run.open.id, run.deadline, run.objective};
   terms.expected = ExpectedRun(run.open);
   terms.priority = run.open.priority;
+  if (run.open.may_move) {
+    terms.patience = PatienceFor(run.open);
+  }
   Decide(run, admission_.Arrive(terms, now));
 }
 
 // Returns how long a request would run if it began now; 0 where that is not
 // known.
 Duration Gate::ExpectedRun(const wire::OpenAttempt& open) const {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(open.expected_us) * std::max(slowdown_, 1.0) *
-      pace_.Pace(loop_.Now())));
+  return AtSlowdown(open.expected_us,
+                    std::max(slowdown_, 1.0) * pace_.Pace(loop_.Now()));
 }
 
 void Gate::Apply(const std::vector<policy::Admission::Release>& released) {
@@ -402,7 +421,8 @@
     return;
   }
   run.kept = std::make_shared<claims::KeptAnswer>();
-  pace_.Begin(run.open.id, Duration(static_cast<int64_t>(run.open.expected_us)),
+  run.slowdown = std::max(slowdown_, 1.0);
+  pace_.Begin(run.open.id, AtSlowdown(run.open.expected_us, run.slowdown),
               run.dispatched);
   ++counts_.dispatched;
   const AttemptId id = run.open.id;
@@ -555,6 +575,7 @@
           sending->port.send(reply);
         }
       });
+  run->answer->SetRun(loop_.Now() - run->dispatched, run->slowdown);
   run->answer->OnHead(head.status, run->kept->headers, head.length);
 }
 
--- a/src/dataplane/gate_run.h
+++ b/src/dataplane/gate_run.h
@@ -38,6 +38,7 @@
   Time deadline;
   Time objective;  // the answer should come by then
   Time dispatched;
+  double slowdown = 1;  // that the target had told as it was dispatched
   MemoryShare memory;
   std::unique_ptr<net::Timer> deadline_timer;
   std::unique_ptr<TargetCall> call;
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -241,7 +241,7 @@
   constexpr double kBytesPerKib = 1024;
   const Time now = loop_.Now();
   return {request.arrived + request.terms.objective - now,
-          request.deadline - now, request.work->usual(),
+          request.deadline - now, request.ExpectedWork(),
           static_cast<double>(request.exchange->request().body.size() +
                               kUsualOtherBytes) /
               kBytesPerKib};
@@ -380,7 +380,10 @@
 void Ingress::Take(const AttemptIndex::Found& found, wire::AnswerHead head) {
   candidates_.OnHint(found.attempt->gate, head.hint, loop_.Now());
   OnNewerRevision(found.attempt->gate, head.hint.revision);
+  constexpr double kPercent = 100;
   const AttemptId id = found.attempt->id;
+  found.attempt->ran = Duration(static_cast<int64_t>(head.ran_us));
+  found.attempt->slowdown = head.slowdown_percent / kPercent;
   if (found.attempt->relay->OnHead(std::move(head))) {
     OnAnswered(found.request, id);
   }
@@ -431,7 +434,9 @@
   record.status = winner.relay->status();
   ServicePolicy& policy = PolicyOf(*request);
   policy.retries.Earn(now);
-  request->work->Add(now - winner.started, candidates_.SlowdownAt(winner.gate));
+  if (winner.ran > Duration(0)) {
+    request->work->Add(winner.ran, winner.slowdown);
+  }
   policy.hedge.OnAnswer(now - winner.started, now);
   const bool failed = record.status >= kFirstServerError;
   if (policy.ejection.OnResult(winner.gate, failed, now)) {
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -48,7 +48,7 @@
   open.caller = settings.service;
   open.objective_us = static_cast<uint64_t>(std::max<int64_t>(
       (request.arrived + request.terms.objective - now).count(), 0));
-  open.expected_us = static_cast<uint64_t>(request.work->usual().count());
+  open.expected_us = static_cast<uint64_t>(request.ExpectedWork().count());
   open.priority = request.terms.priority;
   return open;
 }
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -25,6 +25,9 @@
   Incarnation gate_incarnation;  // the run of the gate that it was sent to
   uint64_t link = 0;             // 0: the gate of this node
   Time started;
+  // Of the run that is answered, by its gate.
+  Duration ran{0};
+  double slowdown = 1;
   bool hedge = false;
   // The attempt whose answer this one waits for, in place of running itself.
   std::optional<AttemptId> follows;
@@ -61,6 +64,8 @@
   policy::WorkEstimate* work = nullptr;  // of its kind; lives as the ingress
   uint16_t first_status = 0;  // of the first run of its key, if known
 
+  /// Returns how long its run should take at a target of usual pace.
+  Duration ExpectedWork() const { return work->ExpectedFor(terms.objective); }
   bool repeatable() const {
     return terms.terms.repeat == world::Repeat::kAllowed;
   }
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -144,8 +144,9 @@
       std::count_if(queue_.begin(), queue_.end(), [&](const Waiting& waiting) {
         return Urgency(waiting.terms) <= Urgency(terms);
       }));
-  if (queue_.size() >= settings_.max_queue ||
-      now + WaitAhead(ahead) + terms.expected > terms.objective) {
+  const Duration wait = WaitAhead(ahead);
+  if (queue_.size() >= settings_.max_queue || wait > terms.patience ||
+      now + wait + terms.expected > terms.objective) {
     return {Admit::kRefuse, world::Reason::kBusy};
   }
   return {Admit::kQueue, world::Reason::kNone};
@@ -172,7 +173,8 @@
   if (now + terms.expected >= terms.deadline) {
     return world::Reason::kDeadline;
   }
-  const bool late = now + terms.expected > terms.objective;
+  const bool late = now + terms.expected > terms.objective ||
+                    now - waiting.since > terms.patience;
   return late && running_.size() >= limit_.limit() ? world::Reason::kBusy
                                                    : world::Reason::kNone;
 }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -33,6 +33,8 @@
   Time objective;         // the answer should come by then
   Duration expected{0};   // how long it would run now; 0: not known
   uint32_t priority = 0;  // 0 is the most urgent
+  // How long it should wait here at most: another target may have room.
+  Duration patience = Duration::max();
 
   auto operator<=>(const AdmissionTerms&) const = default;
 };
--- a/src/policy/pace_meter.cc
+++ b/src/policy/pace_meter.cc
@@ -1,6 +1,7 @@
 #include "policy/pace_meter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ibisvalve::policy {
 namespace {
@@ -12,11 +13,14 @@
 constexpr double kHalfDone = 2;
 // Ordinary spread and slowdowns that pass are no sign of a slow target.
 constexpr double kOrdinary = 1.8;
+// Without runs nothing tells of recovery; slow spells last about a second.
+constexpr double kHalfLifeUs = 1e6;
 
 }  // namespace
 
 void PaceMeter::Begin(const AttemptId& id, Duration expected, Time now) {
   if (expected > Duration(0)) {
+    recent_ = Recent(now);
     running_[id] = Run{now, expected};
   }
 }
@@ -33,6 +37,17 @@
   if (whole || pace > recent_) {
     recent_ += (std::min(pace, kMostOfOne) - recent_) * kWeight;
   }
+  idle_since_ = now;
+}
+
+// Returns the mean pace of runs that ended, faded while nothing ran since.
+double PaceMeter::Recent(Time now) const {
+  if (!running_.empty()) {
+    return recent_;
+  }
+  const auto age =
+      static_cast<double>(std::max(now - idle_since_, Duration(0)).count());
+  return 1 + (recent_ - 1) * std::exp2(-age / kHalfLifeUs);
 }
 
 double PaceMeter::Pace(Time now) const {
@@ -46,7 +61,7 @@
       running_.empty()
           ? 0
           : kHalfDone * ages / static_cast<double>(running_.size());
-  const double pace = std::max(recent_, present);
+  const double pace = std::max(Recent(now), present);
   return pace <= kOrdinary ? 1 : pace / kOrdinary;
 }
 
--- a/src/policy/work_estimate.cc
+++ b/src/policy/work_estimate.cc
@@ -6,16 +6,21 @@
 namespace {
 
 constexpr double kUndisturbed = 1.3;  // slowdown up to which a run counts
+constexpr uint32_t kEnoughRuns = 10;  // undisturbed; others no longer count
 constexpr double kWeight = 0.05;      // of the latest run, in the long run
 constexpr double kMostOverUsual = 2;  // a straggler does not count for more
+// Objectives leave room for a wait and a second try.
+constexpr int kObjectiveOverWork = 3;
 
 }  // namespace
 
 void WorkEstimate::Add(Duration took, double slowdown) {
-  if (slowdown > kUndisturbed) {
+  const bool undisturbed = slowdown <= kUndisturbed;
+  if (!undisturbed && undisturbed_ >= kEnoughRuns) {
     return;
   }
-  auto sample = static_cast<double>(took.count());
+  double sample = static_cast<double>(took.count()) / std::max(slowdown, 1.0);
+  undisturbed_ += undisturbed ? 1 : 0;
   ++runs_;
   if (runs_ > 1) {
     sample = std::min(sample, usual_us_ * kMostOverUsual);
@@ -23,4 +28,8 @@
   usual_us_ += (sample - usual_us_) * std::max(kWeight, 1.0 / runs_);
 }
 
+Duration WorkEstimate::ExpectedFor(Duration objective) const {
+  return runs_ > 0 ? usual() : objective / kObjectiveOverWork;
+}
+
 }  // namespace ibisvalve::policy
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -115,10 +115,13 @@
   std::string body;                // first part
   bool complete = false;
   LoadHint hint;
+  uint64_t ran_us = 0;              // from the target's start to its head
+  uint16_t slowdown_percent = 100;  // that the target told as it began
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, status, headers, length, body, complete, hint);
+    archive(id, status, headers, length, body, complete, hint, ran_us,
+            slowdown_percent);
   }
 };
 
--- /dev/null
+++ b/tests/policy/full_target_test.cc
@@ -0,0 +1,112 @@
+#include <gtest/gtest.h>
+
+#include "policy/policy.h"
+
+namespace ibisvalve::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kWork = milliseconds(160);
+constexpr Duration kObjective = milliseconds(500);
+constexpr Duration kDeadline = milliseconds(1200);
+
+// A target with two slots that has run requests of the usual length.
+class FullTargetTest : public testing::Test {
+ protected:
+  FullTargetTest() {
+    for (int i = 0; i < 10; ++i) {
+      const AttemptId id = Next();
+      admission_.Arrive(Terms(id), now_);
+      now_ += kWork;
+      admission_.Finish(id, kWork, RunEnd::kWell, now_);
+    }
+  }
+
+  static AdmissionSettings Settings() {
+    AdmissionSettings settings;
+    settings.slots = 2;
+    settings.adapts = false;
+    settings.by_objective = true;
+    return settings;
+  }
+  AttemptId Next() { return {Incarnation(1), ++last_}; }
+  AdmissionTerms Terms(const AttemptId& id) const {
+    return {id, now_ + kDeadline, now_ + kObjective, kWork};
+  }
+  // Lets as many run as there are slots.
+  std::vector<AttemptId> Fill() {
+    std::vector<AttemptId> running;
+    for (uint32_t i = 0; i < Settings().slots; ++i) {
+      running.push_back(Next());
+      EXPECT_EQ(admission_.Arrive(Terms(running.back()), now_).admit,
+                Admit::kRun);
+    }
+    return running;
+  }
+
+  Admission admission_{Settings()};
+  Time now_ = Time(seconds(100));
+  uint64_t last_ = 0;
+};
+
+// Pattern: many ingresses with the same old hint send to one target while
+// others are idle.
+TEST_F(FullTargetTest, WhatMayMoveIsSentElsewhereAtOnce) {
+  Fill();
+  AdmissionTerms terms = Terms(Next());
+  terms.patience = milliseconds(10);
+  const Admission::Decision decision = admission_.Arrive(terms, now_);
+  EXPECT_EQ(decision.admit, Admit::kRefuse);
+  EXPECT_EQ(decision.reason, world::Reason::kBusy);
+}
+
+TEST_F(FullTargetTest, WhatCannotMoveWaitsWhileItCanBeOnTime) {
+  Fill();
+  EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
+  EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
+  EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
+  // Four turns of 80 ms and its own run would end after the objective.
+  EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
+  EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kRefuse);
+}
+
+// Pattern: the queue was estimated to be short, and its runs are slower.
+TEST_F(FullTargetTest, AWaitThatTurnsOutTooLongEndsForWhatMayMove) {
+  Fill();
+  AdmissionTerms terms = Terms(Next());
+  terms.patience = milliseconds(100);
+  ASSERT_EQ(admission_.Arrive(terms, now_).admit, Admit::kQueue);
+  EXPECT_TRUE(admission_.Expire(now_ + milliseconds(90)).empty());
+  const auto released = admission_.Expire(now_ + milliseconds(101));
+  ASSERT_EQ(released.size(), 1U);
+  EXPECT_EQ(released.front().decision.admit, Admit::kRefuse);
+}
+
+// Pattern: a class that starves another. A lower rank goes first, but not
+// before one whose objective is far nearer.
+TEST_F(FullTargetTest, RankGoesFirstButDoesNotStarve) {
+  const std::vector<AttemptId> running = Fill();
+  AdmissionTerms low = Terms(Next());
+  low.priority = 1;
+  AdmissionTerms high = Terms(Next());
+  high.objective += milliseconds(100);
+  AdmissionTerms later = Terms(Next());
+  later.objective += milliseconds(200);
+  ASSERT_EQ(admission_.Arrive(low, now_).admit, Admit::kQueue);
+  ASSERT_EQ(admission_.Arrive(high, now_).admit, Admit::kQueue);
+  ASSERT_EQ(admission_.Arrive(later, now_).admit, Admit::kQueue);
+  std::vector<AttemptId> order;
+  for (const AttemptId& id : running) {
+    now_ += milliseconds(10);
+    for (const auto& release :
+         admission_.Finish(id, kWork, RunEnd::kWell, now_)) {
+      order.push_back(release.id);
+    }
+  }
+  EXPECT_EQ(order, (std::vector<AttemptId>{high.id, low.id}));
+}
+
+}  // namespace
+}  // namespace ibisvalve::policy
