Tell apart attempts of nodes that started in one instant; send uploads where links have room

Now an attempt also holds the digest of its node's id. Test: PlaneTest.NodesOfOneIncarnationGetTheirOwnAnswers, seen failing ('/rooms/first' for '/rooms/second').

The gate measures what comes in (LinkMeter) and tells what a KiB takes; the chooser adds it. New setting limits.link_mbps. What a gate knows of its target's pace is now LoadWatch, out of gate.cc. Tests: full_link_test (not seen failing first).

--- a/src/base/ids.cc
+++ b/src/base/ids.cc
@@ -30,7 +30,9 @@
 }
 
 std::string ToString(const AttemptId& id) {
-  return std::to_string(id.ingress.value) + "." + std::to_string(id.counter);
+  const std::string made =
+      std::to_string(id.ingress.value) + "." + std::to_string(id.counter);
+  return id.node == Digest() ? made : made + "." + ToHex(id.node);
 }
 
 }  // namespace ibisvalve
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -59,14 +59,16 @@
 
 /// Identity of one attempt to run a request: unique in the fleet for good.
 struct AttemptId {
-  Incarnation ingress;   // the ingress process that made it
-  uint64_t counter = 0;  // grows by one for each attempt of that process
+  Incarnation ingress;   // the run of the ingress that made it
+  uint64_t counter = 0;  // grows by one for each attempt of that run
+  // Of the ingress's id: nodes may start with one incarnation.
+  Digest node{};
 
   auto operator<=>(const AttemptId&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(ingress, counter);
+    archive(ingress, counter, node);
   }
 };
 
@@ -102,7 +104,8 @@
 template <>
 struct std::hash<ibisvalve::AttemptId> {
   size_t operator()(const ibisvalve::AttemptId& id) const {
-    return std::hash<uint64_t>()(id.ingress.value * 0x9E3779B97F4A7C15ULL +
+    return std::hash<uint64_t>()((id.ingress.value ^ id.node.value) *
+                                     0x9E3779B97F4A7C15ULL +
                                  id.counter);
   }
 };
--- a/src/claims/attempt_table.cc
+++ b/src/claims/attempt_table.cc
@@ -71,7 +71,7 @@
 }
 
 bool AttemptTable::IsForgotten(const AttemptId& id) const {
-  const auto mark = marks_.find(id.ingress);
+  const auto mark = marks_.find({id.ingress, id.node});
   return mark == marks_.end() ? id.ingress <= forgotten_ingress_
                               : id.counter <= mark->second.counter;
 }
@@ -108,10 +108,11 @@
 }
 
 void AttemptTable::RaiseMark(const AttemptId& id) {
-  if (!marks_.contains(id.ingress) && id.ingress <= forgotten_ingress_) {
+  if (!marks_.contains({id.ingress, id.node}) &&
+      id.ingress <= forgotten_ingress_) {
     return;  // a new mark could be lower than the one that was dropped
   }
-  Mark& mark = marks_[id.ingress];
+  Mark& mark = marks_[{id.ingress, id.node}];
   mark.counter = std::max(mark.counter, id.counter);
   mark.used = ++mark_count_;
   if (marks_.size() > limits_.ingresses) {
@@ -124,7 +125,7 @@
                                        [](const auto& a, const auto& b) {
                                          return a.second.used < b.second.used;
                                        });
-  forgotten_ingress_ = std::max(forgotten_ingress_, oldest->first);
+  forgotten_ingress_ = std::max(forgotten_ingress_, oldest->first.first);
   marks_.erase(oldest);
 }
 
--- a/src/claims/attempt_table.h
+++ b/src/claims/attempt_table.h
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "base/base.h"
 #include "wire/wire.h"
@@ -107,7 +109,7 @@
   std::unordered_map<AttemptId, Entry> entries_;
   Generation plain_;
   Generation keyed_;
-  std::unordered_map<Incarnation, Mark> marks_;
+  std::map<std::pair<Incarnation, Digest>, Mark> marks_;  // by ingress
   uint64_t mark_count_ = 0;
   // Ingresses up to this one that have no mark count as forgotten as a whole.
   Incarnation forgotten_ingress_;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -38,6 +38,7 @@
 struct ProcessLimits {
   uint64_t body_memory = 24 << 20;  // bytes of bodies held at any time
   uint32_t caller_connections = 2000;
+  double link_mbps = 0;  // of the host's network link; 0: not known
   Duration link_silence = std::chrono::milliseconds(300);  // before a link is
                                                            // asked about
   Duration drain_limit = std::chrono::seconds(60);         // of a planned stop
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -152,6 +152,8 @@
            limits.caller_connections);
   map.Read("link_silence", DurationBetween(milliseconds(20), seconds(10)),
            limits.link_silence);
+  constexpr double kMostMbps = 1'000'000;
+  map.Read("link_mbps", NumberBetween(0, kMostMbps), limits.link_mbps);
   map.Read("drain_limit", DurationBetween(seconds(1), minutes(60)),
            limits.drain_limit);
   map.Read("stop_linger", DurationBetween(seconds(0), minutes(60)),
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -119,6 +119,9 @@
   constexpr double kPercent = 100;
   candidate.slowdown = known.hint.slowdown_percent / kPercent;
   candidate.pace = known.hint.pace_percent / kPercent;
+  if (member.id != settings_.id) {
+    candidate.hint_kib = Duration(known.hint.kib_us);
+  }
   if (now < known.avoid_until) {
     candidate.ejected = 1;
   }
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -22,13 +22,10 @@
 constexpr uint16_t kFirstServerError = 500;
 constexpr uint16_t kMisdirected = 421;
 constexpr uint64_t kMicrosPerMs = 1000;
-// A slowdown that has changed by this factor is told at once, but not more
-// often than this.
-constexpr double kNoticedChange = 1.3;
-constexpr Duration kProbePatience = std::chrono::milliseconds(20);
+// What the target told so recently is as good as asking it.
 constexpr Duration kLoadIsFresh = std::chrono::milliseconds(10);
-constexpr Duration kNoticePause = std::chrono::milliseconds(40);
-
+// A request without its body, and what its frames need on the link.
+constexpr uint64_t kFrameBytes = 600;
 // A request that may move waits no longer than it takes to ask another gate,
 // and to carry its body there.
 constexpr Duration kAskingElsewhere = std::chrono::milliseconds(10);
@@ -40,12 +37,6 @@
          kCarryingKib * static_cast<int64_t>(open.body_bytes / kBytesPerKib);
 }
 
-// Returns how long a run takes at `slowdown` that usually takes `usual_us`.
-Duration AtSlowdown(uint64_t usual_us, double slowdown) {
-  return Duration(
-      static_cast<Duration::rep>(static_cast<double>(usual_us) * slowdown));
-}
-
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
@@ -66,13 +57,16 @@
                               settings.slots,
                               settings.names.load.empty())),
       attempts_(claims::AttemptTableLimits{}),
+      client_(settings.target
+                  ? std::make_unique<TargetClient>(loop,
+                                                   *settings.target,
+                                                   settings.names.request_id)
+                  : nullptr),
       queue_timer_(loop, [this] { ExpireQueue(); }),
-      probe_timer_(loop, [this] { EndProbe(); }) {
-  if (settings_.target) {
-    client_ = std::make_unique<TargetClient>(loop_, *settings_.target,
-                                             settings_.names.request_id);
-  }
-}
+      load_(loop,
+            settings,
+            client_.get(),
+            {[this] { AdmitWaiting(); }, handlers_.on_load}) {}
 
 Gate::~Gate() = default;
 
@@ -109,6 +103,9 @@
   }
   GateRun& run = *made;
   runs_.emplace(open.id, std::move(made));
+  if (port.link != 0) {
+    load_.Received(kFrameBytes + open.body.size());
+  }
   run.open = open;
   run.port = port;
   run.deadline =
@@ -139,6 +136,9 @@
     return;
   }
   run->open.body += part.bytes;
+  if (run->port.link != 0) {
+    load_.Received(part.bytes.size());
+  }
   if (run->open.body.size() > run->open.body_bytes ||
       (part.last && run->open.body.size() != run->open.body_bytes)) {
     Fail(*run, Outcome::kNotRun, Reason::kBadRequest);
@@ -290,8 +290,7 @@
 }
 
 wire::LoadHint Gate::Hint() const {
-  return HintOf(admission_, slowdown_, pace_.Pace(loop_.Now()),
-                view_.revision());
+  return HintOf(admission_, load_, view_.revision());
 }
 
 void Gate::Send(const FinishedAttempt& finished,
@@ -304,7 +303,7 @@
   run.stage = RunStage::kQueued;
   const Time now = loop_.Now();
   policy::AdmissionTerms terms{run.open.id, run.deadline, run.objective};
-  terms.expected = ExpectedRun(run.open);
+  terms.expected = load_.Expected(run.open.expected_us);
   terms.priority = run.open.priority;
   if (run.open.may_move) {
     terms.patience = PatienceFor(run.open);
@@ -312,13 +311,6 @@
   Decide(run, admission_.Arrive(terms, now));
 }
 
-// Returns how long a request would run if it began now; 0 where that is not
-// known.
-Duration Gate::ExpectedRun(const wire::OpenAttempt& open) const {
-  return AtSlowdown(open.expected_us,
-                    std::max(slowdown_, 1.0) * pace_.Pace(loop_.Now()));
-}
-
 void Gate::Apply(const std::vector<policy::Admission::Release>& released) {
   for (const policy::Admission::Release& release : released) {
     if (GateRun* run = Find(release.id)) {
@@ -330,17 +322,19 @@
 void Gate::LogDecision(const EventCode& code,
                        const wire::OpenAttempt& open,
                        Reason reason) const {
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      loop_.Now() - load_told_);
-  LogEvent(code, {{"request", RequestIdOf(open.headers, settings_.names)},
-                  {"attempt", ToString(open.id)},
-                  {"reason", world::ToString(reason)},
-                  {"running", admission_.in_flight()},
-                  {"queued", admission_.queued()},
-                  {"limit", admission_.limit()},
-                  {"slowdown", static_cast<uint64_t>(slowdown_ * 100)},
-                  {"load_age_ms", static_cast<uint64_t>(age.count())},
-                  {"target", world::ToString(target_state_)}});
+  constexpr double kPercent = 100;
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(load_.age());
+  LogEvent(code,
+           {{"request", RequestIdOf(open.headers, settings_.names)},
+            {"attempt", ToString(open.id)},
+            {"reason", world::ToString(reason)},
+            {"running", admission_.in_flight()},
+            {"queued", admission_.queued()},
+            {"limit", admission_.limit()},
+            {"slowdown", static_cast<uint64_t>(load_.slowdown() * kPercent)},
+            {"load_age_ms", static_cast<uint64_t>(age.count())},
+            {"target", world::ToString(target_state_)}});
 }
 
 void Gate::Decide(GateRun& run, const policy::Admission::Decision& decision) {
@@ -421,9 +415,8 @@
     return;
   }
   run.kept = std::make_shared<claims::KeptAnswer>();
-  run.slowdown = std::max(slowdown_, 1.0);
-  pace_.Begin(run.open.id, AtSlowdown(run.open.expected_us, run.slowdown),
-              run.dispatched);
+  run.slowdown = load_.slowdown();
+  load_.BeginRun(run.open.id, run.open.expected_us);
   ++counts_.dispatched;
   const AttemptId id = run.open.id;
   TargetRequest request = RequestFor(run);
@@ -469,59 +462,15 @@
                          FindHeader(head.headers, names.not_run) != nullptr);
 }
 
-void Gate::NoteLoad(const wire::Headers& headers) {
-  const HeaderNames& names = settings_.names;
-  const std::string* text =
-      names.load.empty() ? nullptr : FindHeader(headers, names.load);
-  if (text == nullptr || names.parse_load == nullptr) {
-    return;
-  }
-  if (const std::optional<TargetLoad> load = names.parse_load(*text)) {
-    slowdown_ = load->slowdown;
-    load_told_ = loop_.Now();
-    NoticeLoad();
-  }
-}
-
-// Tells ingresses at once of a load that has changed much since they were told.
-void Gate::NoticeLoad() {
-  const Time now = loop_.Now();
-  const double told = noticed_.slowdown_percent;
-  const wire::LoadHint hint = Hint();
-  const double ratio = hint.slowdown_percent / std::max(told, 1.0);
-  const bool changed = ratio > kNoticedChange || ratio < 1 / kNoticedChange;
-  if (changed && now >= noticed_at_ + kNoticePause) {
-    noticed_ = hint;
-    noticed_at_ = now;
-    handlers_.on_load();
-  }
-}
-
 void Gate::ProbeLoad(Time since) {
-  if (client_ == nullptr || probe_ != nullptr || load_told_ >= since ||
-      load_path_.empty() || target_state_ != world::TargetState::kReady) {
-    return;
+  if (target_state_ == world::TargetState::kReady) {
+    load_.Probe(since);
   }
-  ++probes_;
-  const TargetRequest request{
-      "GET", load_path_, {{"Host", world::ToString(*settings_.target)}}, ""};
-  const auto end = [this] {
-    loop_.Post([this] {
-      probe_ = nullptr;
-      EndProbe();
-    });
-  };
-  probe_ = client_->Call(
-      request, {[this](const TargetHead& head) { NoteLoad(head.headers); },
-                [](const std::string&) {}, end,
-                [end](TargetFault, const std::string&) { end(); }});
-  probe_timer_.StartOnce(kProbePatience);
 }
 
 // Admits what waited for the load; a target that does not tell it in time is
 // taken as it was.
-void Gate::EndProbe() {
-  probe_timer_.Stop();
+void Gate::AdmitWaiting() {
   std::vector<AttemptId> waiting;
   for (const auto& [id, run] : runs_) {
     if (run->awaits_load) {
@@ -545,20 +494,20 @@
 void Gate::AdmitByLoad(GateRun& run) {
   run.awaits_load = true;
   ProbeLoad(loop_.Now() - kLoadIsFresh);
-  if (probe_ == nullptr) {
-    EndProbe();
+  if (!load_.probing()) {
+    AdmitWaiting();
   }
 }
 
 bool Gate::IsSlowFor(const GateRun& run) const {
-  return slowdown_ > kNoticedChange &&
-         loop_.Now() + ExpectedRun(run.open) > run.objective;
+  return load_.IsSlowed() &&
+         loop_.Now() + load_.Expected(run.open.expected_us) > run.objective;
 }
 
 void Gate::OnTargetHead(const AttemptId& id, const TargetHead& head) {
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
-  NoteLoad(head.headers);
+  load_.Note(head.headers);
   if (Declines(head)) {
     run->declined = true;
     if (head.status == kMisdirected) {
@@ -682,7 +631,7 @@
                             ? loop_.Now() - run.dispatched
                             : Duration(0);
   run.stage = RunStage::kSending;
-  pace_.End(id, end == policy::RunEnd::kWell, loop_.Now());
+  load_.EndRun(id, end == policy::RunEnd::kWell);
   if (run.keyed() && status != 0) {
     claims_.Record(KeyOf(run), HolderOf(run), status);
   }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -13,6 +13,7 @@
 #include "dataplane/gate_reply.h"
 #include "dataplane/gate_run.h"
 #include "dataplane/key_claims.h"
+#include "dataplane/load_watch.h"
 #include "dataplane/memory_budget.h"
 #include "dataplane/node_plane.h"
 #include "dataplane/target_client.h"
@@ -84,12 +85,12 @@
   /// Returns the load, as it rides on answers.
   wire::LoadHint Hint() const;
   /// Sets where the target tells its load; empty: nowhere.
-  void SetLoadPath(const std::string& path) { load_path_ = path; }
+  void SetLoadPath(const std::string& path) { load_.SetPath(path); }
   /// Asks the target for its load, unless it has told it since `since`. What
   /// it says of its health there decides nothing.
   void ProbeLoad(Time since);
   /// Returns how often the target was asked for its load.
-  uint64_t probes() const { return probes_; }
+  uint64_t probes() const { return load_.probes(); }
   /// Returns how many attempts are not over.
   size_t in_flight() const { return runs_.size(); }
   uint32_t running() const { return admission_.in_flight(); }
@@ -110,9 +111,8 @@
             const AttemptId& reply_as,
             const ReplyPort& port) const;
   void AdmitByLoad(GateRun& run);
-  void EndProbe();
+  void AdmitWaiting();
   bool IsSlowFor(const GateRun& run) const;
-  Duration ExpectedRun(const wire::OpenAttempt& open) const;
   void Admit(GateRun& run);
   void Apply(const std::vector<policy::Admission::Release>& released);
   void Decide(GateRun& run, const policy::Admission::Decision& decision);
@@ -122,8 +122,6 @@
   TargetRequest RequestFor(const GateRun& run) const;
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
   bool Declines(const TargetHead& head) const;
-  void NoteLoad(const wire::Headers& headers);
-  void NoticeLoad();
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
@@ -159,15 +157,7 @@
   std::unique_ptr<TargetClient> client_;  // null without a target
   std::unordered_map<AttemptId, std::unique_ptr<GateRun>> runs_;
   net::Timer queue_timer_;
-  double slowdown_ = 1.0;  // that the target last told
-  Time load_told_{};
-  policy::PaceMeter pace_;
-  std::string load_path_;
-  std::unique_ptr<TargetCall> probe_;
-  net::Timer probe_timer_;
-  uint64_t probes_ = 0;
-  wire::LoadHint noticed_;  // as ingresses were last told
-  Time noticed_at_{};
+  LoadWatch load_;
   GateCounts counts_;
 };
 
--- a/src/dataplane/gate_frames.cc
+++ b/src/dataplane/gate_frames.cc
@@ -17,11 +17,9 @@
 }  // namespace
 
 wire::LoadHint HintOf(const policy::Admission& admission,
-                      double slowdown,
-                      double pace,
+                      const LoadWatch& load,
                       Revision revision) {
   constexpr double kPermille = 1000;
-  constexpr double kPercent = 100;
   wire::LoadHint hint;
   hint.in_flight = Clamped(admission.in_flight());
   hint.queued = Clamped(admission.queued());
@@ -30,10 +28,7 @@
       std::min<int64_t>(admission.service_time().count(), UINT32_MAX));
   hint.error_permille =
       static_cast<uint32_t>(admission.failure_share() * kPermille);
-  hint.slowdown_percent =
-      Clamped(static_cast<uint32_t>(std::max(slowdown, 0.0) * kPercent));
-  hint.pace_percent =
-      Clamped(static_cast<uint32_t>(std::max(pace, 0.0) * kPercent));
+  load.Describe(hint);
   hint.revision = revision;
   return hint;
 }
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -2,15 +2,15 @@
 
 #include "claims/claims.h"
 #include "dataplane/gate_reply.h"
+#include "dataplane/load_watch.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
 
 namespace ibisvalve::dataplane {
 
-/// Returns the load of a target by its gate's admission.
+/// Returns the load of a target, as its gate knows it.
 wire::LoadHint HintOf(const policy::Admission& admission,
-                      double slowdown,
-                      double pace,
+                      const LoadWatch& load,
                       Revision revision);
 
 /// Sends how an attempt ended to `port`, in frames that carry `reply_as`: the
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -62,6 +62,7 @@
       view_(view),
       memory_(memory),
       handlers_(handlers),
+      node_digest_(DigestOf(settings.id.value)),
       candidates_(settings, view),
       policies_(settings.choice, settings.retries),
       gates_(
@@ -295,7 +296,7 @@
 IngressAttempt& Ingress::AddAttempt(const RequestPtr& request,
                                     const NodeId& gate) {
   auto made = std::make_unique<IngressAttempt>();
-  made->id = {settings_.incarnation, ++next_attempt_};
+  made->id = {settings_.incarnation, ++next_attempt_, node_digest_};
   made->gate = gate;
   made->started = loop_.Now();
   made->relay = std::make_unique<AnswerRelay>(request->exchange,
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -118,6 +118,7 @@
   const FleetView& view_;
   MemoryBudget& memory_;
   const PlaneHandlers& handlers_;
+  Digest node_digest_;  // of this node, in its attempts
   CandidateTable candidates_;
   ServicePolicies policies_;
   GatePort gates_;
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -42,6 +42,7 @@
   bool target_announces = false;  // not ready until POST /announce
   policy::ChoiceKind choice = policy::ChoiceKind::kWeighed;
   RetryShare retries;
+  double link_mbps = 0;     // of this host's network link; 0: not known
   Duration stop_linger{0};  // a planned stop takes callers on for so long
   HeaderNames names;
 };
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -30,6 +30,7 @@
   plane.body_memory = settings.limits.body_memory;
   plane.caller_connections = settings.limits.caller_connections;
   plane.link_silence = settings.limits.link_silence;
+  plane.link_mbps = settings.limits.link_mbps;
   if (settings.target) {
     plane.target = settings.target->endpoint;
     plane.service = settings.target->service;
--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -36,8 +36,9 @@
   uint32_t hint_limit = 0;
   Duration hint_service{0};
   double hint_failures = 0;  // share, 0 to 1
-  double slowdown = 1;  // that the target tells of its host, for the moment
-  double pace = 1;      // of its runs against what was expected of them
+  double slowdown = 1;   // that the target tells of its host, for the moment
+  double pace = 1;       // of its runs against what was expected of them
+  Duration hint_kib{0};  // to bring a KiB to its host; 0: not known
   std::optional<Time> hint_time;
   Time ready_since{};  // first seen ready, for cold start
   double ejected = 0;  // 0: in use; 1: ejected; between: re-entering
--- a/src/policy/expected_value.cc
+++ b/src/policy/expected_value.cc
@@ -90,17 +90,20 @@
                                            Time now) const {
   const Duration work = terms.work > Duration(0) ? terms.work : kUsualWork;
   double slowdown = 1;
+  double carry = 0;
   if (candidate.hint_time) {
     const auto age = static_cast<double>((now - *candidate.hint_time).count());
     const double weight =
         std::exp2(-age / static_cast<double>(settings_.hint_half_life.count()));
     slowdown += weight * (std::max(candidate.slowdown, 1.0) - 1);
+    carry =
+        weight * terms.kib * static_cast<double>(candidate.hint_kib.count());
   }
   const double run = static_cast<double>(work.count()) *
                      std::max(candidate.pace, 1.0) * slowdown;
   const double ahead = Load(candidate, now) + 1 - LimitOf(candidate);
   const double wait = std::max(ahead, 0.0) * run / LimitOf(candidate);
-  return Duration(static_cast<Duration::rep>(run + wait));
+  return Duration(static_cast<Duration::rep>(run + wait + carry));
 }
 
 double ExpectedValueChooser::Load(const Candidate& candidate, Time now) const {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -10,6 +10,7 @@
 #include "policy/events.h"             // IWYU pragma: export
 #include "policy/expected_value.h"     // IWYU pragma: export
 #include "policy/hedge.h"              // IWYU pragma: export
+#include "policy/link_meter.h"         // IWYU pragma: export
 #include "policy/pace_meter.h"         // IWYU pragma: export
 #include "policy/probe_budget.h"       // IWYU pragma: export
 #include "policy/quarantine.h"         // IWYU pragma: export
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -20,6 +20,7 @@
   uint32_t error_permille = 0;      // recent share of failed answers
   uint16_t slowdown_percent = 100;  // that the target tells of its host
   uint16_t pace_percent = 100;      // of its runs against what was expected
+  uint32_t kib_us = 0;              // to bring a KiB to it; 0: not known
   Revision revision;                // in force at the gate
 
   auto operator<=>(const LoadHint&) const = default;
@@ -27,7 +28,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(in_flight, queued, limit, service_us, error_permille,
-            slowdown_percent, pace_percent, revision);
+            slowdown_percent, pace_percent, kib_us, revision);
   }
 };
 
--- a/tests/dataplane/node_plane_test.cc
+++ b/tests/dataplane/node_plane_test.cc
@@ -59,6 +59,22 @@
   }
 }
 
+// Incarnations hold the millisecond of a start and 16 random bits: of 81 nodes
+// that start together two have the same one on 1 day in 20.
+TEST_F(PlaneTest, NodesOfOneIncarnationGetTheirOwnAnswers) {
+  FakeTarget target(loop_, [](evhttp_request* request) {
+    Answer(request, evhttp_request_get_uri(request));
+  });
+  started_at_once_ = true;
+  Node& first = AddNode("suva-1", nullptr);
+  Node& second = AddNode("suva-2", nullptr);
+  Node& gate = AddNode("suva-3", &target);
+  WaitReady(gate);
+  EXPECT_EQ(Fetch(first, {"GET", "/rooms/first", {}, ""}).body, "/rooms/first");
+  EXPECT_EQ(Fetch(second, {"GET", "/rooms/second", {}, ""}).body,
+            "/rooms/second");
+}
+
 TEST_F(PlaneTest, RefusesAsNotRunWhereNoTargetCanTakeIt) {
   FakeTarget target(loop_,
                     [](evhttp_request* request) { Answer(request, "x"); });
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -133,7 +133,8 @@
                 const std::optional<world::Endpoint>& target) {
     PlaneSettings settings;
     settings.id = NodeId(id);
-    settings.incarnation = Incarnation(nodes_.size() + 100);
+    settings.incarnation =
+        started_at_once_ ? Incarnation(100) : Incarnation(nodes_.size() + 100);
     settings.callers = settings.mesh = kAnyPort;
     settings.link_silence = silence_;
     settings.body_memory = body_memory_;
@@ -263,6 +264,7 @@
   std::vector<world::Route> routes_;
   world::IsolatedPolicy isolated_ = world::IsolatedPolicy::kRefuse;
   Duration silence_ = std::chrono::milliseconds(300);
+  bool started_at_once_ = false;  // nodes have the same incarnation
   uint64_t body_memory_ = 24 << 20;
   uint32_t slots_ = 4;
   std::vector<std::unique_ptr<Node>> nodes_;
--- /dev/null
+++ b/tests/policy/full_link_test.cc
@@ -0,0 +1,69 @@
+#include <gtest/gtest.h>
+
+#include "policy/policy.h"
+
+namespace ibisvalve::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kMbps = 8.6;
+constexpr double kUploadKib = 60;
+
+// Brings `uploads` a second in for two seconds.
+LinkMeter Loaded(int uploads, Time& now) {
+  LinkMeter meter(kMbps);
+  for (int i = 0; i < 2 * uploads; ++i) {
+    now += Duration(seconds(1)) / uploads;
+    meter.Add(static_cast<uint64_t>(kUploadKib * 1024), now);
+  }
+  return meter;
+}
+
+TEST(LinkMeterTest, AKibTakesLongerOnAFullerLink) {
+  Time now(seconds(100));
+  EXPECT_NEAR(static_cast<double>(LinkMeter(kMbps).PerKib(now).count()), 952,
+              2);
+  const Duration half = Loaded(9, now).PerKib(now);
+  const Duration full = Loaded(17, now).PerKib(now);
+  EXPECT_GT(half, std::chrono::microseconds(1600));
+  EXPECT_GT(full, 3 * half);
+}
+
+TEST(LinkMeterTest, RecoversAfterABurst) {
+  Time now(seconds(100));
+  const LinkMeter meter = Loaded(17, now);
+  EXPECT_LT(meter.PerKib(now + seconds(2)), milliseconds(1));
+}
+
+TEST(LinkMeterTest, KnowsNothingWithoutABound) {
+  LinkMeter meter(0);
+  meter.Add(1'000'000, Time(seconds(1)));
+  EXPECT_EQ(meter.PerKib(Time(seconds(1))), Duration(0));
+}
+
+// Pattern: a zone's uploads would all go to its two own targets, whose links
+// are full, while those of other zones have room.
+TEST(FullLinkTest, AnUploadLeavesItsZoneWhereTheLinksThereAreFull) {
+  const Time now(seconds(100));
+  std::vector<Candidate> candidates(2);
+  candidates[0].id = NodeId("near");
+  candidates[0].same_zone = true;
+  candidates[1].id = NodeId("far");
+  for (Candidate& candidate : candidates) {
+    candidate.slots = 13;
+    candidate.hint_time = now;
+    candidate.hint_kib = milliseconds(1);
+  }
+  const ExpectedValueChooser chooser;
+  Random random(1);
+  const RequestTerms upload{seconds(1), milliseconds(2500), milliseconds(280),
+                            kUploadKib};
+  EXPECT_EQ(chooser.Choose(candidates, upload, now, random).index, 0U);
+  candidates[0].hint_kib = milliseconds(19);
+  EXPECT_EQ(chooser.Choose(candidates, upload, now, random).index, 1U);
+}
+
+}  // namespace
+}  // namespace ibisvalve::policy
