--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -64,13 +64,6 @@
   return {known->second.hint, static_cast<uint64_t>(age.count())};
 }
 
-double CandidateTable::SlowdownAt(const NodeId& gate) const {
-  constexpr double kPercent = 100;
-  const auto known = known_.find(gate);
-  return known == known_.end() ? 1
-                               : known->second.hint.slowdown_percent / kPercent;
-}
-
 void CandidateTable::OnUnreachable(const NodeId& gate, Time now) {
   Known& known = known_[gate];
   if (now < known.avoid_until) {
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -35,8 +35,6 @@
   /// Returns the last hint of `gate` and its age in milliseconds, for logs.
   std::pair<wire::LoadHint, uint64_t> LastHint(const NodeId& gate,
                                                Time now) const;
-  /// Returns the slowdown that `gate` last told of its target.
-  double SlowdownAt(const NodeId& gate) const;
   /// A link to `gate` went silent or could not be opened: it is left alone for
   /// a while, longer each time until it is heard of again.
   void OnUnreachable(const NodeId& gate, Time now);
