--- a/src/base/ids.cc
+++ b/src/base/ids.cc
@@ -10,8 +10,9 @@
 namespace ibisvalve {
 
 Incarnation NewIncarnation() {
-  // Wall-clock milliseconds above 16 random bits: grows from one start to the
-  // next, and two hosts that start in the same millisecond still differ.
+  // Wall-clock milliseconds above 16 random bits: grows from one start of a
+  // host to the next. Of many hosts that start in one millisecond two may get
+  // the same.
   constexpr int kRandomBits = 16;
   std::random_device device;
   const uint64_t random = device() & ((1U << kRandomBits) - 1);
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -51,6 +51,7 @@
 using ChangeId = NamedId<struct ChangeIdTag>;
 
 /// One run of a process: grows each time a process with the same id starts.
+/// Processes with other ids may have the same one.
 using Incarnation = NumberId<struct IncarnationTag>;
 /// Number of an accepted configuration file; 0 means none yet.
 using Revision = NumberId<struct RevisionTag>;
--- a/src/dataplane/answer_sender.cc
+++ b/src/dataplane/answer_sender.cc
@@ -9,10 +9,8 @@
     : id_(id), send_(std::move(send)) {}
 
 void AnswerSender::SetRun(Duration ran, double slowdown) {
-  constexpr double kPercent = 100;
   head_.ran_us = static_cast<uint64_t>(ran.count());
-  head_.slowdown_percent =
-      static_cast<uint16_t>(std::min<double>(slowdown * kPercent, UINT16_MAX));
+  head_.slowdown_percent = wire::ToPercent(slowdown);
 }
 
 void AnswerSender::OnHead(uint16_t status,
--- a/src/dataplane/caller_connection.cc
+++ b/src/dataplane/caller_connection.cc
@@ -130,22 +130,16 @@
     }
     return false;
   }
-  evbuffer* input = bufferevent_get_input(bufferevent_);
-  const size_t length = evbuffer_get_length(input);
-  if (length == 0) {
+  if (reader_.FeedFrom(bufferevent_get_input(bufferevent_)) == 0) {
     return false;
   }
-  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
-  const size_t taken = reader_.Feed(std::string_view(bytes, length));
-  evbuffer_drain(input, taken);
   body_ += reader_.TakeBody();
   if (reader_.head_done() && !reader_.done()) {
     AskForBody();
   }
-  if (!reader_.done()) {
-    return taken > 0;
+  if (reader_.done()) {
+    TakeRequest();
   }
-  TakeRequest();
   return true;
 }
 
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -109,9 +109,8 @@
   candidate.hint_service = Duration(known.hint.service_us);
   constexpr double kPermille = 1000.0;
   candidate.hint_failures = known.hint.error_permille / kPermille;
-  constexpr double kPercent = 100;
-  candidate.slowdown = known.hint.slowdown_percent / kPercent;
-  candidate.pace = known.hint.pace_percent / kPercent;
+  candidate.slowdown = wire::FromPercent(known.hint.slowdown_percent);
+  candidate.pace = wire::FromPercent(known.hint.pace_percent);
   if (member.id != settings_.id) {
     candidate.hint_kib = Duration(known.hint.kib_us);
   }
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -9,6 +9,7 @@
 #include "dataplane/gate_checks.h"
 #include "dataplane/gate_frames.h"
 #include "dataplane/http_headers.h"
+#include "dataplane/target_messages.h"
 
 namespace ibisvalve::dataplane {
 namespace {
@@ -20,8 +21,6 @@
 
 constexpr Duration kQueueTick = std::chrono::milliseconds(2);
 constexpr uint16_t kFirstServerError = 500;
-constexpr uint16_t kMisdirected = 421;
-constexpr uint64_t kMicrosPerMs = 1000;
 // What the target told so recently is as good as asking it.
 constexpr Duration kLoadIsFresh = std::chrono::milliseconds(10);
 // A request without its body, and what its frames need on the link.
@@ -126,7 +125,7 @@
   const FinishedAttempt finished{Outcome::kNotRun, reason, 0, nullptr};
   attempts_.Finish(open.id, finished, false);
   Count(finished);
-  LogDecision(kAttemptRefused, open, reason);
+  LogGateDecision(kAttemptRefused, open, reason, View());
   Send(finished, open.id, port);
 }
 
@@ -319,27 +318,9 @@
   }
 }
 
-void Gate::LogDecision(const EventCode& code,
-                       const wire::OpenAttempt& open,
-                       Reason reason) const {
-  constexpr double kPercent = 100;
-  const auto age =
-      std::chrono::duration_cast<std::chrono::milliseconds>(load_.age());
-  LogEvent(code,
-           {{"request", RequestIdOf(open.headers, settings_.names)},
-            {"attempt", ToString(open.id)},
-            {"reason", world::ToString(reason)},
-            {"running", admission_.in_flight()},
-            {"queued", admission_.queued()},
-            {"limit", admission_.limit()},
-            {"slowdown", static_cast<uint64_t>(load_.slowdown() * kPercent)},
-            {"load_age_ms", static_cast<uint64_t>(age.count())},
-            {"target", world::ToString(target_state_)}});
-}
-
 void Gate::Decide(GateRun& run, const policy::Admission::Decision& decision) {
   if (decision.admit == policy::Admit::kQueue) {
-    LogDecision(kAttemptWaits, run.open, decision.reason);
+    LogGateDecision(kAttemptWaits, run.open, decision.reason, View());
   }
   switch (decision.admit) {
     case policy::Admit::kQueue:
@@ -366,7 +347,7 @@
   const world::Service* service =
       world::FindService(*view_.fleet(), run.open.service);
   wire::ClaimRequest request;
-  request.key = KeyOf(run);
+  request.key = run.key();
   request.body = run.open.fingerprint;
   request.holder = HolderOf(run);
   if (service != nullptr) {
@@ -419,7 +400,7 @@
   load_.BeginRun(run.open.id, run.open.expected_us);
   ++counts_.dispatched;
   const AttemptId id = run.open.id;
-  TargetRequest request = RequestFor(run);
+  TargetRequest request = TargetRequestFor(run, settings_, target_identity_);
   std::string().swap(run.open.body);
   run.call = client_->Call(
       request,
@@ -432,36 +413,6 @@
       run.open.may_repeat ? Reuse::kAny : Reuse::kJustUsed);
 }
 
-TargetRequest Gate::RequestFor(const GateRun& run) const {
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      run.deadline - run.dispatched);
-  TargetRequest request{run.open.method, run.open.uri, run.open.headers,
-                        run.open.body};
-  const HeaderNames& names = settings_.names;
-  request.headers.emplace_back(names.deadline, std::to_string(left.count()));
-  if (!names.caller.empty()) {
-    request.headers.emplace_back(names.caller, run.open.caller.value);
-  }
-  if (!names.target.empty() && !target_identity_.empty()) {
-    request.headers.emplace_back(names.target, target_identity_);
-  }
-  if (names.own) {
-    request.headers.emplace_back(kDepthHeader, std::to_string(run.open.depth));
-    if (run.open.retry) {
-      request.headers.emplace_back(kRetryHeader, "1");
-    }
-  }
-  return request;
-}
-
-// Returns whether the target proves with `head` that it does not run a request.
-bool Gate::Declines(const TargetHead& head) const {
-  const HeaderNames& names = settings_.names;
-  const bool misdirected = !names.target.empty() && head.status == kMisdirected;
-  return misdirected || (!names.not_run.empty() &&
-                         FindHeader(head.headers, names.not_run) != nullptr);
-}
-
 void Gate::ProbeLoad(Time since) {
   if (target_state_ == world::TargetState::kReady) {
     load_.Probe(since);
@@ -508,7 +459,7 @@
   GateRun* run = Find(id);
   CHECK_NOTNULL(run);
   load_.Note(head.headers);
-  if (Declines(head)) {
+  if (Declines(head, settings_.names)) {
     run->declined = true;
     if (head.status == kMisdirected) {
       handlers_.on_replaced();
@@ -633,7 +584,7 @@
   run.stage = RunStage::kSending;
   load_.EndRun(id, end == policy::RunEnd::kWell);
   if (run.keyed() && status != 0) {
-    claims_.Record(KeyOf(run), HolderOf(run), status);
+    claims_.Record(run.key(), HolderOf(run), status);
   }
   Apply(admission_.Finish(id, took, end, loop_.Now()));
 }
@@ -646,10 +597,15 @@
   const bool release_key =
       run.keyed() && run.reached() && finished.outcome == Outcome::kNotRun;
   if (release_key) {
-    claims_.Release(KeyOf(run), HolderOf(run));
+    claims_.Release(run.key(), HolderOf(run));
   }
   Count(finished);
-  LogEnded(run, finished);
+  if (!run.reached() && finished.outcome == Outcome::kNotRun) {
+    LogGateDecision(kAttemptRefused, run.open, finished.reason, View());
+  } else {
+    LogGateEnd(run, finished, loop_.Now() - run.dispatched, target_identity_,
+               settings_.names);
+  }
   const bool failed = finished.reason != Reason::kCancelled &&
                       (finished.outcome == Outcome::kUnknown ||
                        finished.reason == Reason::kTargetDown);
@@ -663,24 +619,6 @@
   }
 }
 
-void Gate::LogEnded(const GateRun& run, const FinishedAttempt& finished) const {
-  if (!run.reached() && finished.outcome == Outcome::kNotRun) {
-    LogDecision(kAttemptRefused, run.open, finished.reason);
-    return;
-  }
-  const auto ran = std::chrono::duration_cast<std::chrono::milliseconds>(
-      loop_.Now() - run.dispatched);
-  LogEvent(kAttemptEnded,
-           {{"request", RequestIdOf(run.open.headers, settings_.names)},
-            {"attempt", ToString(run.open.id)},
-            {"outcome", world::ToString(finished.outcome)},
-            {"reason", world::ToString(finished.reason)},
-            {"status", finished.status},
-            {"ran_ms", static_cast<uint64_t>(ran.count())},
-            {"expected_ms", run.open.expected_us / kMicrosPerMs},
-            {"target_is", target_identity_}});
-}
-
 void Gate::Count(const FinishedAttempt& finished) {
   switch (finished.outcome) {
     case Outcome::kAnswered:
@@ -695,10 +633,6 @@
   }
 }
 
-wire::RequestKey Gate::KeyOf(const GateRun& run) const {
-  return {run.open.service, run.open.key};
-}
-
 wire::ClaimHolder Gate::HolderOf(const GateRun& run) const {
   return {run.open.id, settings_.id, settings_.incarnation};
 }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -10,6 +10,7 @@
 
 #include "claims/claims.h"
 #include "dataplane/crash_watch.h"
+#include "dataplane/gate_log.h"
 #include "dataplane/gate_reply.h"
 #include "dataplane/gate_run.h"
 #include "dataplane/key_claims.h"
@@ -119,9 +120,7 @@
   void Claim(GateRun& run);
   bool OnClaimed(const AttemptId& id, const wire::ClaimReply& reply);
   void Dispatch(GateRun& run);
-  TargetRequest RequestFor(const GateRun& run) const;
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
-  bool Declines(const TargetHead& head) const;
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
@@ -132,16 +131,13 @@
   void EndCall(GateRun& run, uint16_t status, policy::RunEnd end);
   void Fail(GateRun& run, world::Outcome outcome, world::Reason reason);
   void Finish(GateRun& run, claims::FinishedAttempt finished);
-  void LogDecision(const EventCode& code,
-                   const wire::OpenAttempt& open,
-                   world::Reason reason) const;
-  void LogEnded(const GateRun& run,
-                const claims::FinishedAttempt& finished) const;
   void Count(const claims::FinishedAttempt& finished);
-  wire::RequestKey KeyOf(const GateRun& run) const;
   wire::ClaimHolder HolderOf(const GateRun& run) const;
   void ExpireQueue();
   GateRun* Find(const AttemptId& id);
+  GateView View() const {
+    return {admission_, load_, target_state_, settings_.names};
+  }
 
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
--- /dev/null
+++ b/src/dataplane/gate_log.cc
@@ -0,0 +1,50 @@
+#include "dataplane/gate_log.h"
+
+#include <chrono>
+
+#include "dataplane/events.h"
+#include "dataplane/http_headers.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr uint64_t kMicrosPerMs = 1000;
+
+uint64_t ToMs(Duration duration) {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+void LogGateDecision(const EventCode& code,
+                     const wire::OpenAttempt& open,
+                     world::Reason reason,
+                     const GateView& view) {
+  LogEvent(code, {{"request", RequestIdOf(open.headers, view.names)},
+                  {"attempt", ToString(open.id)},
+                  {"reason", world::ToString(reason)},
+                  {"running", view.admission.in_flight()},
+                  {"queued", view.admission.queued()},
+                  {"limit", view.admission.limit()},
+                  {"slowdown", wire::ToPercent(view.load.slowdown())},
+                  {"load_age_ms", ToMs(view.load.age())},
+                  {"target", world::ToString(view.target)}});
+}
+
+void LogGateEnd(const GateRun& run,
+                const claims::FinishedAttempt& finished,
+                Duration ran,
+                const std::string& target,
+                const HeaderNames& names) {
+  LogEvent(kAttemptEnded, {{"request", RequestIdOf(run.open.headers, names)},
+                           {"attempt", ToString(run.open.id)},
+                           {"outcome", world::ToString(finished.outcome)},
+                           {"reason", world::ToString(finished.reason)},
+                           {"status", finished.status},
+                           {"ran_ms", ToMs(ran)},
+                           {"expected_ms", run.open.expected_us / kMicrosPerMs},
+                           {"target_is", target}});
+}
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/gate_run.h
+++ b/src/dataplane/gate_run.h
@@ -50,6 +50,8 @@
 
   /// Returns whether a key must be claimed before it runs.
   bool keyed() const { return !open.key.empty() && !open.may_repeat; }
+  /// Returns the key that it claims.
+  wire::RequestKey key() const { return {open.service, open.key}; }
   /// Returns whether the target may have seen it.
   bool reached() const {
     return stage == RunStage::kRunning || stage == RunStage::kSending;
--- a/src/dataplane/header_names.h
+++ b/src/dataplane/header_names.h
@@ -24,7 +24,6 @@
   std::string request_id;  // the target repeats it in its answer
   std::string caller;      // to targets: service of the host that asks
   std::string target;      // to targets: only the one so identified may run it
-  std::string target_is;   // of a target: its identity
   std::string not_run;     // of a target: there if it did not run the request
   std::string load;        // of a target
   std::string retry_after = "Retry-After";  // to callers: seconds
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -7,6 +7,7 @@
 
 #include "dataplane/events.h"
 #include "dataplane/http_headers.h"
+#include "dataplane/ingress_log.h"
 #include "dataplane/request_messages.h"
 #include "dataplane/retry_rules.h"
 
@@ -27,27 +28,13 @@
 constexpr uint32_t kMaxBroken = 2;
 constexpr uint16_t kFirstServerError = 500;
 
-uint64_t ToMs(Duration duration) {
-  return static_cast<uint64_t>(std::max<int64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
-      0));
-}
-
-// A file that does not come is asked for again, perhaps of another peer.
-// A hedge needs this many times the usual work time to answer, and is not sent
-// before the first target has had so many.
-constexpr double kHedgeNeeds = 1.3;
-constexpr double kHedgePatience = 1.2;
 // Headers both ways and a usual answer, in bytes.
 constexpr size_t kUsualOtherBytes = 2500;
 // Gates may send a request on so often because another may be quicker.
 constexpr uint32_t kMostMoves = 3;
+// A file that does not come is asked for again, perhaps of another peer.
 constexpr Duration kFetchAgain = std::chrono::milliseconds(300);
 constexpr int kTooLarge = 413;
-// A caller that is told to come back does so within this share of its time,
-// later than this at the least.
-constexpr double kReturnShare = 0.3;
-constexpr Duration kSoonestReturn = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -229,13 +216,8 @@
       work == Duration(0)) {
     return PolicyOf(request).hedge.Delay(loop_.Now());
   }
-  // As late as the second target can still answer within the objective, but
-  // not before the first one has had its usual time.
-  const Duration left = request.arrived + request.terms.objective - loop_.Now();
-  const auto scaled = [work](double factor) {
-    return std::chrono::duration_cast<Duration>(work * factor);
-  };
-  return std::max(left - scaled(kHedgeNeeds), scaled(kHedgePatience));
+  return policy::HedgeDelayFor(
+      work, request.arrived + request.terms.objective - loop_.Now());
 }
 
 policy::RequestTerms Ingress::TermsOf(const RequestState& request) const {
@@ -269,7 +251,8 @@
   wire::OpenAttempt open =
       OpenFor(*request, attempt, settings_, view_.revision(), loop_.Now());
   open.may_move = choice->has_alternative && request->made <= kMostMoves;
-  LogSent(*request, attempt, hedge);
+  LogSent(*request, attempt, settings_.names, view_.revision(),
+          candidates_.LastHint(choice->gate, loop_.Now()), loop_.Now());
   attempt.body_sent = open.body.size();
   attempt.body_credit -= open.body.size();
   gates_.Send(attempt, open);
@@ -381,10 +364,9 @@
 void Ingress::Take(const AttemptIndex::Found& found, wire::AnswerHead head) {
   candidates_.OnHint(found.attempt->gate, head.hint, loop_.Now());
   OnNewerRevision(found.attempt->gate, head.hint.revision);
-  constexpr double kPercent = 100;
   const AttemptId id = found.attempt->id;
   found.attempt->ran = Duration(static_cast<int64_t>(head.ran_us));
-  found.attempt->slowdown = head.slowdown_percent / kPercent;
+  found.attempt->slowdown = wire::FromPercent(head.slowdown_percent);
   if (found.attempt->relay->OnHead(std::move(head))) {
     OnAnswered(found.request, id);
   }
@@ -591,64 +573,13 @@
       *request->exchange, settings_.names,
       {outcome, reason, request->made, request->first_status,
        world::ToString(outcome) + ": " + world::ToString(reason), false,
-       RetryAfter(*request, outcome)}));
+       outcome == Outcome::kNotRun
+           ? policy::ReturnAfter(request->deadline - loop_.Now(),
+                                 candidates_.random())
+           : std::nullopt}));
   End(request, record);
 }
 
-// Returns when the caller of a request that has not run should come back, or
-// nothing where it should not. Spread, so that callers refused together do not
-// come back together.
-std::optional<Duration> Ingress::RetryAfter(const RequestState& request,
-                                            Outcome outcome) {
-  const Duration left = request.deadline - loop_.Now();
-  const auto latest = std::chrono::duration_cast<Duration>(left * kReturnShare);
-  if (outcome != Outcome::kNotRun || latest <= kSoonestReturn) {
-    return std::nullopt;
-  }
-  std::uniform_int_distribution<Duration::rep> spread(kSoonestReturn.count(),
-                                                      latest.count());
-  return Duration(spread(candidates_.random()));
-}
-
-void Ingress::LogSent(const RequestState& request,
-                      const IngressAttempt& attempt,
-                      bool hedge) const {
-  const Time now = loop_.Now();
-  const auto [hint, age] = candidates_.LastHint(attempt.gate, now);
-  LogEvent(kRequestSent,
-           {{"request",
-             RequestIdOf(request.exchange->request().headers, settings_.names)},
-            {"attempt", ToString(attempt.id)},
-            {"kind", request.terms.kind},
-            {"gate", attempt.gate.value},
-            {"hedge", hedge ? "yes" : "no"},
-            {"made", request.made},
-            {"left_ms", ToMs(request.deadline - now)},
-            {"hint_age_ms", age},
-            {"in_flight", hint.in_flight},
-            {"queued", hint.queued},
-            {"slowdown", hint.slowdown_percent},
-            {"pace", hint.pace_percent},
-            {"revision", view_.revision().value}});
-}
-
-void Ingress::LogEnd(const RequestState& request,
-                     const RequestRecord& record) const {
-  const bool answered =
-      record.outcome == Outcome::kAnswered && record.status < kFirstServerError;
-  LogEvent(answered ? kRequestAnswered : kRequestFailed,
-           {{"request",
-             RequestIdOf(request.exchange->request().headers, settings_.names)},
-            {"kind", request.terms.kind},
-            {"outcome", world::ToString(record.outcome)},
-            {"reason", world::ToString(record.reason)},
-            {"status", record.status},
-            {"gate", record.gate.value},
-            {"made", record.attempts},
-            {"took_ms", ToMs(record.took)},
-            {"hung_up", record.hung_up ? "yes" : "no"}});
-}
-
 void Ingress::End(const RequestPtr& request, RequestRecord record) {
   record.service = request->terms.service->name;
   if (const world::Member* gate = view_.Find(record.gate)) {
@@ -658,7 +589,7 @@
   record.deadline = request->terms.deadline;
   record.attempts = request->made;
   record.hedged = request->hedged;
-  LogEnd(*request, record);
+  LogEnd(*request, record, settings_.names);
   request->exchange->SetOnGone(nullptr);
   while (!request->attempts.empty()) {
     DropAttempt(AttemptId(request->attempts.back()->id));
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -105,12 +105,6 @@
   void Conclude(const RequestPtr& request,
                 world::Outcome outcome,
                 world::Reason reason);
-  std::optional<Duration> RetryAfter(const RequestState& request,
-                                     world::Outcome outcome);
-  void LogSent(const RequestState& request,
-               const IngressAttempt& attempt,
-               bool hedge) const;
-  void LogEnd(const RequestState& request, const RequestRecord& record) const;
   void End(const RequestPtr& request, RequestRecord record);
 
   net::EventLoop& loop_;
--- /dev/null
+++ b/src/dataplane/ingress_log.cc
@@ -0,0 +1,66 @@
+#include "dataplane/ingress_log.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "dataplane/events.h"
+#include "dataplane/http_headers.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr uint16_t kFirstServerError = 500;
+
+// Returns `duration` in milliseconds; what has passed already counts as 0.
+uint64_t ToMs(Duration duration) {
+  return static_cast<uint64_t>(std::max<int64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
+      0));
+}
+
+}  // namespace
+
+void LogSent(const RequestState& request,
+             const IngressAttempt& attempt,
+             const HeaderNames& names,
+             Revision revision,
+             const std::pair<wire::LoadHint, uint64_t>& hint,
+             Time now) {
+  const auto& [load, age] = hint;
+  LogEvent(
+      kRequestSent,
+      {{"request", RequestIdOf(request.exchange->request().headers, names)},
+       {"attempt", ToString(attempt.id)},
+       {"kind", request.terms.kind},
+       {"gate", attempt.gate.value},
+       {"hedge", attempt.hedge ? "yes" : "no"},
+       {"made", request.made},
+       {"left_ms", ToMs(request.deadline - now)},
+       {"hint_age_ms", age},
+       {"in_flight", load.in_flight},
+       {"queued", load.queued},
+       {"slowdown", load.slowdown_percent},
+       {"pace", load.pace_percent},
+       {"kib_us", load.kib_us},
+       {"revision", revision.value}});
+}
+
+void LogEnd(const RequestState& request,
+            const RequestRecord& record,
+            const HeaderNames& names) {
+  const bool answered = record.outcome == world::Outcome::kAnswered &&
+                        record.status < kFirstServerError;
+  LogEvent(
+      answered ? kRequestAnswered : kRequestFailed,
+      {{"request", RequestIdOf(request.exchange->request().headers, names)},
+       {"kind", request.terms.kind},
+       {"outcome", world::ToString(record.outcome)},
+       {"reason", world::ToString(record.reason)},
+       {"status", record.status},
+       {"gate", record.gate.value},
+       {"made", record.attempts},
+       {"took_ms", ToMs(record.took)},
+       {"hung_up", record.hung_up ? "yes" : "no"}});
+}
+
+}  // namespace ibisvalve::dataplane
--- /dev/null
+++ b/src/dataplane/ingress_log.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <utility>
+
+#include "dataplane/header_names.h"
+#include "dataplane/node_plane.h"
+#include "dataplane/request_state.h"
+#include "wire/wire.h"
+
+namespace ibisvalve::dataplane {
+
+/// Logs that `attempt` was sent to its gate at `now`, with the last hint of
+/// that gate and the hint's age in milliseconds.
+void LogSent(const RequestState& request,
+             const IngressAttempt& attempt,
+             const HeaderNames& names,
+             Revision revision,
+             const std::pair<wire::LoadHint, uint64_t>& hint,
+             Time now);
+
+/// Logs how a request ended.
+void LogEnd(const RequestState& request,
+            const RequestRecord& record,
+            const HeaderNames& names);
+
+}  // namespace ibisvalve::dataplane
--- a/src/dataplane/load_watch.cc
+++ b/src/dataplane/load_watch.cc
@@ -1,7 +1,6 @@
 #include "dataplane/load_watch.h"
 
 #include <algorithm>
-#include <limits>
 #include <optional>
 
 #include "dataplane/http_headers.h"
@@ -16,13 +15,6 @@
 // A healthy target tells its load within a millisecond or two.
 constexpr Duration kProbePatience = std::chrono::milliseconds(20);
 
-// Returns `value` in hundredths, as far as the field holds it.
-uint16_t Percent(double value) {
-  constexpr double kPercent = 100;
-  return static_cast<uint16_t>(std::clamp<double>(
-      value * kPercent, 0, std::numeric_limits<uint16_t>::max()));
-}
-
 }  // namespace
 
 LoadWatch::LoadWatch(net::EventLoop& loop,
@@ -115,8 +107,8 @@
 
 void LoadWatch::Describe(wire::LoadHint& hint) const {
   const Time now = loop_.Now();
-  hint.slowdown_percent = Percent(slowdown_);
-  hint.pace_percent = Percent(pace_.Pace(now));
+  hint.slowdown_percent = wire::ToPercent(slowdown_);
+  hint.pace_percent = wire::ToPercent(pace_.Pace(now));
   hint.kib_us = static_cast<uint32_t>(link_.PerKib(now).count());
 }
 
--- a/src/dataplane/target_connection.cc
+++ b/src/dataplane/target_connection.cc
@@ -103,14 +103,9 @@
 
 // Returns whether there may be more to read.
 bool TargetConnection::ReadSome() {
-  evbuffer* input = bufferevent_get_input(bufferevent_);
-  const size_t length = evbuffer_get_length(input);
-  if (length == 0) {
+  if (reader_.FeedFrom(bufferevent_get_input(bufferevent_)) == 0) {
     return false;
   }
-  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
-  const size_t taken = reader_.Feed(std::string_view(bytes, length));
-  evbuffer_drain(input, taken);
   const std::shared_ptr<bool> alive = alive_;
   if (reader_.head_done() && !head_told_ && !skipping_) {
     TakeHead();
@@ -124,7 +119,7 @@
   if (*alive && in_call_ && reader_.done()) {
     TakeEnd();
   }
-  return *alive && taken > 0;
+  return *alive;
 }
 
 void TargetConnection::TakeHead() {
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -1,5 +1,6 @@
 #include "net/http_reader.h"
 
+#include <event2/buffer.h>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -157,6 +158,17 @@
   return taken;
 }
 
+size_t HttpReader::FeedFrom(evbuffer* input) {
+  const size_t length = evbuffer_get_length(input);
+  if (length == 0) {
+    return 0;
+  }
+  const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+  const size_t taken = Feed(std::string_view(bytes, length));
+  evbuffer_drain(input, taken);
+  return taken;
+}
+
 void HttpReader::FeedEnd() {
   if (parser_->done()) {
     return;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -9,6 +9,8 @@
 
 #include "wire/wire.h"
 
+struct evbuffer;
+
 namespace ibisvalve::net {
 
 /// Thrown where bytes are no message of HTTP/1.1, or one over a limit.
@@ -59,6 +61,8 @@
   /// Takes in what belongs to the present message and returns how many bytes
   /// that was; the rest is to be given again, with more. Throws HttpError.
   size_t Feed(std::string_view bytes);
+  /// The same for what `input` holds; drains what was taken in.
+  size_t FeedFrom(evbuffer* input);
   /// The peer sends no more. Throws HttpError where that cuts the message.
   void FeedEnd();
   /// Returns whether some of the present message has been taken in.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,4 +5,5 @@
 #include "node/events.h"          // IWYU pragma: export
 #include "node/keeper_process.h"  // IWYU pragma: export
 #include "node/node_process.h"    // IWYU pragma: export
+#include "node/run.h"             // IWYU pragma: export
 #include "node/settings_watch.h"  // IWYU pragma: export
--- a/src/policy/hedge.cc
+++ b/src/policy/hedge.cc
@@ -8,6 +8,10 @@
 constexpr uint64_t kMinSamples = 50;
 constexpr double kMedian = 0.5;
 constexpr double kBurst = 10;
+// By the objective: a hedge needs this many times the usual work time to
+// answer, and the first target has had so many before.
+constexpr double kHedgeNeeds = 1.3;
+constexpr double kHedgePatience = 1.2;
 
 BudgetSettings BudgetFor(const HedgeSettings& settings) {
   return {settings.budget, kBurst, /*spare_per_second=*/0};
@@ -22,6 +26,13 @@
   return settings;
 }
 
+Duration HedgeDelayFor(Duration work, Duration objective_left) {
+  const auto scaled = [work](double factor) {
+    return std::chrono::duration_cast<Duration>(work * factor);
+  };
+  return std::max(objective_left - scaled(kHedgeNeeds), scaled(kHedgePatience));
+}
+
 Hedge::Hedge(const HedgeSettings& settings)
     : settings_(settings), budget_(BudgetFor(settings)) {}
 
--- a/src/policy/hedge.h
+++ b/src/policy/hedge.h
@@ -23,6 +23,11 @@
 /// Returns the settings that follow from a service's retry policy.
 HedgeSettings HedgeSettingsFor(const world::RetryPolicy& policy);
 
+/// Returns how long to wait for an answer of a run that usually takes `work`
+/// and should come within `objective_left`: as late as a second target can
+/// still be on time, but not before the first one has had its usual time.
+Duration HedgeDelayFor(Duration work, Duration objective_left);
+
 /// Decides when a second attempt of a request that may be repeated is worth
 /// its cost. One for each service at an ingress.
 class Hedge {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -15,6 +15,7 @@
 #include "policy/probe_budget.h"       // IWYU pragma: export
 #include "policy/quarantine.h"         // IWYU pragma: export
 #include "policy/retry_budget.h"       // IWYU pragma: export
+#include "policy/return_after.h"       // IWYU pragma: export
 #include "policy/share_rotation.h"     // IWYU pragma: export
 #include "policy/subset.h"             // IWYU pragma: export
 #include "policy/weighed_chooser.h"    // IWYU pragma: export
--- /dev/null
+++ b/src/wire/percent.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace ibisvalve::wire {
+
+inline constexpr double kPercent = 100;
+
+/// Returns `factor` in hundredths, as far as a frame holds it; 1 becomes 100.
+inline uint16_t ToPercent(double factor) {
+  return static_cast<uint16_t>(std::clamp<double>(
+      factor * kPercent, 0, std::numeric_limits<uint16_t>::max()));
+}
+
+/// Returns the factor that `percent` stands for.
+inline double FromPercent(uint16_t percent) {
+  return percent / kPercent;
+}
+
+}  // namespace ibisvalve::wire
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -9,3 +9,4 @@
 #include "wire/frame.h"             // IWYU pragma: export
 #include "wire/gossip_messages.h"   // IWYU pragma: export
 #include "wire/mesh_messages.h"     // IWYU pragma: export
+#include "wire/percent.h"           // IWYU pragma: export
--- a/src/world/outcome.cc
+++ b/src/world/outcome.cc
@@ -64,8 +64,6 @@
       return "no-route";
     case Reason::kTargetRefused:
       return "target-refused";
-    case Reason::kStopping:
-      return "stopping";
     case Reason::kSlow:
       return "slow";
   }
--- a/src/world/outcome.h
+++ b/src/world/outcome.h
@@ -38,7 +38,6 @@
   kBadRequest,
   kNoRoute,        // no route fits the host and path
   kTargetRefused,  // the target says that it did not run it
-  kStopping,       // the node ends and takes no more
   kSlow,           // the target's host is slowed down; another is quicker
 };
 
--- /dev/null
+++ b/tests/dataplane/load_watch_test.cc
@@ -0,0 +1,100 @@
+#include "dataplane/load_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+namespace ibisvalve::dataplane {
+namespace {
+
+constexpr uint64_t kUsualUs = 20'000;
+
+// Reads a load that is a slowdown in percent and nothing else.
+std::optional<TargetLoad> ParseSlowdown(std::string_view text) {
+  TargetLoad load;
+  load.slowdown = std::atof(std::string(text).c_str()) / wire::kPercent;
+  return load;
+}
+
+class LoadWatchTest : public testing::Test {
+ protected:
+  LoadWatchTest() {
+    settings_.names.load = "X-Load";
+    settings_.names.parse_load = ParseSlowdown;
+    settings_.link_mbps = 8;
+    watch_ = std::make_unique<LoadWatch>(
+        loop_, settings_, nullptr,
+        LoadWatch::Handlers{[] {}, [this] { ++changes_; }});
+  }
+
+  void Tell(const std::string& percent) { watch_->Note({{"X-Load", percent}}); }
+  wire::LoadHint Hint() const {
+    wire::LoadHint hint;
+    watch_->Describe(hint);
+    return hint;
+  }
+  void Wait(Duration time) {
+    net::Timer timer(loop_, [this] { loop_.Stop(); });
+    timer.StartOnce(time);
+    loop_.Run();
+  }
+
+  net::EventLoop loop_;
+  PlaneSettings settings_;
+  int changes_ = 0;
+  std::unique_ptr<LoadWatch> watch_;
+};
+
+TEST_F(LoadWatchTest, ExpectsRunsToTakeAsLongAsTheTargetTells) {
+  EXPECT_EQ(watch_->Expected(kUsualUs), Duration(kUsualUs));
+  Tell("700");
+  EXPECT_EQ(watch_->Expected(kUsualUs), Duration(7 * kUsualUs));
+  EXPECT_TRUE(watch_->IsSlowed());
+  EXPECT_EQ(Hint().slowdown_percent, 700);
+  Tell("30");  // quicker than usual is no promise
+  EXPECT_EQ(watch_->Expected(kUsualUs), Duration(kUsualUs));
+}
+
+// Two runs take the same time; one of the targets had told that it would be
+// seven times slower.
+TEST_F(LoadWatchTest, OnlyWhatWasNotToldCountsAsPace) {
+  LoadWatch silent(loop_, settings_, nullptr,
+                   LoadWatch::Handlers{[] {}, [] {}});
+  Tell("700");
+  watch_->BeginRun({Incarnation(1), 1}, kUsualUs);
+  silent.BeginRun({Incarnation(1), 2}, kUsualUs);
+  Wait(std::chrono::microseconds(4 * kUsualUs));
+  wire::LoadHint hint;
+  silent.Describe(hint);
+  EXPECT_GT(hint.pace_percent, 400);
+  EXPECT_LT(Hint().pace_percent * 3, hint.pace_percent);
+}
+
+TEST_F(LoadWatchTest, TellsOfChangesThatMatterOnly) {
+  Tell("100");
+  EXPECT_EQ(changes_, 0);
+  Tell("700");
+  EXPECT_EQ(changes_, 1);
+  Tell("650");
+  EXPECT_EQ(changes_, 1);
+}
+
+TEST_F(LoadWatchTest, TellsThatItsLinkIsFull) {
+  const uint32_t idle = Hint().kib_us;
+  EXPECT_EQ(idle, 1024);  // 8 Mbit/s
+  watch_->Received(300'000);
+  EXPECT_GT(Hint().kib_us, 3 * idle);
+}
+
+TEST_F(LoadWatchTest, ALoadThatCannotBeReadChangesNothing) {
+  settings_.names.parse_load =
+      [](std::string_view) -> std::optional<TargetLoad> {
+    return std::nullopt;
+  };
+  Tell("700");
+  watch_->Note({});
+  EXPECT_FALSE(watch_->IsSlowed());
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
--- a/tests/policy/full_target_test.cc
+++ b/tests/policy/full_target_test.cc
@@ -67,8 +67,8 @@
   EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
   EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
   EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
-  // Four turns of 80 ms and its own run would end after the objective.
   EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kQueue);
+  // Five turns of 80 ms and its own run would end after the objective.
   EXPECT_EQ(admission_.Arrive(Terms(Next()), now_).admit, Admit::kRefuse);
 }
 
--- /dev/null
+++ b/tests/policy/return_after_test.cc
@@ -0,0 +1,44 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "policy/policy.h"
+
+namespace ibisvalve::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Pattern: callers that are refused together repeat together.
+TEST(ReturnAfterTest, CallersRefusedTogetherComeBackApart) {
+  Random random(1);
+  std::vector<Duration> times;
+  for (int i = 0; i < 1000; ++i) {
+    const auto time = ReturnAfter(milliseconds(1000), random);
+    ASSERT_TRUE(time);
+    times.push_back(*time);
+  }
+  const auto [soonest, latest] =
+      std::minmax_element(times.begin(), times.end());
+  EXPECT_GE(*soonest, milliseconds(50));
+  EXPECT_LT(*soonest, milliseconds(60));
+  EXPECT_GT(*latest, milliseconds(290));
+  EXPECT_LE(*latest, milliseconds(300));
+}
+
+TEST(ReturnAfterTest, NobodyIsAskedBackWithoutTimeLeft) {
+  Random random(1);
+  EXPECT_EQ(ReturnAfter(milliseconds(160), random), std::nullopt);
+  EXPECT_EQ(ReturnAfter(milliseconds(-5), random), std::nullopt);
+}
+
+TEST(HedgeDelayForTest, IsLateButLeavesASecondTargetItsTime) {
+  EXPECT_EQ(HedgeDelayFor(milliseconds(100), milliseconds(500)),
+            milliseconds(370));
+  EXPECT_EQ(HedgeDelayFor(milliseconds(100), milliseconds(150)),
+            milliseconds(120));
+}
+
+}  // namespace
+}  // namespace ibisvalve::policy
