Let quick failures teach nothing about how long work takes

Cause, by reading: an answer with a 5xx counted as a run like any other, so a target that fails a part of its runs at once halves the estimate of its kind, and gates then let wait what cannot be on time.

--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -417,11 +417,13 @@
   record.status = winner.relay->status();
   ServicePolicy& policy = PolicyOf(*request);
   policy.retries.Earn(now);
+  const bool failed = record.status >= kFirstServerError;
   if (winner.ran > Duration(0)) {
-    request->work->Add(winner.ran, winner.slowdown);
+    request->work->Add(
+        winner.ran, winner.slowdown,
+        failed ? policy::RunEnd::kFailed : policy::RunEnd::kWell);
   }
   policy.hedge.OnAnswer(now - winner.started, now);
-  const bool failed = record.status >= kFirstServerError;
   if (policy.ejection.OnResult(winner.gate, failed, now)) {
     LogEvent(policy::kTargetEjected, {{"target", winner.gate.value}});
   }
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -8,6 +8,7 @@
 
 #include "base/base.h"
 #include "policy/concurrency_limit.h"
+#include "policy/run_end.h"
 #include "policy/service_times.h"
 #include "world/world.h"
 
@@ -42,13 +43,6 @@
 /// What becomes of a request that arrives at a gate.
 enum class Admit : uint8_t { kRun, kQueue, kRefuse };
 
-/// How a run ended, as far as the target's health goes.
-enum class RunEnd : uint8_t {
-  kWell,
-  kFailed,     // the target refused, broke, or was too slow
-  kAbandoned,  // cancelled or never begun: says nothing of the target
-};
-
 /// Decides which requests run at the target beside this node, and when. Counts
 /// what is in flight exactly: each attempt that ran must be finished.
 class Admission {
--- a/src/policy/work_estimate.cc
+++ b/src/policy/work_estimate.cc
@@ -14,9 +14,10 @@
 
 }  // namespace
 
-void WorkEstimate::Add(Duration took, double slowdown) {
+void WorkEstimate::Add(Duration took, double slowdown, RunEnd end) {
   const bool undisturbed = slowdown <= kUndisturbed;
-  if (!undisturbed && undisturbed_ >= kEnoughRuns) {
+  const bool enough = undisturbed_ >= kEnoughRuns;
+  if (end != RunEnd::kWell || (!undisturbed && enough)) {
     return;
   }
   double sample = static_cast<double>(took.count()) / std::max(slowdown, 1.0);
--- a/src/policy/work_estimate.h
+++ b/src/policy/work_estimate.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "base/base.h"
+#include "policy/run_end.h"
 
 namespace ibisvalve::policy {
 
@@ -11,9 +12,10 @@
 /// of these, as after a cold start of all targets, from the others as well.
 class WorkEstimate {
  public:
-  /// A run took `took` at a target that had told `slowdown` as it began; 1 is
-  /// usual.
-  void Add(Duration took, double slowdown);
+  /// A run ended as `end` says after `took`, at a target that had told
+  /// `slowdown` as it began; 1 is usual. Only runs that ended well count: a
+  /// failure is often much quicker.
+  void Add(Duration took, double slowdown, RunEnd end);
   /// Returns the estimate; 0 before the first run.
   Duration usual() const { return Duration(static_cast<int64_t>(usual_us_)); }
   /// Returns the estimate, or before the first run what may be supposed of a
--- a/tests/policy/cold_start_test.cc
+++ b/tests/policy/cold_start_test.cc
@@ -14,7 +14,7 @@
   WorkEstimate work;
   EXPECT_EQ(work.usual(), Duration(0));
   EXPECT_EQ(work.ExpectedFor(milliseconds(600)), milliseconds(200));
-  work.Add(milliseconds(320), 2);
+  work.Add(milliseconds(320), 2, RunEnd::kWell);
   EXPECT_EQ(work.usual(), milliseconds(160));
   EXPECT_EQ(work.ExpectedFor(milliseconds(600)), milliseconds(160));
 }
@@ -22,11 +22,11 @@
 TEST(ColdStartTest, SlowedRunsNoLongerCountOnceEnoughOthersAreKnown) {
   WorkEstimate work;
   for (int i = 0; i < 20; ++i) {
-    work.Add(milliseconds(160), 1);
+    work.Add(milliseconds(160), 1, RunEnd::kWell);
   }
   // Part of a run, such as its calls, is not slowed along with its host.
   for (int i = 0; i < 20; ++i) {
-    work.Add(milliseconds(300), 7);
+    work.Add(milliseconds(300), 7, RunEnd::kWell);
   }
   EXPECT_EQ(work.usual(), milliseconds(160));
 }
--- a/tests/policy/placement_test.cc
+++ b/tests/policy/placement_test.cc
@@ -95,14 +95,24 @@
 TEST(WorkEstimateTest, LearnsFromUndisturbedRunsOnly) {
   WorkEstimate work;
   for (int i = 0; i < 50; ++i) {
-    work.Add(milliseconds(160), 1.0);
-    work.Add(milliseconds(1120), 7.0);
+    work.Add(milliseconds(160), 1.0, RunEnd::kWell);
+    work.Add(milliseconds(1120), 7.0, RunEnd::kWell);
   }
   EXPECT_EQ(work.usual(), milliseconds(160));
-  work.Add(seconds(5), 1.0);
+  work.Add(seconds(5), 1.0, RunEnd::kWell);
   EXPECT_LT(work.usual(), milliseconds(200));
 }
 
+// Pattern: a target fails most of its runs, at once, while its health is good.
+TEST(WorkEstimateTest, QuickFailuresTeachNothing) {
+  WorkEstimate work;
+  for (int i = 0; i < 50; ++i) {
+    work.Add(milliseconds(160), 1.0, RunEnd::kWell);
+    work.Add(milliseconds(2), 1.0, RunEnd::kFailed);
+  }
+  EXPECT_EQ(work.usual(), milliseconds(160));
+}
+
 // Pattern: a target turns five times slower and tells nobody.
 TEST(PaceMeterTest, SeesASlowTargetBeforeItsRunsEnd) {
   PaceMeter meter;
