Bound the bytes of uploads before a gate, and follow round trips for silence

Cause: on links of 3.9 Mbit/s heartbeats wait behind request bodies. An ingress sent 128 KiB of each body unasked, and nothing limited the sum of all ingresses, so packets queued before the links of the bookdesk gates for more than the fixed 300 ms that counted as silence.

Change: - policy::BodyCredit: the gate grants bytes of bodies, the most urgent first, so that at most 50 ms of its link are under way (receiver-driven, after Homa and pHost). A body over 16 KiB sends 4 KiB unasked; gates without this module grant for the part in between, so mixed versions keep working. - A gate that has no room refuses such a request before its body is sent. - policy::SilenceBound: the bound follows the round trips of heartbeats as RFC 6298 does, 300 ms to 1.5 s, and doubles after a silent link until the next measured round trip. A cut of an idle link is found after 300 ms as before. - Bytes of an incomplete frame count as a sign of life.

Ruled out: only raising the bound. It hides the queue, and uploads still end late behind it.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -68,7 +68,13 @@
       load_(loop,
             settings,
             client_.get(),
-            {[this] { AdmitProbed(); }, handlers_.on_load_changed}) {}
+            {[this] { AdmitProbed(); }, handlers_.on_load_changed}),
+      bodies_(loop, settings.link_mbps, [this](const wire::Credit& credit) {
+        const GateAttempt* attempt = Find(credit.id);
+        if (attempt != nullptr && attempt->port.send) {
+          attempt->port.send(credit);
+        }
+      }) {}
 
 Gate::~Gate() = default;
 
@@ -120,6 +126,25 @@
   attempt.deadline_timer->StartOnce(attempt.deadline - loop_.Now());
   if (open.body_complete) {
     ProbeAndAdmit(attempt);
+  } else {
+    ReceiveBody(attempt);
+  }
+}
+
+// Receives the rest of a body, unless there will be no slot for the attempt:
+// then its bytes would only delay others on the link.
+void Gate::ReceiveBody(GateAttempt& attempt) {
+  const wire::OpenAttempt& open = attempt.open;
+  const policy::AdmissionTerms terms = AdmissionTermsOf(
+      attempt, Duration(static_cast<int64_t>(open.expected_us)));
+  if (admission_.Preview(terms, loop_.Now()) ==
+      policy::Admission::Decision{policy::Admit::kRefuse, Reason::kBusy}) {
+    Fail(attempt, Outcome::kNotRun, Reason::kBusy);
+  } else if (attempt.port.link != 0) {
+    bodies_.Begin(open, attempt.objective);
+  } else {
+    attempt.port.send(wire::Credit{
+        open.id, static_cast<uint32_t>(open.body_bytes - open.body.size())});
   }
 }
 
@@ -141,6 +166,7 @@
   attempt->open.body += part.bytes;
   if (attempt->port.link != 0) {
     load_.OnBytesReceived(part.bytes.size());
+    bodies_.OnReceived(part.id, part.bytes.size());
   }
   if (attempt->open.body.size() > attempt->open.body_bytes ||
       (part.last && attempt->open.body.size() != attempt->open.body_bytes)) {
@@ -148,10 +174,8 @@
     return;
   }
   if (part.last) {
+    bodies_.End(part.id);
     ProbeAndAdmit(*attempt);
-  } else if (attempt->port.send) {
-    attempt->port.send(
-        wire::Credit{part.id, static_cast<uint32_t>(part.bytes.size())});
   }
 }
 
@@ -309,15 +333,21 @@
 
 void Gate::Admit(GateAttempt& attempt) {
   attempt.stage = AttemptStage::kQueued;
-  const Time now = loop_.Now();
+  const policy::AdmissionTerms terms = AdmissionTermsOf(
+      attempt, load_.ExpectedServiceTime(attempt.open.expected_us));
+  ApplyDecision(attempt, admission_.Arrive(terms, loop_.Now()));
+}
+
+policy::AdmissionTerms Gate::AdmissionTermsOf(const GateAttempt& attempt,
+                                              Duration expected) const {
   policy::AdmissionTerms terms{attempt.open.id, attempt.deadline,
                                attempt.objective};
-  terms.expected = load_.ExpectedServiceTime(attempt.open.expected_us);
+  terms.expected = expected;
   terms.priority = attempt.open.priority;
   if (attempt.open.may_redirect) {
     terms.max_queue_wait = MaxQueueTime(attempt.open);
   }
-  ApplyDecision(attempt, admission_.Arrive(terms, now));
+  return terms;
 }
 
 void Gate::ApplyReleases(
@@ -622,6 +652,8 @@
   const AttemptId id = attempt.open.id;
   if (attempt.stage == AttemptStage::kQueued) {
     admission_.Cancel(id);
+  } else if (attempt.stage == AttemptStage::kReceiving) {
+    bodies_.End(id);
   }
   const bool release_key = attempt.keyed() &&
                            attempt.may_have_reached_target() &&
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "claims/claims.h"
+#include "dataplane/body_receiver.h"
 #include "dataplane/crash_tracker.h"
 #include "dataplane/gate_attempt.h"
 #include "dataplane/gate_log.h"
@@ -121,6 +122,9 @@
   void Send(const claims::FinishedAttempt& finished,
             const AttemptId& reply_as,
             const ReplyPort& port) const;
+  void ReceiveBody(GateAttempt& attempt);
+  policy::AdmissionTerms AdmissionTermsOf(const GateAttempt& attempt,
+                                          Duration expected) const;
   void ProbeAndAdmit(GateAttempt& attempt);
   void AdmitProbed();
   bool SlowdownMissesObjective(const GateAttempt& attempt) const;
@@ -167,6 +171,7 @@
   std::unordered_map<AttemptId, std::unique_ptr<GateAttempt>> in_flight_;
   net::Timer queue_timer_;
   LoadTracker load_;
+  BodyReceiver bodies_;
   GateCounts counts_;
 };
 
--- a/src/dataplane/gate_reply.h
+++ b/src/dataplane/gate_reply.h
@@ -19,10 +19,15 @@
 /// does not delay the frames of other attempts on the link.
 inline constexpr size_t kMaxPartBytes = 16 << 10;
 
-/// Bytes of a body or a response that may be sent before the receiver grants
-/// credit.
+/// Bytes of a response that may be sent before the ingress grants credit.
 inline constexpr uint32_t kInitialCredit = 128 << 10;
 
+/// Bytes of a larger body than kMaxPartBytes that are sent with the request,
+/// and in total before the gate grants credit. The part in between makes gates
+/// that grant credit only for received parts start to grant.
+inline constexpr size_t kFirstBodyBytes = 2 << 10;
+inline constexpr size_t kUnsolicitedBodyBytes = 4 << 10;
+
 /// Largest response, in bytes, that is buffered until it is complete and then
 /// stored.
 inline constexpr size_t kMaxBufferedResponseBytes = 64 << 10;
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -261,7 +261,8 @@
   LogSent(*request, attempt, settings_.names, view_.revision(),
           candidates_.LastHint(choice->gate, loop_.Now()), loop_.Now());
   attempt.body_sent = open.body.size();
-  attempt.body_credit -= open.body.size();
+  attempt.body_credit =
+      open.body_complete ? 0 : kUnsolicitedBodyBytes - kFirstBodyBytes;
   gates_.Send(attempt, open);
   SendBody(*request, attempt);
   return true;
--- a/src/dataplane/mesh_link.cc
+++ b/src/dataplane/mesh_link.cc
@@ -1,31 +1,33 @@
 #include "dataplane/mesh_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisvalve::dataplane {
 namespace {
 
-// Number of times that a link is checked within the duration that counts as
-// silence.
-constexpr int kChecksPerSilence = 4;
+// Number of heartbeats within the duration that counts as silence.
+constexpr int kPingsPerSilence = 4;
 
 }  // namespace
 
 MeshLink::MeshLink(net::EventLoop& loop,
                    const world::Endpoint& remote,
                    const wire::MeshHello& hello,
-                   Duration silence_timeout,
+                   policy::SilenceBound& silence,
                    Handlers handlers)
     : loop_(loop),
-      silence_timeout_(silence_timeout),
+      silence_(silence),
       handlers_(std::move(handlers)),
       idle_since_(loop.Now()),
+      opened_at_(loop.Now()),
       silence_timer_(loop, [this] { CheckSilence(); }) {
   link_ = net::FrameLink::Connect(
       loop, remote,
       {[this] {
          was_connected_ = true;
          last_received_ = loop_.Now();
+         silence_.OnRoundTrip(last_received_ - opened_at_);
        },
        [this](wire::FrameType type, std::string_view payload) {
          OnFrame(type, payload);
@@ -45,7 +47,7 @@
 void MeshLink::BeginAttempt() {
   if (in_flight_++ == 0) {
     last_received_ = last_check_ = loop_.Now();
-    silence_timer_.StartPeriodic(silence_timeout_ / kChecksPerSilence);
+    silence_timer_.StartPeriodic(silence_.min() / kPingsPerSilence);
   }
 }
 
@@ -84,32 +86,57 @@
       handlers_.on_file(wire::Decode<wire::ActiveFile>(payload));
       return;
     case wire::Pong::kType:
-      handlers_.on_pong(wire::Decode<wire::Pong>(payload));
+      OnPong(wire::Decode<wire::Pong>(payload));
       return;
     default:
       throw wire::WireError("unexpected frame type from a gate");
   }
 }
 
+void MeshLink::OnPong(const wire::Pong& pong) {
+  if (measured_ping_ != 0 && pong.number >= measured_ping_) {
+    silence_.OnRoundTrip(loop_.Now() - measured_since_);
+    measured_ping_ = 0;
+  }
+  handlers_.on_pong(pong);
+}
+
 void MeshLink::CheckSilence() {
   const Time now = loop_.Now();
-  const Duration interval = silence_timeout_ / kChecksPerSilence;
   // A late check means that this process was suspended, so frames that arrived
   // in the meantime may not have been read yet.
-  if (now - last_check_ > 2 * interval) {
+  if (now - last_check_ > 2 * silence_.min() / kPingsPerSilence) {
     last_received_ = now;
+    measured_ping_ = 0;
   }
   last_check_ = now;
-  if (now - last_received_ >= silence_timeout_) {
+  // A large frame that is still arriving shows that the link works.
+  if (link_->arrived_bytes() != arrived_bytes_) {
+    arrived_bytes_ = link_->arrived_bytes();
+    last_received_ = now;
+  }
+  const Duration bound = silence_.bound();
+  if (now - last_received_ >= bound) {
+    silence_.OnSilent();
     const auto on_failed = handlers_.on_failed;  // the call may destroy *this
     on_failed(
         was_connected_ ? LinkFailure::kSilent : LinkFailure::kNotConnected,
         "silent");
     return;
   }
-  if (now - last_received_ >= interval) {
-    link_->Send(wire::Ping{++pings_});
+  if (now - std::max(last_received_, last_ping_) >= bound / kPingsPerSilence) {
+    SendPing(now);
+  }
+}
+
+void MeshLink::SendPing(Time now) {
+  ++pings_;
+  last_ping_ = now;
+  if (measured_ping_ == 0) {
+    measured_ping_ = pings_;
+    measured_since_ = now;
   }
+  link_->Send(wire::Ping{pings_});
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/mesh_link.h
+++ b/src/dataplane/mesh_link.h
@@ -8,6 +8,7 @@
 
 #include "dataplane/gate_reply.h"
 #include "net/net.h"
+#include "policy/policy.h"
 #include "wire/wire.h"
 
 namespace ibisvalve::dataplane {
@@ -36,12 +37,13 @@
   };
 
   /// Starts connecting to `remote` and sends `hello` as the first frame. The
-  /// link fails if nothing is received for `silence_timeout` while attempts are
-  /// in flight.
+  /// link fails if no byte is received for `silence.bound()` while attempts are
+  /// in flight. `silence` must outlive the link; it learns the round-trip times
+  /// of this link and of later ones to the same peer.
   MeshLink(net::EventLoop& loop,
            const world::Endpoint& remote,
            const wire::MeshHello& hello,
-           Duration silence_timeout,
+           policy::SilenceBound& silence,
            Handlers handlers);
   MeshLink(const MeshLink&) = delete;
   MeshLink& operator=(const MeshLink&) = delete;
@@ -62,17 +64,25 @@
 
  private:
   void OnFrame(wire::FrameType type, std::string_view payload);
+  void OnPong(const wire::Pong& pong);
   void CheckSilence();
+  void SendPing(Time now);
 
   net::EventLoop& loop_;
-  Duration silence_timeout_;
+  policy::SilenceBound& silence_;
   Handlers handlers_;
   bool was_connected_ = false;
   size_t in_flight_ = 0;
   Time idle_since_;
-  Time last_received_;  // last frame, or start of the silence measurement
+  Time opened_at_;
+  Time last_received_;  // last byte, or start of the silence measurement
+  uint64_t arrived_bytes_ = 0;  // at the last check
   Time last_check_;
   uint64_t pings_ = 0;
+  Time last_ping_;
+  // Heartbeat whose round trip is being measured; 0: none.
+  uint64_t measured_ping_ = 0;
+  Time measured_since_;
   net::Timer silence_timer_;
   std::unique_ptr<net::FrameLink> link_;
 };
--- a/src/dataplane/peer_table.cc
+++ b/src/dataplane/peer_table.cc
@@ -10,6 +10,9 @@
 
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(5);
+// A congested link is given up after at most this many times the silence that
+// counts as a cut of an idle one.
+constexpr int kMaxSilenceFactor = 5;
 
 }  // namespace
 
@@ -30,7 +33,7 @@
   if (member == nullptr) {
     return std::nullopt;
   }
-  Peer& peer = peers_[gate];
+  Peer& peer = PeerFor(gate);
   if (peer.link == nullptr) {
     Open(gate, peer, member->mesh);
   }
@@ -80,6 +83,13 @@
   return pings;
 }
 
+PeerTable::Peer& PeerTable::PeerFor(const NodeId& gate) {
+  policy::SilenceSettings settings;
+  settings.min = settings_.link_silence;
+  settings.max = kMaxSilenceFactor * settings_.link_silence;
+  return peers_.try_emplace(gate, settings).first->second;
+}
+
 MeshLink* PeerTable::Find(const NodeId& gate, uint64_t link) {
   const auto peer = peers_.find(gate);
   return peer == peers_.end() || peer->second.number != link
@@ -98,7 +108,7 @@
       throw wire::WireError(
           "the node id in the hello differs from the expected peer");
     }
-    peers_[gate].incarnation = hello.incarnation;
+    peers_.at(gate).incarnation = hello.incarnation;
     if (hello.revision > view_.revision()) {
       handlers_.on_newer_revision(gate, hello.revision);
     }
@@ -128,7 +138,7 @@
   peer.link = std::make_unique<MeshLink>(
       loop_, remote,
       wire::MeshHello{settings_.id, settings_.incarnation, view_.revision()},
-      settings_.link_silence, std::move(handlers));
+      peer.silence, std::move(handlers));
 }
 
 void PeerTable::OnLinkFailed(const NodeId& gate,
--- a/src/dataplane/peer_table.h
+++ b/src/dataplane/peer_table.h
@@ -63,11 +63,16 @@
 
  private:
   struct Peer {
+    explicit Peer(const policy::SilenceSettings& settings)
+        : silence(settings) {}
+
     uint64_t number = 0;
+    policy::SilenceBound silence;    // outlives the links
     std::unique_ptr<MeshLink> link;  // null while disconnected
     Incarnation incarnation;         // from its last hello
   };
 
+  Peer& PeerFor(const NodeId& gate);
   MeshLink* Find(const NodeId& gate, uint64_t link);
   void Open(const NodeId& gate, Peer& peer, const world::Endpoint& remote);
   void OnLinkFailed(const NodeId& gate,
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -43,7 +43,9 @@
   open.key = request.terms.key;
   open.fingerprint = request.terms.fingerprint;
   open.body_bytes = caller_request.body.size();
-  open.body = caller_request.body.substr(0, kMaxPartBytes);
+  open.body = caller_request.body.substr(
+      0, caller_request.body.size() > kMaxPartBytes ? kFirstBodyBytes
+                                                    : kMaxPartBytes);
   open.body_complete = open.body.size() == caller_request.body.size();
   open.caller = settings.service;
   open.objective_us = static_cast<uint64_t>(std::max<int64_t>(
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -34,7 +34,7 @@
   uint32_t queries = 0;      // number of queries sent to the gate about it
   bool needs_query = false;  // LinkRecovery repeats the query at its next tick
   size_t body_sent = 0;
-  uint64_t body_credit = kInitialCredit;
+  uint64_t body_credit = 0;  // bytes of the body that may still be sent
   std::unique_ptr<ResponseRelay> relay;
 };
 
--- a/src/net/frame_link.cc
+++ b/src/net/frame_link.cc
@@ -118,6 +118,13 @@
              : evbuffer_get_length(bufferevent_get_output(bufferevent_));
 }
 
+uint64_t FrameLink::arrived_bytes() const {
+  return received_bytes_ +
+         (bufferevent_ == nullptr
+              ? 0
+              : evbuffer_get_length(bufferevent_get_input(bufferevent_)));
+}
+
 void FrameLink::OnReadable() {
   const std::shared_ptr<bool> alive = alive_;
   try {
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -72,6 +72,8 @@
   bool refused() const { return refused_; }
   /// Returns whether the link is closed.
   bool closed() const { return bufferevent_ == nullptr; }
+  /// Returns the number of bytes that have arrived, incomplete frames included.
+  uint64_t arrived_bytes() const;
   /// Returns the number of bytes received in complete frames.
   uint64_t received_bytes() const { return received_bytes_; }
   /// Returns the number of bytes in the frames passed to Send and SendRaw.
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -28,9 +28,7 @@
 
 Admission::Decision Admission::Arrive(const AdmissionTerms& terms, Time now) {
   DecayFailures(now);
-  const Decision decision = settings_.by_objective
-                                ? DecideByObjective(terms, now)
-                                : DecideByDeadline(terms, now);
+  const Decision decision = Preview(terms, now);
   if (decision.admit == Admit::kRun) {
     CHECK(running_.insert(terms.id).second) << "attempt is already running";
   } else if (decision.admit == Admit::kQueue) {
@@ -47,6 +45,12 @@
   return decision;
 }
 
+Admission::Decision Admission::Preview(const AdmissionTerms& terms,
+                                       Time now) const {
+  return settings_.by_objective ? DecideByObjective(terms, now)
+                                : DecideByDeadline(terms, now);
+}
+
 std::vector<Admission::Release> Admission::Finish(const AttemptId& id,
                                                   Duration service_time,
                                                   RunResult result,
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -67,6 +67,8 @@
   /// Decides on an arriving request. Refuses it immediately if, by recent or
   /// expected service times, it cannot finish before its deadline.
   Decision Arrive(const AdmissionTerms& terms, Time now);
+  /// Returns the decision that Arrive would make now, without any effect.
+  Decision Preview(const AdmissionTerms& terms, Time now) const;
   /// Decides on a request with a deadline only; its objective is the deadline.
   Decision Arrive(const AttemptId& id, Time deadline, Time now) {
     return Arrive(AdmissionTerms{id, deadline, deadline}, now);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -6,6 +6,7 @@
 #include "policy/admission.h"              // IWYU pragma: export
 #include "policy/any_chooser.h"            // IWYU pragma: export
 #include "policy/baseline_choosers.h"      // IWYU pragma: export
+#include "policy/body_credit.h"            // IWYU pragma: export
 #include "policy/choice.h"                 // IWYU pragma: export
 #include "policy/ejection.h"               // IWYU pragma: export
 #include "policy/events.h"                 // IWYU pragma: export
@@ -19,6 +20,7 @@
 #include "policy/retry_budget.h"           // IWYU pragma: export
 #include "policy/run_result.h"             // IWYU pragma: export
 #include "policy/service_time_estimate.h"  // IWYU pragma: export
+#include "policy/silence_bound.h"          // IWYU pragma: export
 #include "policy/subset.h"                 // IWYU pragma: export
 #include "policy/weighed_chooser.h"        // IWYU pragma: export
 #include "policy/weighted_round_robin.h"   // IWYU pragma: export
