Count a refused caller's objective from its first attempt

Cause: the ingress gave a request that returned after a refusal the whole objective again. Retry-After was drawn from up to a third of the deadline, after which an objective of 200 ms is past.

Change: - policy::RefusedCallers recognizes a returning request by its fingerprint and by the time at which its caller gives up, which all its attempts share. - Retry-After ends early enough to be served on time, if that is possible. - Counters of returned requests and of those answered, and the field `returned` of IV1521 and IV1522.

Ruled out: recognizing a return by a shorter deadline alone; calls of targets carry what is left of their parent's deadline.

Tests: refused_callers_test; RetryAfterTest.ACallerReturnsInTimeForItsObjective (the old rule returns at up to 144 ms of the 100 that are left; not run against it, its signature changed with the same commit).

--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -98,8 +98,8 @@
   }
   parsed_.deadline = parsed_.terms.deadline;
   if (deadline_ms_) {
-    parsed_.deadline = std::min<Duration>(
-        parsed_.deadline, std::chrono::milliseconds(*deadline_ms_));
+    parsed_.caller_deadline = std::chrono::milliseconds(*deadline_ms_);
+    parsed_.deadline = std::min(parsed_.deadline, parsed_.caller_deadline);
   }
   if (request_.body.size() > parsed_.service->limits.request_body) {
     Refuse(Reason::kTooLarge, "the body is over the service's limit");
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -15,7 +15,8 @@
 struct CallerTerms {
   const world::Service* service = nullptr;  // owned by the parsed fleet
   world::Terms terms;
-  Duration deadline{0};      // the shorter of the contract's and the caller's
+  Duration deadline{0};  // the shorter of the contract's and the caller's
+  Duration caller_deadline{0};  // the caller's; 0: not given
   uint8_t depth = 0;         // number of calls above this one in the call chain
   bool under_retry = false;  // a caller further up the chain is retrying
   std::string key;           // value of Idempotency-Key, or empty
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -40,6 +40,8 @@
 // again, possibly from another peer.
 constexpr Duration kFetchRetryInterval = std::chrono::milliseconds(300);
 constexpr int kStatusTooLarge = 413;
+// Bounds the memory for refused callers that may return, about 100 bytes each.
+constexpr size_t kMaxRefusedCallers = 1024;
 
 }  // namespace
 
@@ -55,6 +57,7 @@
       memory_(memory),
       handlers_(handlers),
       node_digest_(DigestOf(settings.id.value)),
+      refused_callers_(kMaxRefusedCallers),
       candidates_(settings, view),
       policies_(settings.choice, settings.retries),
       gates_(loop,
@@ -166,6 +169,7 @@
   request->service_time_estimate = &service_time_estimates_[terms.kind];
   request->arrived = loop_.Now();
   request->deadline = request->arrived + terms.deadline;
+  RestoreFirstArrival(*request);
   requests_[request->number] = request;
   AddTimers(request);
   if (request->repeatable()) {
@@ -174,6 +178,15 @@
   StartOrFail(request);
 }
 
+// Sets the arrival of the caller's first attempt.
+void Ingress::RestoreFirstArrival(RequestState& request) {
+  const std::optional<Time> first = refused_callers_.OnArrival(
+      request.terms.fingerprint, request.caller_deadline());
+  request.first_arrival = first.value_or(request.arrived);
+  request.returned = first.has_value();
+  counts_.returned += first ? 1 : 0;
+}
+
 void Ingress::AddTimers(const RequestPtr& request) {
   const std::weak_ptr<RequestState> weak = request;
   const auto bind = [this, weak](void (Ingress::*method)(const RequestPtr&)) {
@@ -222,15 +235,14 @@
       work == Duration(0)) {
     return PolicyOf(request).hedge.Delay(loop_.Now());
   }
-  return policy::HedgeDelayFor(
-      work, request.arrived + request.terms.objective - loop_.Now());
+  return policy::HedgeDelayFor(work, request.objective() - loop_.Now());
 }
 
 policy::RequestTerms Ingress::TermsOf(const RequestState& request) const {
   constexpr double kBytesPerKib = 1024;
   const Time now = loop_.Now();
-  return {request.arrived + request.terms.objective - now,
-          request.deadline - now, request.ExpectedServiceTime(),
+  return {request.objective() - now, request.deadline - now,
+          request.ExpectedServiceTime(),
           static_cast<double>(request.exchange->request().body.size() +
                               kTypicalOverheadBytes) /
               kBytesPerKib};
@@ -441,6 +453,7 @@
   if (policy.ejection.OnResult(winner.gate, failed, now)) {
     LogEvent(policy::kTargetEjected, {{"target", winner.gate.value}});
   }
+  counts_.returned_answered += request->returned ? 1 : 0;
   CancelAttempts(request, &id);
   FinishRequest(request, record);
 }
@@ -592,12 +605,19 @@
     FinishRequest(request, record);
     return;
   }
+  if (outcome == Outcome::kNotRun) {
+    refused_callers_.OnRefused(request->terms.fingerprint,
+                               request->first_arrival,
+                               request->caller_deadline());
+  }
   record.status = static_cast<uint16_t>(SendFailureReply(
       *request->exchange, settings_.names,
       {outcome, reason, request->attempts_made, request->first_status,
        world::ToString(outcome) + ": " + world::ToString(reason), false,
        outcome == Outcome::kNotRun
-           ? policy::RetryAfter(request->deadline - loop_.Now(),
+           ? policy::RetryAfter({request->deadline - loop_.Now(),
+                                 request->objective() - loop_.Now(),
+                                 request->ExpectedServiceTime()},
                                 candidates_.random())
            : std::nullopt}));
   FinishRequest(request, record);
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -25,6 +25,8 @@
   uint64_t retries = 0;
   uint64_t hedges = 0;
   uint64_t hung_up = 0;
+  uint64_t returned = 0;           // requests of callers refused before
+  uint64_t returned_answered = 0;  // of these, requests with a response
 
   auto operator<=>(const IngressCounts&) const = default;
 };
@@ -66,6 +68,7 @@
                      const ServiceName& service);
   void Accept(const std::shared_ptr<CallerExchange>& exchange,
               const CallerTerms& terms);
+  void RestoreFirstArrival(RequestState& request);
   void AddTimers(const RequestPtr& request);
   ServicePolicy& PolicyOf(const RequestState& request);
 
@@ -117,6 +120,7 @@
   MemoryBudget& memory_;
   const PlaneHandlers& handlers_;
   Digest node_digest_;  // of this node's id; part of each AttemptId
+  policy::RefusedCallers refused_callers_;
   CandidateTable candidates_;
   ServicePolicies policies_;
   GateClient gates_;
--- a/src/dataplane/ingress_log.cc
+++ b/src/dataplane/ingress_log.cc
@@ -60,7 +60,8 @@
        {"gate", record.gate.value},
        {"made", record.attempts},
        {"took_ms", ToMs(record.took)},
-       {"hung_up", record.hung_up ? "yes" : "no"}});
+       {"hung_up", record.hung_up ? "yes" : "no"},
+       {"returned", request.returned ? "yes" : "no"}});
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -229,6 +229,10 @@
       static_cast<double>(ingress_.queries()), true);
   Add(out, "ibis_ingress_hung_up_total", static_cast<double>(ingress.hung_up),
       true);
+  Add(out, "ibis_ingress_returned_total", static_cast<double>(ingress.returned),
+      true);
+  Add(out, "ibis_ingress_returned_answered_total",
+      static_cast<double>(ingress.returned_answered), true);
   Add(out, "ibis_ingress_in_flight", static_cast<double>(ingress_.in_flight()),
       false);
   Add(out, "ibis_mesh_links",
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -48,8 +48,8 @@
                                                     : kMaxPartBytes);
   open.body_complete = open.body.size() == caller_request.body.size();
   open.caller = settings.service;
-  open.objective_us = static_cast<uint64_t>(std::max<int64_t>(
-      (request.arrived + request.terms.objective - now).count(), 0));
+  open.objective_us = static_cast<uint64_t>(
+      std::max<int64_t>((request.objective() - now).count(), 0));
   open.expected_us =
       static_cast<uint64_t>(request.ExpectedServiceTime().count());
   open.priority = request.terms.priority;
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -45,6 +45,8 @@
   std::shared_ptr<const world::Fleet> fleet;  // owns `terms.service`
   CallerTerms terms;
   Time arrived;
+  Time
+      first_arrival;  // of the caller's first attempt, if it was refused before
   Time deadline;
   MemoryReservation memory;
   std::unique_ptr<net::Timer> deadline_timer;
@@ -59,6 +61,7 @@
   bool may_have_run = false;  // the outcome of an attempt is unknown
   bool committed = false;     // part of a response was sent to the caller
   bool hedged = false;
+  bool returned = false;  // its caller was refused before
   bool in_grace = false;  // past its deadline, waiting for the gate's outcome
   uint64_t progress_bytes = 0;  // bytes received at the last stall check
   world::Reason reason = world::Reason::kNone;  // of the last failure
@@ -66,6 +69,14 @@
   policy::ServiceTimeEstimate* service_time_estimate = nullptr;
   uint16_t first_status = 0;  // status of the key's first run; 0: unknown
 
+  /// Returns when the response should arrive by the latency objective.
+  Time objective() const { return first_arrival + terms.objective; }
+  /// Returns when the caller gives up, by its own deadline if it sent one.
+  Time caller_deadline() const {
+    return terms.caller_deadline == Duration(0)
+               ? deadline
+               : arrived + terms.caller_deadline;
+  }
   /// Returns the expected service time at a target of normal pace.
   Duration ExpectedServiceTime() const {
     return service_time_estimate->ExpectedFor(terms.objective);
