Probe a slowed target until its slow phase ends, and tell ingresses so

Ingresses avoid a slowed target, so no response reports the end of the phase; the gate probed at most five times a second, and a change within 40 ms of the last notification was never sent.

Change: a slowed target is probed every 40 ms; a notification that comes too soon is sent when it may.

Test: LoadTrackerTest.AChangeSoonAfterANotificationIsReportedLater, seen failing.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -23,6 +23,9 @@
 constexpr uint16_t kFirstServerError = 500;
 // A load report of at most this age makes a probe unnecessary.
 constexpr Duration kMaxLoadAge = std::chrono::milliseconds(10);
+// How often a slowed target is probed. Its slow phase lasts some 100 ms, and
+// the target is not used until its end is known.
+constexpr Duration kSlowPhaseProbeInterval = std::chrono::milliseconds(40);
 // Estimated bytes on the link of a request without its body, with the overhead
 // of its frames.
 constexpr uint64_t kFrameOverheadBytes = 600;
@@ -65,6 +68,7 @@
                                                    settings.names.request_id)
                   : nullptr),
       queue_timer_(loop, [this] { CheckQueue(); }),
+      slow_phase_timer_(loop, [this] { ProbeLoad(loop_.Now() - kMaxLoadAge); }),
       load_(loop,
             settings,
             client_.get(),
@@ -466,6 +470,7 @@
 // Admits the attempts that waited for a load probe. If the target did not
 // respond to the probe in time, its last reported load is used.
 void Gate::AdmitProbed() {
+  WatchSlowPhase();
   std::vector<AttemptId> waiting;
   for (const auto& [id, attempt] : in_flight_) {
     if (attempt->awaits_load_probe) {
@@ -485,6 +490,15 @@
   }
 }
 
+// Probes a slowed target again soon: ingresses avoid it, so that no response
+// would report the end of its slow phase.
+void Gate::WatchSlowPhase() {
+  if (load_.IsSlowed() && target_state_ == world::TargetState::kReady &&
+      !slow_phase_timer_.running()) {
+    slow_phase_timer_.StartOnce(kSlowPhaseProbeInterval);
+  }
+}
+
 // Probes the target first if its last load report is stale. A run keeps the
 // slowdown with which it starts, so a request that could be redirected to
 // another target must not be started on an outdated load report.
@@ -506,6 +520,7 @@
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
   load_.UpdateFromHeaders(head.headers);
+  WatchSlowPhase();
   if (ProvesNotRun(head, settings_.names)) {
     attempt->declined = true;
     if (head.status == kMisdirectedRequest) {
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -127,6 +127,7 @@
                                           Duration expected) const;
   void ProbeAndAdmit(GateAttempt& attempt);
   void AdmitProbed();
+  void WatchSlowPhase();
   bool SlowdownMissesObjective(const GateAttempt& attempt) const;
   void Admit(GateAttempt& attempt);
   void ApplyReleases(const std::vector<policy::Admission::Release>& released);
@@ -170,6 +171,7 @@
   std::unique_ptr<TargetClient> client_;  // null without a target
   std::unordered_map<AttemptId, std::unique_ptr<GateAttempt>> in_flight_;
   net::Timer queue_timer_;
+  net::Timer slow_phase_timer_;
   LoadTracker load_;
   BodyReceiver bodies_;
   GateCounts counts_;
--- a/src/dataplane/load_tracker.cc
+++ b/src/dataplane/load_tracker.cc
@@ -27,6 +27,7 @@
       client_(client),
       handlers_(std::move(handlers)),
       probe_timer_(loop, [this] { EndProbe(); }),
+      notify_timer_(loop, [this] { NotifyIfChanged(); }),
       link_(settings.link_mbps) {}
 
 void LoadTracker::UpdateFromHeaders(const wire::Headers& headers) {
@@ -48,11 +49,16 @@
   const double ratio = slowdown_ / notified_slowdown_;
   const bool changed = ratio > kSignificantSlowdownRatio ||
                        ratio < 1 / kSignificantSlowdownRatio;
-  if (changed && now >= notified_at_ + kMinNotifyInterval) {
-    notified_slowdown_ = slowdown_;
-    notified_at_ = now;
-    handlers_.on_changed();
+  if (!changed) {
+    return;
+  }
+  if (now < notified_at_ + kMinNotifyInterval) {
+    notify_timer_.StartOnce(notified_at_ + kMinNotifyInterval - now);
+    return;
   }
+  notified_slowdown_ = slowdown_;
+  notified_at_ = now;
+  handlers_.on_changed();
 }
 
 void LoadTracker::Probe(Time since) {
--- a/src/dataplane/load_tracker.h
+++ b/src/dataplane/load_tracker.h
@@ -78,6 +78,7 @@
   std::string path_;
   std::unique_ptr<TargetCall> probe_;
   net::Timer probe_timer_;
+  net::Timer notify_timer_;
   uint64_t probes_ = 0;
   double slowdown_ = 1;
   Time reported_at_{};
--- a/tests/dataplane/load_tracker_test.cc
+++ b/tests/dataplane/load_tracker_test.cc
@@ -84,6 +84,17 @@
   EXPECT_EQ(changes_, 1);
 }
 
+// Pattern: a slow phase ends right after ingresses were notified of it. Without
+// a later notification they avoid the target until they send it a request.
+TEST_F(LoadTrackerTest, AChangeSoonAfterANotificationIsReportedLater) {
+  ReportLoad("700");
+  EXPECT_EQ(changes_, 1);
+  ReportLoad("100");
+  EXPECT_EQ(changes_, 1);
+  Wait(std::chrono::milliseconds(60));
+  EXPECT_EQ(changes_, 2);
+}
+
 TEST_F(LoadTrackerTest, ABusyLinkRaisesTheTransferTime) {
   const uint32_t idle = Hint().transfer_us_per_kib;
   EXPECT_EQ(idle, 1024);  // 8 Mbit/s
