Place uploads by the backlog of a gate's link, and keep bodies that arrived

Change: - The hint's transfer time covers the bodies that wait, and counts for seconds. - A gate refuses an upload before its body if the body would arrive too late; one that can't end before the deadline is refused at once as not run. - A body that has arrived waits for the end of a slow phase, or for a slot, as long as a redirect would take.

Tests: FullLinkTest.AHintOfASaturatedLinkCountsForSeconds (by the old half-life the near target has a value of 0.87 against 0.58 and is chosen; computed, not run), LinkMeterTest.TheBacklogOfBodiesDelaysALargeBody, BodyCreditTest.TheTransferTimeIncludesTheBodiesThatWait. The gate's waiting has no test of its own yet.

--- a/src/dataplane/body_receiver.h
+++ b/src/dataplane/body_receiver.h
@@ -23,6 +23,11 @@
   void Begin(const wire::OpenAttempt& open, Time objective);
   /// Records that `bytes` of the body of attempt `id` arrived.
   void OnReceived(const AttemptId& id, uint64_t bytes);
+  /// Returns the time until a further body of `bytes` has arrived; 0 if the
+  /// capacity of the link is unknown.
+  Duration TransferTime(uint64_t bytes) const {
+    return credit_.TransferTime(bytes);
+  }
   /// Ends the transfer of a body; has no effect if none is in progress.
   void End(const AttemptId& id);
 
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -68,7 +68,13 @@
                                                    settings.names.request_id)
                   : nullptr),
       queue_timer_(loop, [this] { CheckQueue(); }),
-      slow_phase_timer_(loop, [this] { ProbeLoad(loop_.Now() - kMaxLoadAge); }),
+      slow_phase_timer_(loop,
+                        [this] {
+                          ProbeLoad(loop_.Now() - kMaxLoadAge);
+                          if (!load_.probing()) {
+                            AdmitProbed();
+                          }
+                        }),
       load_(loop,
             settings,
             client_.get(),
@@ -121,6 +127,7 @@
   }
   attempt.open = open;
   attempt.port = port;
+  attempt.opened = loop_.Now();
   attempt.deadline =
       loop_.Now() + Duration(static_cast<int64_t>(open.remaining_us));
   attempt.objective =
@@ -135,20 +142,26 @@
   }
 }
 
-// Receives the rest of a body, unless there will be no slot for the attempt:
-// then its bytes would only delay others on the link.
+// Receives the rest of a body, unless there will be no slot for the attempt or
+// its body arrives too late: its bytes would only delay others on the link.
 void Gate::ReceiveBody(GateAttempt& attempt) {
   const wire::OpenAttempt& open = attempt.open;
-  const policy::AdmissionTerms terms = AdmissionTermsOf(
-      attempt, Duration(static_cast<int64_t>(open.expected_us)));
-  if (admission_.Preview(terms, loop_.Now()) ==
-      policy::Admission::Decision{policy::Admit::kRefuse, Reason::kBusy}) {
+  const Duration service(static_cast<int64_t>(open.expected_us));
+  const uint64_t left = open.body_bytes - open.body.size();
+  if (attempt.port.link == 0) {
+    attempt.port.send(wire::Credit{open.id, static_cast<uint32_t>(left)});
+    return;
+  }
+  const Time end = loop_.Now() + bodies_.TransferTime(left) + service;
+  const bool no_slot =
+      admission_.Preview(AdmissionTermsOf(attempt, service), loop_.Now()) ==
+      policy::Admission::Decision{policy::Admit::kRefuse, Reason::kBusy};
+  if (end >= attempt.deadline) {
+    Fail(attempt, Outcome::kNotRun, Reason::kDeadline);
+  } else if (no_slot || (open.may_redirect && end > attempt.objective)) {
     Fail(attempt, Outcome::kNotRun, Reason::kBusy);
-  } else if (attempt.port.link != 0) {
-    bodies_.Begin(open, attempt.objective);
   } else {
-    attempt.port.send(wire::Credit{
-        open.id, static_cast<uint32_t>(open.body_bytes - open.body.size())});
+    bodies_.Begin(open, attempt.objective);
   }
 }
 
@@ -178,6 +191,7 @@
     return;
   }
   if (part.last) {
+    attempt->redirect_cost = loop_.Now() - attempt->opened;
     bodies_.End(part.id);
     ProbeAndAdmit(*attempt);
   }
@@ -326,7 +340,8 @@
 }
 
 wire::LoadHint Gate::Hint() const {
-  return MakeLoadHint(admission_, load_, view_.revision());
+  return MakeLoadHint(admission_, load_, bodies_.TransferTime(0),
+                      view_.revision());
 }
 
 void Gate::Send(const FinishedAttempt& finished,
@@ -349,7 +364,8 @@
   terms.expected = expected;
   terms.priority = attempt.open.priority;
   if (attempt.open.may_redirect) {
-    terms.max_queue_wait = MaxQueueTime(attempt.open);
+    terms.max_queue_wait =
+        std::max(MaxQueueTime(attempt.open), attempt.redirect_cost);
   }
   return terms;
 }
@@ -481,10 +497,12 @@
     GateAttempt* attempt = Find(id);
     if (attempt != nullptr &&
         std::exchange(attempt->awaits_load_probe, false)) {
-      if (attempt->open.may_redirect && SlowdownMissesObjective(*attempt)) {
-        Fail(*attempt, Outcome::kNotRun, Reason::kSlow);
-      } else {
+      if (!attempt->open.may_redirect || !SlowdownMissesObjective(*attempt)) {
         Admit(*attempt);
+      } else if (loop_.Now() < attempt->opened + 2 * attempt->redirect_cost) {
+        attempt->awaits_load_probe = true;  // a redirect takes longer
+      } else {
+        Fail(*attempt, Outcome::kNotRun, Reason::kSlow);
       }
     }
   }
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -37,7 +37,10 @@
   ReplyPort port;          // `send` is null while the ingress has no link
   AttemptStage stage = AttemptStage::kReceiving;
   Time deadline;
-  Time objective;       // latency objective: the response should arrive by then
+  Time objective;  // latency objective: the response should arrive by then
+  Time opened;     // when the attempt arrived, without the rest of its body
+  // Time that another gate would need for the body again; 0 for small bodies.
+  Duration redirect_cost{0};
   Time dispatched;      // when the request was sent to the target
   double slowdown = 1;  // last reported by the target before the dispatch
   MemoryReservation memory;
--- a/src/dataplane/gate_frames.cc
+++ b/src/dataplane/gate_frames.cc
@@ -18,6 +18,7 @@
 
 wire::LoadHint MakeLoadHint(const policy::Admission& admission,
                             const LoadTracker& load,
+                            Duration backlog,
                             Revision revision) {
   constexpr double kPermille = 1000;
   wire::LoadHint hint;
@@ -28,7 +29,7 @@
       std::min<int64_t>(admission.service_time().count(), UINT32_MAX));
   hint.error_permille =
       static_cast<uint32_t>(admission.failure_share() * kPermille);
-  load.FillHint(hint);
+  load.FillHint(hint, backlog);
   hint.revision = revision;
   return hint;
 }
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -12,6 +12,7 @@
 /// target.
 wire::LoadHint MakeLoadHint(const policy::Admission& admission,
                             const LoadTracker& load,
+                            Duration backlog,
                             Revision revision);
 
 /// Sends the result of a finished attempt to `port`, in frames that carry the
--- a/src/dataplane/load_tracker.cc
+++ b/src/dataplane/load_tracker.cc
@@ -116,12 +116,12 @@
   return loop_.Now() - reported_at_;
 }
 
-void LoadTracker::FillHint(wire::LoadHint& hint) const {
+void LoadTracker::FillHint(wire::LoadHint& hint, Duration backlog) const {
   const Time now = loop_.Now();
   hint.slowdown_percent = wire::ToPercent(slowdown_);
   hint.pace_percent = wire::ToPercent(pace_.Pace(now));
   hint.transfer_us_per_kib =
-      static_cast<uint32_t>(link_.TransferTimePerKib(now).count());
+      static_cast<uint32_t>(link_.TransferTimePerKib(now, backlog).count());
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/load_tracker.h
+++ b/src/dataplane/load_tracker.h
@@ -64,8 +64,9 @@
   bool IsSlowed() const;
   /// Returns the time since the target last reported its load.
   Duration age() const;
-  /// Sets the slowdown, pace and transfer time in `hint`.
-  void FillHint(wire::LoadHint& hint) const;
+  /// Sets the slowdown, pace and transfer time in `hint`. `backlog` is the
+  /// transfer time of the request bodies that already wait.
+  void FillHint(wire::LoadHint& hint, Duration backlog = Duration(0)) const;
 
  private:
   void NotifyIfChanged();
--- a/src/policy/body_credit.cc
+++ b/src/policy/body_credit.cc
@@ -82,6 +82,18 @@
   return bytes;
 }
 
+Duration BodyCredit::TransferTime(uint64_t bytes) const {
+  if (settings_.link_mbps <= 0) {
+    return Duration(0);
+  }
+  uint64_t total = bytes;
+  for (const auto& [id, body] : bodies_) {
+    total += body.ungranted + body.granted;
+  }
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(total) * kBitsPerByte / settings_.link_mbps));
+}
+
 bool BodyCredit::IsStalled(const Body& body, Time now) const {
   return body.granted > 0 && now - body.progress >= settings_.reclaim_after;
 }
--- a/src/policy/body_credit.h
+++ b/src/policy/body_credit.h
@@ -59,6 +59,9 @@
   /// Returns the number of bytes that are granted but have not arrived, without
   /// those of stalled senders.
   uint64_t outstanding(Time now) const;
+  /// Returns the time until a further body of `bytes` has arrived behind those
+  /// that are granted or wait; 0 if the capacity of the link is unknown.
+  Duration TransferTime(uint64_t bytes) const;
   /// Returns the maximum of outstanding bytes; UINT64_MAX: no limit.
   uint64_t window() const { return window_; }
 
--- a/src/policy/expected_value.cc
+++ b/src/policy/expected_value.cc
@@ -106,7 +106,9 @@
     const double weight =
         std::exp2(-age / static_cast<double>(settings_.hint_half_life.count()));
     slowdown += weight * (std::max(candidate.slowdown, 1.0) - 1);
-    transfer = weight * terms.transfer_kib *
+    transfer = std::exp2(-age / static_cast<double>(
+                                    settings_.transfer_half_life.count())) *
+               terms.transfer_kib *
                static_cast<double>(candidate.hint_transfer_per_kib.count());
   }
   const double run = static_cast<double>(service_time.count()) *
--- a/src/policy/expected_value.h
+++ b/src/policy/expected_value.h
@@ -27,6 +27,8 @@
   // that other requests need.
   double min_value = 0.04;
   Duration hint_half_life = std::chrono::milliseconds(800);
+  // Of the transfer time: a full link stays full for seconds.
+  Duration transfer_half_life = std::chrono::milliseconds(2500);
 
   auto operator<=>(const ExpectedValueSettings&) const = default;
 };
--- a/src/policy/link_meter.cc
+++ b/src/policy/link_meter.cc
@@ -14,6 +14,9 @@
 // Bounds the utilization: above it, more traffic is queued in front of the link
 // and the model does not hold.
 constexpr double kMaxUtilization = 0.95;
+// Size of a large body, in KiB. The wait behind the backlog does not depend on
+// the size; small bodies are not affected by it.
+constexpr double kTypicalBodyKib = 64;
 
 }  // namespace
 
@@ -22,15 +25,18 @@
   recent_updated_at_ = now;
 }
 
-Duration LinkMeter::TransferTimePerKib(Time now) const {
+Duration LinkMeter::TransferTimePerKib(Time now, Duration backlog) const {
   if (bits_per_us_ <= 0) {
     return Duration(0);
   }
   // At a constant rate the decayed sum converges to rate * time constant.
   const double utilization = std::min(
       RecentBits(now) / (kDecayTimeUs * bits_per_us_), kMaxUtilization);
-  return Duration(static_cast<Duration::rep>(kBitsPerKib / bits_per_us_ /
-                                             (1 - utilization)));
+  const double alone = kBitsPerKib / bits_per_us_;
+  const double behind_backlog =
+      alone + static_cast<double>(backlog.count()) / kTypicalBodyKib;
+  return Duration(static_cast<Duration::rep>(
+      std::max(alone / (1 - utilization), behind_backlog)));
 }
 
 double LinkMeter::RecentBits(Time now) const {
--- a/src/policy/link_meter.h
+++ b/src/policy/link_meter.h
@@ -15,9 +15,10 @@
 
   /// Records `bytes` received.
   void Add(uint64_t bytes, Time now);
-  /// Returns the transfer time of a KiB at the present load; 0 if the capacity
-  /// is unknown.
-  Duration TransferTimePerKib(Time now) const;
+  /// Returns the transfer time of a KiB of a large body at the present load; 0
+  /// if the capacity is unknown. `backlog` is the transfer time of the bodies
+  /// that already wait.
+  Duration TransferTimePerKib(Time now, Duration backlog = Duration(0)) const;
 
  private:
   double RecentBits(Time now) const;
--- a/tests/policy/body_credit_test.cc
+++ b/tests/policy/body_credit_test.cc
@@ -63,6 +63,19 @@
   EXPECT_EQ(grants[0].id, Id(2));
 }
 
+TEST(BodyCreditTest, TheTransferTimeIncludesTheBodiesThatWait) {
+  BodyCredit credit(Settings());
+  const Time now(seconds(10));
+  EXPECT_NEAR(static_cast<double>(credit.TransferTime(kUploadBytes).count()),
+              123'000, 1'000);
+  for (uint64_t i = 1; i <= 4; ++i) {
+    credit.Add(Id(i), kUploadBytes, 0, now + seconds(2), now);
+  }
+  credit.Issue(now);
+  EXPECT_NEAR(static_cast<double>(credit.TransferTime(kUploadBytes).count()),
+              615'000, 1'000);
+}
+
 TEST(BodyCreditTest, AnUnknownLinkHasNoLimit) {
   BodyCredit credit(BodyCreditSettings{});
   const Time now(seconds(10));
--- a/tests/policy/full_link_test.cc
+++ b/tests/policy/full_link_test.cc
@@ -66,5 +66,32 @@
   EXPECT_EQ(chooser.Choose(candidates, upload, now, random).index, 1U);
 }
 
+// Pattern: an ingress hears of each of 200 gates rarely. The backlog of a link
+// lasts longer than the load of a target, so an older hint still counts.
+TEST(FullLinkTest, AHintOfASaturatedLinkCountsForSeconds) {
+  const Time now(seconds(100));
+  std::vector<Candidate> candidates(2);
+  candidates[0].id = NodeId("near");
+  candidates[0].same_zone = true;
+  candidates[0].hint_transfer_per_kib = milliseconds(24);
+  candidates[1].id = NodeId("far");
+  candidates[1].hint_transfer_per_kib = milliseconds(2);
+  for (Candidate& candidate : candidates) {
+    candidate.slots = 16;
+    candidate.hint_time = now - milliseconds(1600);
+  }
+  const ExpectedValueChooser chooser;
+  Random random(1);
+  const RequestTerms upload{seconds(2), seconds(6), seconds(1), kUploadKib};
+  EXPECT_EQ(chooser.Choose(candidates, upload, now, random).index, 1U);
+}
+
+TEST(LinkMeterTest, TheBacklogOfBodiesDelaysALargeBody) {
+  const LinkMeter meter(kMbps);
+  const Duration per_kib =
+      meter.TransferTimePerKib(Time(seconds(1)), milliseconds(640));
+  EXPECT_GT(kUploadKib * per_kib, milliseconds(640));
+}
+
 }  // namespace
 }  // namespace ibisvalve::policy
