--- a/tests/dataplane/custom_headers_test.cc
+++ b/tests/dataplane/custom_headers_test.cc
@@ -229,6 +229,39 @@
   EXPECT_GE(runs[1], 19U);
 }
 
+// Ingresses avoid a slowed target, so no response reports that its slow phase
+// has ended. The gate must find out by itself, and stop to probe then.
+TEST_F(CustomHeadersTest, ASlowedTargetIsProbedUntilItsSlowPhaseEnds) {
+  names_.load = "Load";
+  names_.parse_load = ParsePercent;
+  choice_ = policy::ChoiceKind::kExpectedValue;
+  service_.health_path = "/health";
+  service_.measuring.reports_per_second = 0.1;
+  std::string load = "100";
+  size_t probes = 0;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    probes += std::string(evhttp_request_get_uri(request)) == "/health" ? 1 : 0;
+    RespondWith(request, 200, {{"Load", load}});
+  });
+  Node& node = AddNode("suva-1", &target);
+  WaitReady(node);
+  load = "700";
+  Fetch(node, MakeRequest("GET", "/look/1", "a"));
+  net::Timer later(loop_, [this] { loop_.Stop(); });
+  const auto wait = [&](Duration time) {
+    later.StartOnce(time);
+    loop_.Run();
+  };
+  probes = 0;
+  wait(std::chrono::milliseconds(300));
+  EXPECT_GE(probes, 2U);
+  load = "100";
+  wait(std::chrono::milliseconds(100));
+  probes = 0;
+  wait(std::chrono::milliseconds(300));
+  EXPECT_LE(probes, 1U);
+}
+
 // A node at an older revision fetches the newer configuration file from the
 // peer whose response carried the higher revision.
 TEST_F(CustomHeadersTest, ANodeAtAnOlderRevisionFetchesTheFileOfItsPeer) {
