Do not touch a closed caller connection when a planned stop closes idle ones

Cause: a connection that is closed stays in CallerServer until the event loop removes it. CloseIfIdle, called 3 s after SIGTERM for every connection, used its freed bufferevent, and the process ended: the requests of all its other callers were cut off without an answer.

Test: CallerServerTest.StopsListeningRightAfterAConnectionWasClosed; the test process ended with a fault before the mend.

--- a/src/dataplane/caller_connection.cc
+++ b/src/dataplane/caller_connection.cc
@@ -75,7 +75,10 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (pipeline_.empty() && !reader_.started()) {
+  // A connection that was closed stays in the server until the event loop
+  // removes it.
+  const bool open = bufferevent_ != nullptr;
+  if (open && pipeline_.empty() && !reader_.started()) {
     closing_ = true;
     ShutDownOrRead();
   }
