Give up connection attempts to keepers after 250 ms instead of seconds

Cause: when all hosts lose power and return within 0.5 s of each other, the first connection request of a keeper or a node to a host that is still off is lost, and its kernel repeats it after a second.

Change: keepers and nodes give up an attempt after 250 ms, and the time for a first lease starts when the connection stands.

Ruled out: a shorter election time-out; the first elections failed for want of links, and a live leader must bear lossy links.

--- a/src/control/keeper_links.cc
+++ b/src/control/keeper_links.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "control/connect_timeout.h"
 #include "control/events.h"
 
 namespace ibisvalve::control {
@@ -60,9 +61,11 @@
 void KeeperLinks::Maintain() {
   const Time now = loop_.Now();
   for (auto& [endpoint, outbound] : links_) {
-    if (outbound.link && now >= outbound.last_received + kSilenceTimeout) {
+    const bool connecting = outbound.link && !outbound.link->connected();
+    const Duration limit = connecting ? kKeeperConnectTimeout : kSilenceTimeout;
+    if (outbound.link && now >= outbound.last_received + limit) {
       outbound.link->Close();
-      OnLost(endpoint, "silent");
+      OnLost(endpoint, connecting ? "no connection in time" : "silent");
     }
     if (!outbound.link) {
       if (now >= outbound.next_connect) {
@@ -79,7 +82,10 @@
   outbound.number = next_number_++;
   outbound.link = net::FrameLink::Connect(
       loop_, endpoint,
-      {[this, endpoint] { links_[endpoint].link->Send(handlers_.hello()); },
+      {[this, endpoint] {
+         links_[endpoint].last_received = loop_.Now();
+         links_[endpoint].link->Send(handlers_.hello());
+       },
        [this, endpoint](wire::FrameType type, std::string_view payload) {
          OnFrame(endpoint, type, payload);
        },
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "control/connect_timeout.h"
 #include "control/events.h"
 #include "control/lease_clock.h"
 
@@ -227,6 +228,7 @@
 }
 
 void NodeAgent::Impl::OnConnected() {
+  granted_at_ = loop_.Now();
   link_->Send(follow_);
   Heartbeat();
   for (const auto& [call, pending] : pending_claims_) {
@@ -375,6 +377,12 @@
     Connect();
     return;
   }
+  if (!link_->connected() && now >= granted_at_ + kKeeperConnectTimeout) {
+    link_->Close();
+    DropLink("no connection in time");
+    Connect();
+    return;
+  }
   if (now >= granted_at_ + kGrantTimeout && !leaving_) {
     // The keeper may be partitioned from the others.
     link_->Close();
