--- a/src/policy/refused_callers.cc
+++ b/src/policy/refused_callers.cc
@@ -40,11 +40,11 @@
 }
 
 void RefusedCallers::EvictOldest() {
-  const auto [fingerprint, deadline] = order_.front();
+  const std::pair<Digest, Time> oldest = order_.front();
   order_.pop_front();
-  const auto [begin, end] = refusals_.equal_range(fingerprint);
+  const auto [begin, end] = refusals_.equal_range(oldest.first);
   const auto found = std::find_if(begin, end, [&](const auto& entry) {
-    return entry.second.deadline == deadline;
+    return entry.second.deadline == oldest.second;
   });
   if (found != end) {  // else the caller has returned
     refusals_.erase(found);
