Log transfers of files, lost keepers and the propagation of a revision

The logs could not tell why a node had an older file: how much of a file had arrived when it gave up a keeper, which keeper granted its lease, and which nodes had the file when the leader acknowledged the change.

A keeper is now given up before its link is closed, so that the bytes can be counted. No decision has changed.

--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace ibisvalve {
 
 void ManualClock::Advance(Duration step) {
@@ -9,6 +11,13 @@
   now_ += step;
 }
 
+uint64_t ToMillis(Duration duration) {
+  using std::chrono::milliseconds;
+  return static_cast<uint64_t>(
+      std::max(std::chrono::duration_cast<milliseconds>(duration).count(),
+               milliseconds::rep{0}));
+}
+
 uint64_t WallMicros() {
   return static_cast<uint64_t>(
       std::chrono::duration_cast<Duration>(
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -50,6 +50,9 @@
   Time now_{std::chrono::seconds(1)};
 };
 
+/// Returns `duration` in whole milliseconds; 0 if it is negative.
+uint64_t ToMillis(Duration duration);
+
 /// Returns the wall-clock time in microseconds since the Unix epoch. For
 /// display, retention and incarnations only; never used to order events.
 uint64_t WallMicros();
--- a/src/control/activation_tracker.cc
+++ b/src/control/activation_tracker.cc
@@ -39,6 +39,7 @@
     session.since = now;
   }
   session.node = node;
+  session.reported = now;
   session.report = received;
   if (!report.heartbeat.status.empty()) {
     session.status = report.heartbeat.status;
--- a/src/control/activation_tracker.h
+++ b/src/control/activation_tracker.h
@@ -18,6 +18,7 @@
   wire::NodeReport report;
   std::string status;  // JSON object
   Time since{};        // first report of the active revision
+  Time reported{};     // last report
   Time lease_until{};  // latest expiry, by the leader's clock
 
   auto operator<=>(const NodeSession&) const = default;
--- a/src/control/events.h
+++ b/src/control/events.h
@@ -35,6 +35,11 @@
                                            "keeper-link-lost"};
 inline constexpr EventCode kConfigRefused{1423, Severity::kError,
                                           "config-refused"};
+inline constexpr EventCode kFileReceived{1426, Severity::kInfo,
+                                         "file-received"};
+inline constexpr EventCode kFileSent{1427, Severity::kInfo, "file-sent"};
+inline constexpr EventCode kConfigPropagated{1428, Severity::kInfo,
+                                             "config-propagated"};
 inline constexpr EventCode kDiskFailed{1425, Severity::kError, "disk-failed"};
 inline constexpr EventCode kChangeRefused{1424, Severity::kInfo,
                                           "change-refused"};
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -219,7 +219,10 @@
 void NodeAgent::Impl::DropLink(const std::string& reason) {
   if (!leaving_) {
     LogEvent(kKeeperLinkLost,
-             {{"keeper", world::ToString(link_keeper_)}, {"why", reason}});
+             {{"keeper", world::ToString(link_keeper_)},
+              {"why", reason},
+              {"received", link_->received_bytes()},
+              {"partial", link_->arrived_bytes() - link_->received_bytes()}});
   }
   closed_link_bytes_ += link_->sent_bytes() + link_->received_bytes();
   link_.reset();
@@ -282,6 +285,11 @@
     throw wire::WireError("keeper belongs to a different group");
   }
   follow_.group = update.group;
+  LogEvent(kFileReceived, {{"revision", update.revision.value},
+                           {"in_force", update.active ? "yes" : "no"},
+                           {"bytes", uint64_t{update.text.size()}},
+                           {"from", world::ToString(link_keeper_)},
+                           {"present", report_.active.value}});
   if (update.revision <= report_.active) {
     return;  // outdated
   }
@@ -312,6 +320,11 @@
 }
 
 void NodeAgent::Impl::OfferActiveFile(const ConfigFile& file) {
+  LogEvent(kFileReceived, {{"revision", file.revision.value},
+                           {"in_force", "yes"},
+                           {"bytes", uint64_t{file.text.size()}},
+                           {"from", "peer"},
+                           {"present", report_.active.value}});
   if (leaving_ || file.revision <= report_.active) {
     return;
   }
@@ -378,14 +391,12 @@
     return;
   }
   if (!link_->connected() && now >= granted_at_ + kKeeperConnectTimeout) {
-    link_->Close();
     DropLink("no connection in time");
     Connect();
     return;
   }
   if (now >= granted_at_ + kGrantTimeout && !leaving_) {
     // The keeper may be partitioned from the others.
-    link_->Close();
     DropLink("no lease grant in time");
     return;
   }
@@ -407,7 +418,10 @@
     return;
   }
   LogEvent(held ? kLeaseGained : kLeaseLost,
-           {{"revision", report_.active.value}});
+           {{"revision", report_.active.value},
+            {"keeper", world::ToString(link_keeper_)},
+            {"until_ms", ToMillis(lease_.until() - loop_.Now())},
+            {"granted_ms", ToMillis(loop_.Now() - granted_at_)}});
   handlers_.on_lease(held);
 }
 
--- a/src/control/node_coordinator.cc
+++ b/src/control/node_coordinator.cc
@@ -10,6 +10,16 @@
 namespace {
 
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
+// How long the propagation of a revision is followed.
+constexpr Duration kMaxPropagation = std::chrono::seconds(2);
+
+std::string Join(const std::vector<NodeId>& nodes) {
+  std::string joined;
+  for (const NodeId& node : nodes) {
+    joined += (joined.empty() ? "" : ",") + node.value;
+  }
+  return joined;
+}
 
 // Returns the longest lease that an earlier leader may have granted, under the
 // active file or the one before it.
@@ -34,9 +44,10 @@
 }
 
 NodeCoordinator::NodeCoordinator(net::EventLoop& loop, ReplicaDriver& driver)
-    : loop_(loop),
-      driver_(driver),
-      decision_timer_(loop, [this] { Decide(); }) {
+    : loop_(loop), driver_(driver), decision_timer_(loop, [this] {
+        Decide();
+        FollowPropagation();
+      }) {
   decision_timer_.StartPeriodic(kDecisionInterval);
 }
 
@@ -53,6 +64,7 @@
     tracker_.RecordReport(report, now);
   }
   Decide();
+  FollowPropagation();
   if (reports.sessions.empty()) {
     return;
   }
@@ -69,6 +81,7 @@
   deferred_grants_.clear();
   term_ = 0;
   staged_ = Revision();
+  propagating_ = propagated_ = Revision();
   tracker_ = ActivationTracker();
 }
 
@@ -86,6 +99,7 @@
   }
   if (Ready()) {
     UpdateStaged();
+    FollowPropagation();
   }
   return new_term;
 }
@@ -155,4 +169,33 @@
   driver_.Propose(command, [](const std::optional<CommandResult>&) {});
 }
 
+// Follows the active revision until every node that reports has it, and logs
+// how it went.
+void NodeCoordinator::FollowPropagation() {
+  if (!Ready()) {
+    return;
+  }
+  const ConfigRecord* active = driver_.state().config().active();
+  const Time now = loop_.Now();
+  if (active != nullptr && active->revision != propagating_) {
+    propagating_ = active->revision;
+    propagating_since_ = now;
+  }
+  if (propagated_ == propagating_) {
+    return;
+  }
+  const Propagation propagation =
+      MeasurePropagation(tracker_.sessions(), propagating_, now);
+  const Duration took = now - propagating_since_;
+  if (!propagation.lagging.empty() && took < kMaxPropagation) {
+    return;
+  }
+  propagated_ = propagating_;
+  LogEvent(kConfigPropagated, {{"revision", propagating_.value},
+                               {"took_ms", ToMillis(took)},
+                               {"confirmed", uint64_t{propagation.confirmed}},
+                               {"lagging", Join(propagation.lagging)},
+                               {"silent", Join(propagation.silent)}});
+}
+
 }  // namespace ibisvalve::control
--- a/src/control/node_coordinator.h
+++ b/src/control/node_coordinator.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "control/activation_tracker.h"
+#include "control/propagation.h"
 #include "control/replica_driver.h"
 #include "net/net.h"
 
@@ -45,6 +46,7 @@
   void GrantDeferred();
   void UpdateStaged();
   void Decide();
+  void FollowPropagation();
 
   net::EventLoop& loop_;
   ReplicaDriver& driver_;
@@ -53,6 +55,10 @@
   std::vector<GrantRequest> deferred_grants_;
   uint64_t term_ = 0;  // in which this keeper leads; 0: none
   Revision staged_;    // last passed to the tracker
+  // Active revision whose propagation is followed, and since when; 0: none.
+  Revision propagating_;
+  Revision propagated_;
+  Time propagating_since_{};
   net::Timer decision_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -141,6 +141,12 @@
                             const ConfigRecord& record,
                             bool active) {
   const bool has_text = peer.heartbeat.report.staged == record.revision;
+  LogEvent(kFileSent, {{"node", peer.node->node.value},
+                       {"revision", record.revision.value},
+                       {"in_force", active ? "yes" : "no"},
+                       {"bytes", uint64_t{has_text ? 0 : record.text.size()}},
+                       {"present", peer.heartbeat.report.active.value},
+                       {"queued", uint64_t{peer.link->pending_bytes()}}});
   peer.link->Send(wire::ConfigUpdate{driver_.replica().members().group,
                                      record.revision, record.digest, active,
                                      has_text ? "" : record.text});
--- /dev/null
+++ b/src/control/propagation.cc
@@ -0,0 +1,38 @@
+#include "control/propagation.h"
+
+#include <iterator>
+
+namespace ibisvalve::control {
+namespace {
+
+// A node that follows a keeper reports every 500 ms; the rest allows for a slow
+// report and its way to the leader.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+Propagation MeasurePropagation(
+    const std::map<ActivationTracker::Key, NodeSession>& sessions,
+    Revision revision,
+    Time now) {
+  Propagation propagation;
+  for (auto entry = sessions.begin(); entry != sessions.end(); ++entry) {
+    const auto next = std::next(entry);
+    const NodeId& node = entry->first.first;
+    const NodeSession& session = entry->second;
+    const bool superseded = next != sessions.end() && next->first.first == node;
+    if (superseded || session.report.active == Revision()) {
+      continue;
+    }
+    if (session.report.active >= revision) {
+      ++propagation.confirmed;
+    } else if (now < session.reported + kReportTimeout) {
+      propagation.lagging.push_back(node);
+    } else {
+      propagation.silent.push_back(node);
+    }
+  }
+  return propagation;
+}
+
+}  // namespace ibisvalve::control
--- /dev/null
+++ b/src/control/propagation.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "control/activation_tracker.h"
+
+namespace ibisvalve::control {
+
+/// How far a revision has reached the nodes, as reported to the leader.
+struct Propagation {
+  size_t confirmed = 0;         // nodes that reported this or a later revision
+  std::vector<NodeId> lagging;  // nodes that report an older one
+  // Nodes whose last report names an older revision and is too old to tell.
+  std::vector<NodeId> silent;
+
+  auto operator<=>(const Propagation&) const = default;
+};
+
+/// Returns how far `revision` has reached the nodes of `sessions` at `now`.
+/// Nodes without any active revision and superseded incarnations are not
+/// counted.
+Propagation MeasurePropagation(
+    const std::map<ActivationTracker::Key, NodeSession>& sessions,
+    Revision revision,
+    Time now);
+
+}  // namespace ibisvalve::control
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -63,9 +63,7 @@
   if (state == gates_.end() || !state->second.hint_time) {
     return {};
   }
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - *state->second.hint_time);
-  return {state->second.hint, static_cast<uint64_t>(age.count())};
+  return {state->second.hint, ToMillis(now - *state->second.hint_time)};
 }
 
 void CandidateTable::OnUnreachable(const NodeId& gate, Time now) {
--- a/src/dataplane/gate_log.cc
+++ b/src/dataplane/gate_log.cc
@@ -1,7 +1,5 @@
 #include "dataplane/gate_log.h"
 
-#include <chrono>
-
 #include "dataplane/events.h"
 #include "dataplane/http_headers.h"
 
@@ -10,11 +8,6 @@
 
 constexpr uint64_t kMicrosPerMs = 1000;
 
-uint64_t ToMs(Duration duration) {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 void LogAdmissionDecision(const EventCode& code,
@@ -28,7 +21,7 @@
                   {"queued", view.admission.queued()},
                   {"limit", view.admission.limit()},
                   {"slowdown", wire::ToPercent(view.load.slowdown())},
-                  {"load_age_ms", ToMs(view.load.age())},
+                  {"load_age_ms", ToMillis(view.load.age())},
                   {"target", world::ToString(view.target)}});
 }
 
@@ -43,7 +36,7 @@
             {"outcome", world::ToString(finished.outcome)},
             {"reason", world::ToString(finished.reason)},
             {"status", finished.status},
-            {"ran_ms", ToMs(ran)},
+            {"ran_ms", ToMillis(ran)},
             {"expected_ms", attempt.open.expected_us / kMicrosPerMs},
             {"target_is", target}});
 }
--- a/src/dataplane/ingress_log.cc
+++ b/src/dataplane/ingress_log.cc
@@ -1,8 +1,5 @@
 #include "dataplane/ingress_log.h"
 
-#include <algorithm>
-#include <chrono>
-
 #include "dataplane/events.h"
 #include "dataplane/http_headers.h"
 
@@ -11,13 +8,6 @@
 
 constexpr uint16_t kFirstServerError = 500;
 
-// Returns `duration` in milliseconds, or 0 if it is negative.
-uint64_t ToMs(Duration duration) {
-  return static_cast<uint64_t>(std::max<int64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(),
-      0));
-}
-
 }  // namespace
 
 void LogSent(const RequestState& request,
@@ -35,7 +25,7 @@
        {"gate", attempt.gate.value},
        {"hedge", attempt.hedge ? "yes" : "no"},
        {"made", request.attempts_made},
-       {"left_ms", ToMs(request.deadline - now)},
+       {"left_ms", ToMillis(request.deadline - now)},
        {"hint_age_ms", age},
        {"in_flight", load.in_flight},
        {"queued", load.queued},
@@ -59,7 +49,7 @@
        {"status", record.status},
        {"gate", record.gate.value},
        {"made", record.attempts},
-       {"took_ms", ToMs(record.took)},
+       {"took_ms", ToMillis(record.took)},
        {"hung_up", record.hung_up ? "yes" : "no"},
        {"returned", request.returned ? "yes" : "no"}});
 }
