Keep a keeper while a large file is arriving from it

What callers saw: routes of an acknowledged change answered 404, or served by the older revision, seconds later (CONFIG).

Cause: a node gives up a keeper that has sent no lease grant for 1.2 s. Grants wait behind the file on the same connection, so a file that needs longer than 1.2 s was cut off, and the next keeper began it anew: it never arrived, and the transfers filled the links. The class of fault: liveness judged by a message that waits behind bulk data, and partial work thrown away when it is missing.

Change: bytes of an incomplete frame count as a sign of life, as they do on mesh links. A keeper that is cut off sends none and is given up after 1.2 s as before.

Ruled out: a longer time-out; a cut keeper would be found later, and a larger file would fail again. Sending grants on a connection of their own: more connections on each keeper, and not needed once files are small.

Left: a change is still sent whole, and acknowledged before any node has it.

--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -64,6 +64,7 @@
   std::string Check(const ConfigFile& file) const;
   void Heartbeat();
   void Tick();
+  void RecordProgress();
   void UpdateLeaseState();
   bool connected() const { return link_ && link_->connected(); }
 
@@ -75,6 +76,9 @@
   world::Endpoint link_keeper_;             // of the latest link
   std::unique_ptr<net::FrameLink> link_;
   Time granted_at_{};  // last grant, or opening of the link
+  // When a part of an incomplete frame last arrived, and all bytes by then.
+  Time progress_at_{};
+  uint64_t arrived_bytes_ = 0;
   Time heartbeat_at_{};
   wire::NodeReport report_;
   std::string sent_status_;  // last sent on this link
@@ -203,7 +207,8 @@
 }
 
 void NodeAgent::Impl::Connect() {
-  granted_at_ = loop_.Now();
+  granted_at_ = progress_at_ = loop_.Now();
+  arrived_bytes_ = 0;
   sent_status_.clear();
   link_keeper_ = NextKeeper();
   link_ = net::FrameLink::Connect(
@@ -395,7 +400,8 @@
     Connect();
     return;
   }
-  if (now >= granted_at_ + kGrantTimeout && !leaving_) {
+  RecordProgress();
+  if (now >= std::max(granted_at_, progress_at_) + kGrantTimeout && !leaving_) {
     // The keeper may be partitioned from the others.
     DropLink("no lease grant in time");
     return;
@@ -409,6 +415,16 @@
   UpdateLeaseState();
 }
 
+// Records whether more of a large frame has arrived. Grants wait behind it, so
+// their absence does not mean that the keeper has none to send.
+void NodeAgent::Impl::RecordProgress() {
+  const uint64_t arrived = link_->arrived_bytes();
+  if (arrived != std::exchange(arrived_bytes_, arrived) &&
+      arrived > link_->received_bytes()) {
+    progress_at_ = loop_.Now();
+  }
+}
+
 void NodeAgent::Impl::UpdateLeaseState() {
   const bool held = lease_held();
   if (held) {
