Send files to nodes as compressed differences

Cause: each change sent the whole file to each node, also from peers. The time and bytes of a change grew with the file instead of with the change. Two changes in succession queued two files.

A node without the base closes the link and reports anew. Peers send whole files, compressed. A node keeps one copy of its file instead of two. ConfigUpdate has a new field, so nodes and keepers of older builds cannot be mixed with this one.

Ruled out: sending the operator's patch; its meaning belongs to the platform, and nodes would need the editor. Line differences of our own: a library does it.

--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -10,6 +10,7 @@
 
 #include "control/connect_timeout.h"
 #include "control/events.h"
+#include "control/file_codec.h"
 #include "control/lease_clock.h"
 
 namespace ibisvalve::control {
@@ -35,7 +36,8 @@
   bool lease_held() const { return lease_.HeldAt(loop_.Now()); }
   void SetKeepers(const std::vector<world::Endpoint>& keepers);
   void RequestRevision(Revision seen);
-  void OfferActiveFile(const ConfigFile& file);
+  void OfferActiveFile(const wire::ActiveFile& offered);
+  std::optional<wire::ActiveFile> EncodeActiveFile();
   const std::optional<ConfigFile>& active_file() const { return active_file_; }
   void Claim(const wire::ClaimRequest& request,
              Duration timeout,
@@ -59,6 +61,7 @@
   void OnFrame(wire::FrameType type, std::string_view payload);
   void OnGrant(const wire::LeaseGrant& grant);
   void OnUpdate(const wire::ConfigUpdate& update);
+  std::string DecodeUpdate(const wire::ConfigUpdate& update) const;
   void OnClaimReply(wire::ClaimReply reply);
   void OnLeft();
   std::string Check(const ConfigFile& file) const;
@@ -84,6 +87,7 @@
   std::string sent_status_;  // last sent on this link
   std::optional<ConfigFile> staged_;
   std::optional<ConfigFile> active_file_;  // active at this node
+  wire::ActiveFile encoded_file_;          // encoded when a peer first asks
   LeaseClock lease_;
   bool reported_lease_ = false;
   uint64_t next_call_ = 1;
@@ -292,7 +296,7 @@
   follow_.group = update.group;
   LogEvent(kFileReceived, {{"revision", update.revision.value},
                            {"in_force", update.active ? "yes" : "no"},
-                           {"bytes", uint64_t{update.text.size()}},
+                           {"bytes", uint64_t{update.encoded_text.size()}},
                            {"from", world::ToString(link_keeper_)},
                            {"present", report_.active.value}});
   if (update.revision <= report_.active) {
@@ -301,7 +305,7 @@
   const bool is_staged = staged_ && staged_->revision == update.revision &&
                          staged_->digest == update.digest;
   if (!is_staged) {
-    const ConfigFile file{update.revision, update.digest, update.text};
+    const ConfigFile file{update.revision, update.digest, DecodeUpdate(update)};
     const std::string refusal = Check(file);
     if (!refusal.empty()) {
       report_.refused = update.revision;
@@ -316,36 +320,70 @@
   report_.staged = update.revision;
   if (update.active) {
     report_.active = update.revision;
-    active_file_ = staged_;
-    handlers_.activate(*staged_);
+    active_file_ = std::exchange(staged_, std::nullopt);
+    handlers_.activate(*active_file_);
     lease_.RecordActivation(update.revision);
     UpdateLeaseState();
   }
   Heartbeat();
 }
 
-void NodeAgent::Impl::OfferActiveFile(const ConfigFile& file) {
-  LogEvent(kFileReceived, {{"revision", file.revision.value},
+// Returns the text of `update`. Throws WireError if this node does not have its
+// base: the keeper then learns from the first report on a new link what it has.
+std::string NodeAgent::Impl::DecodeUpdate(
+    const wire::ConfigUpdate& update) const {
+  if (update.base == Revision()) {
+    return DecodeText(update.encoded_text, "");
+  }
+  if (!active_file_ || active_file_->revision != update.base) {
+    throw wire::WireError("a file is based on revision " +
+                          std::to_string(update.base.value) +
+                          ", which this node does not have");
+  }
+  return DecodeText(update.encoded_text, active_file_->text);
+}
+
+void NodeAgent::Impl::OfferActiveFile(const wire::ActiveFile& offered) {
+  LogEvent(kFileReceived, {{"revision", offered.revision.value},
                            {"in_force", "yes"},
-                           {"bytes", uint64_t{file.text.size()}},
+                           {"bytes", uint64_t{offered.encoded_text.size()}},
                            {"from", "peer"},
                            {"present", report_.active.value}});
-  if (leaving_ || file.revision <= report_.active) {
+  if (leaving_ || offered.revision <= report_.active) {
     return;
   }
-  const std::string refusal = Check(file);
+  std::optional<ConfigFile> file;
+  std::string refusal;
+  try {
+    file = {offered.revision, offered.digest,
+            DecodeText(offered.encoded_text, "")};
+    refusal = Check(*file);
+  } catch (const wire::WireError& error) {
+    refusal = error.what();
+  }
   if (!refusal.empty()) {
     LogEvent(kConfigRefused,
-             {{"revision", file.revision.value}, {"why", refusal}});
+             {{"revision", offered.revision.value}, {"why", refusal}});
     return;
   }
-  active_file_ = staged_ = file;
-  report_.staged = report_.active = file.revision;
-  handlers_.activate(file);
-  lease_.RecordActivation(file.revision);
+  active_file_ = std::move(file);
+  report_.staged = report_.active = offered.revision;
+  handlers_.activate(*active_file_);
+  lease_.RecordActivation(offered.revision);
   UpdateLeaseState();
 }
 
+std::optional<wire::ActiveFile> NodeAgent::Impl::EncodeActiveFile() {
+  if (!active_file_) {
+    return std::nullopt;
+  }
+  if (encoded_file_.revision != active_file_->revision) {
+    encoded_file_ = {active_file_->revision, active_file_->digest,
+                     EncodeText(active_file_->text, "")};
+  }
+  return encoded_file_;
+}
+
 void NodeAgent::Impl::OnClaimReply(wire::ClaimReply reply) {
   const auto found = pending_claims_.find(reply.call);
   if (found == pending_claims_.end()) {
@@ -461,8 +499,12 @@
   impl_->SetKeepers(keepers);
 }
 
-void NodeAgent::OfferActiveFile(const ConfigFile& file) {
-  impl_->OfferActiveFile(file);
+void NodeAgent::OfferActiveFile(const wire::ActiveFile& offered) {
+  impl_->OfferActiveFile(offered);
+}
+
+std::optional<wire::ActiveFile> NodeAgent::EncodeActiveFile() {
+  return impl_->EncodeActiveFile();
 }
 
 const std::optional<ConfigFile>& NodeAgent::active_file() const {
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -57,10 +57,12 @@
   /// Sends a heartbeat at once if `seen` is higher than the active revision.
   /// Called when a frame of revision `seen` was received.
   void RequestRevision(Revision seen);
-  /// Activates `file`, which another node reports as active, if it passes the
-  /// checks and is newer than the active file of this node. `file` must be
-  /// active at the other node.
-  void OfferActiveFile(const ConfigFile& file);
+  /// Activates `offered`, which another node reports as active, if it passes
+  /// the checks and is newer than the active file of this node.
+  void OfferActiveFile(const wire::ActiveFile& offered);
+  /// Returns the active file in the form in which it is offered to other nodes,
+  /// if there is one.
+  std::optional<wire::ActiveFile> EncodeActiveFile();
   /// Returns the active file of this node, if any.
   const std::optional<ConfigFile>& active_file() const;
   /// Requests a claim of a key. Calls `done` once, with kUnavailable if no
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -1,13 +1,18 @@
 #include "control/node_sessions.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "control/events.h"
+#include "control/file_codec.h"
 
 namespace ibisvalve::control {
 namespace {
 
 constexpr Duration kBatchDelay = std::chrono::milliseconds(10);
+// Nodes that follow one keeper lag by few revisions at a time.
+constexpr size_t kMaxEncodedTexts = 16;
 
 }  // namespace
 
@@ -123,33 +128,63 @@
   const ConfigHistory& config = driver_.state().config();
   const wire::NodeReport& report = peer.heartbeat.report;
   const ConfigRecord* active = config.active();
-  if (active != nullptr && report.active < active->revision &&
-      peer.sent_active < active->revision) {
+  // What this connection has carried arrives before the next file.
+  const Revision base = std::max(report.active, peer.sent_active);
+  if (active != nullptr && base < active->revision) {
     peer.sent_active = active->revision;
-    SendFile(peer, *active, true);
+    SendFile(peer, *active, true, base);
   }
   const ConfigRecord* staged = config.staged();
   if (staged != nullptr && report.staged != staged->revision &&
       report.refused != staged->revision &&
       peer.sent_staged < staged->revision) {
     peer.sent_staged = staged->revision;
-    SendFile(peer, *staged, false);
+    SendFile(peer, *staged, false, std::max(base, peer.sent_active));
   }
 }
 
 void NodeSessions::SendFile(InboundPeer& peer,
                             const ConfigRecord& record,
-                            bool active) {
+                            bool active,
+                            Revision base) {
+  const ConfigRecord* base_record = driver_.state().config().Find(base);
+  if (base_record == nullptr || base_record->text.empty()) {
+    base = Revision();
+  }
   const bool has_text = peer.heartbeat.report.staged == record.revision;
+  const wire::ConfigUpdate update{driver_.replica().members().group,
+                                  record.revision,
+                                  record.digest,
+                                  active,
+                                  base,
+                                  has_text ? "" : Encode(record, base)};
   LogEvent(kFileSent, {{"node", peer.node->node.value},
                        {"revision", record.revision.value},
                        {"in_force", active ? "yes" : "no"},
-                       {"bytes", uint64_t{has_text ? 0 : record.text.size()}},
+                       {"base", base.value},
+                       {"bytes", uint64_t{update.encoded_text.size()}},
                        {"present", peer.heartbeat.report.active.value},
                        {"queued", uint64_t{peer.link->pending_bytes()}}});
-  peer.link->Send(wire::ConfigUpdate{driver_.replica().members().group,
-                                     record.revision, record.digest, active,
-                                     has_text ? "" : record.text});
+  peer.link->Send(update);
+}
+
+// Returns the encoded text of `record`, which is the same for all nodes with
+// the same base.
+const std::string& NodeSessions::Encode(const ConfigRecord& record,
+                                        Revision base) {
+  const auto [entry, inserted] =
+      encoded_.try_emplace({record.revision, base}, "");
+  if (inserted) {
+    const ConfigRecord* base_record = driver_.state().config().Find(base);
+    entry->second = EncodeText(record.text,
+                               base_record == nullptr ? "" : base_record->text);
+    // The oldest revision comes first and is not the one just added.
+    if (encoded_.size() > kMaxEncodedTexts) {
+      encoded_.erase(entry == encoded_.begin() ? std::next(entry)
+                                               : encoded_.begin());
+    }
+  }
+  return entry->second;
 }
 
 void NodeSessions::SendBatch() {
--- a/src/control/node_sessions.h
+++ b/src/control/node_sessions.h
@@ -3,7 +3,9 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "control/control_port.h"
@@ -47,7 +49,11 @@
                  const wire::NodeHeartbeat& heartbeat);
   void Leave(const ControlPort::Peer& peer, const wire::LeaveKeeper& leave);
   void SendFiles(InboundPeer& peer);
-  void SendFile(InboundPeer& peer, const ConfigRecord& record, bool active);
+  void SendFile(InboundPeer& peer,
+                const ConfigRecord& record,
+                bool active,
+                Revision base);
+  const std::string& Encode(const ConfigRecord& record, Revision base);
   void SendBatch();
 
   const ReplicaDriver& driver_;
@@ -55,6 +61,8 @@
   std::set<ControlPort::Peer> node_peers_;
   std::set<ControlPort::Peer> unreported_;  // to report in the next batch
   std::vector<wire::LeaveKeeper> left_;
+  // Encoded texts of the newest revisions, by revision and base.
+  std::map<std::pair<Revision, Revision>, std::string> encoded_;
   net::Timer batch_timer_;
 };
 
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -225,14 +225,10 @@
     agent_->RequestRevision(seen);
   };
   handlers.on_file = [this](const wire::ActiveFile& file) {
-    agent_->OfferActiveFile({file.revision, file.digest, file.text});
+    agent_->OfferActiveFile(file);
   };
   handlers.present_file = [this]() -> std::optional<wire::ActiveFile> {
-    if (agent_ == nullptr || !agent_->active_file()) {
-      return std::nullopt;
-    }
-    const control::ConfigFile& file = *agent_->active_file();
-    return wire::ActiveFile{file.revision, file.digest, file.text};
+    return agent_ == nullptr ? std::nullopt : agent_->EncodeActiveFile();
   };
   return handlers;
 }
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -278,19 +278,21 @@
 };
 
 /// Distributes a configuration file: a staged one or, with `active`, one that a
-/// committed log entry has put in force. `text` is empty if the node has
-/// reported the file as staged.
+/// committed log entry has put in force. The text is encoded as the difference
+/// from that of revision `base`; 0: from an empty text. It is empty if the node
+/// has reported the file as staged.
 struct ConfigUpdate {
   static constexpr FrameType kType = 78;
   GroupId group;
   Revision revision;
   Digest digest;
   bool active = false;
-  std::string text;
+  Revision base;
+  std::string encoded_text;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(group, revision, digest, active, text);
+    archive(group, revision, digest, active, base, encoded_text);
   }
 };
 
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -257,16 +257,17 @@
   void serialize(Archive&) {}
 };
 
-/// Configuration file in force at a node; reply to FetchFile.
+/// Configuration file in force at a node; reply to FetchFile. The text is
+/// encoded as the difference from an empty one.
 struct ActiveFile {
   static constexpr FrameType kType = 16;
   Revision revision;
   Digest digest;
-  std::string text;
+  std::string encoded_text;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(revision, digest, text);
+    archive(revision, digest, encoded_text);
   }
 };
 
--- a/tests/control/keeper_test.cc
+++ b/tests/control/keeper_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "control/file_codec.h"
 #include "control/keeper_fixture.h"
 
 namespace ibisvalve::control {
@@ -63,16 +64,49 @@
   const auto node = StartNode("node-1");
   const auto offer = [&](uint64_t revision, const std::string& text,
                          Digest digest) {
-    node->agent->OfferActiveFile({Revision(revision), digest, text});
+    node->agent->OfferActiveFile(
+        {Revision(revision), digest, EncodeText(text, "")});
   };
   offer(5, "five", DigestOf("five"));
   offer(4, "four", DigestOf("four"));
   offer(6, "six", DigestOf("else"));
   offer(7, "seven", DigestOf("seven"));
+  node->agent->OfferActiveFile({Revision(8), DigestOf("eight"), "eight"});
   EXPECT_THAT(node->activated, ElementsAre(5, 7));
   EXPECT_EQ(node->agent->active_file()->text, "seven");
 }
 
+// Guards against a node that stays at an old file because a keeper takes it for
+// one that has a newer one.
+TEST_F(OneKeeperTest, NodeThatLacksTheBaseOfAFileReconnects) {
+  std::vector<std::unique_ptr<net::FrameLink>> links;
+  size_t follows = 0;
+  net::Listener keeper(loop_, {"127.0.0.1", 0}, [&](int fd) {
+    links.push_back(net::FrameLink::Accept(
+        loop_, fd,
+        {nullptr,
+         [&, number = links.size()](wire::FrameType type, std::string_view) {
+           if (type != wire::FollowKeeper::kType) {
+             return;
+           }
+           wire::ConfigUpdate update;
+           update.revision = Revision(2);
+           update.digest = DigestOf("file 2");
+           update.active = true;
+           update.base = Revision(++follows == 1 ? 1 : 0);
+           update.encoded_text =
+               EncodeText("file 2", follows == 1 ? "file 1" : "");
+           links[number]->Send(update);
+         },
+         [](const std::string&) {}, nullptr}));
+  });
+  endpoints_ = {keeper.local()};
+  const auto node = StartNode("node-1");
+  EXPECT_TRUE(RunUntil([&] { return !node->activated.empty(); },
+                       std::chrono::seconds(2)));
+  EXPECT_EQ(follows, 2U);
+}
+
 TEST_F(OneKeeperTest, ActivatesAFileAtEveryNode) {
   const auto first = StartNode("a");
   const auto second = StartNode("b");
--- a/tests/control/slow_link_test.cc
+++ b/tests/control/slow_link_test.cc
@@ -49,5 +49,25 @@
   EXPECT_TRUE(RunUntil([&] { return !node->activated.empty(); }, seconds(5)));
 }
 
+// Guards against changes that cost each node the whole file: they fill small
+// links, and reach the nodes the later the larger the file is.
+TEST_F(SlowLinkTest, ASmallChangeOfALargeFileNeedsFewBytes) {
+  // One second of what the design allows for control at each node.
+  constexpr size_t kMaxBytes = 5'000;
+  constexpr size_t kFileBytes = 400'000;
+  Start(10 * kFileBytes);
+  const std::string text = RandomText(kFileBytes);
+  Apply(1, text);
+  const auto node = StartNode("node-1");
+  ASSERT_TRUE(RunUntil([&] { return node->lease; }));
+  const size_t before = relay_->bytes();
+  std::string changed = text;
+  changed.replace(kFileBytes / 2, 4, "new part");
+  Apply(2, changed);
+  ASSERT_TRUE(RunUntil([&] { return node->activated.size() == 2; }));
+  EXPECT_EQ(node->agent->active_file()->text, changed);
+  EXPECT_LE(relay_->bytes() - before, kMaxBytes);
+}
+
 }  // namespace
 }  // namespace ibisvalve::control
--- a/tests/dataplane/custom_headers_test.cc
+++ b/tests/dataplane/custom_headers_test.cc
@@ -275,7 +275,7 @@
       << "request was refused because of a different revision";
   RunUntil([&] { return !ingress.files.empty(); });
   EXPECT_EQ(ingress.files.front().revision, Revision(9));
-  EXPECT_EQ(ingress.files.front().text, "of suva-2");
+  EXPECT_EQ(ingress.files.front().encoded_text, "of suva-2");
 }
 
 }  // namespace
