Choose the ports of keeper tests outside the ephemeral range

One of 480 runs of three keeper tests in eight processes side by side failed with "cannot listen: Address already in use": the fixture closed a port that the kernel had chosen and the keeper bound it later, when a connection of another process could have it.

--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -13,6 +13,7 @@
 
 #include "control/control.h"
 #include "net/net.h"
+#include "support/test_fleet.h"
 
 namespace ibisvalve::control {
 
@@ -48,11 +49,8 @@
 
   /// Chooses free endpoints for `count` keepers.
   void Reserve(size_t count) {
-    std::vector<std::unique_ptr<net::Listener>> listeners;
     for (size_t i = 0; i < count; ++i) {
-      listeners.push_back(std::make_unique<net::Listener>(
-          loop_, world::Endpoint{"127.0.0.1", 0}, [](int) {}));
-      endpoints_.push_back(listeners.back()->local());
+      endpoints_.push_back(test::FreeEndpoint());
     }
     keepers_.resize(endpoints_.size());
   }
@@ -68,10 +66,10 @@
     KeeperInstance& instance = keepers_[number];
     instance.admin = std::make_unique<net::AdminServer>(
         loop_, world::Endpoint{"127.0.0.1", 0});
-    instance.keeper =
-        std::make_unique<Keeper>(loop_, settings, [](const std::string& text) {
+    instance.keeper = std::make_unique<Keeper>(
+        loop_, settings, [this](const std::string& text) {
           return CheckedFile{text.starts_with("bad") ? "line 1: bad" : "",
-                             std::chrono::seconds(2)};
+                             std::chrono::seconds(2), activates_immediately_};
         });
     instance.keeper->Serve(*instance.admin);
   }
@@ -166,6 +164,8 @@
     return name.empty() ? -1 : std::stoi(name.substr(name.find('-') + 1)) - 1;
   }
 
+  // Whether files are active without acknowledgements of nodes.
+  bool activates_immediately_ = false;
   net::EventLoop loop_;
   TemporaryFolder folder_;
   std::vector<world::Endpoint> endpoints_;
