Answer a change once the nodes that report have it

What callers saw: an acknowledged change not in force in time at nodes that were neither cut off nor restarted (CONFIG).

Cause: a file that needs no acknowledgements of nodes was answered when a majority of the keepers had stored it. The answer promises that the change is in force, but nothing tied it to the nodes; whatever delayed a node broke the promise.

Change: the leader answers once every node that reports to it has activated the revision. A node that has been silent for 1.2 s is not waited for, since it may be cut off, and none longer than 2 s, so one node without progress cannot stop all changes. A new leader first waits until the nodes can have reported to it. A repeated change is answered in the same way.

Ruled out: refusing requests at a node whose lease has ended; the platform's file asks for service of isolated nodes. No answer until all nodes have it: a node cut off right before a change would block it for as long as the cut lasts.

--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -241,16 +241,33 @@
 }
 
 void KeeperPages::Propose(const StageConfig& stage, Done done) {
-  parts_.driver.Propose(stage, [done = std::move(done)](
+  parts_.driver.Propose(stage, [this, done = std::move(done)](
                                    const std::optional<CommandResult>& result) {
     if (result) {
-      done(AnswerResponse(std::get<ChangeAnswer>(*result)));
+      AnswerInForce(std::get<ChangeAnswer>(*result), done);
     } else {
       done(std::nullopt);
     }
   });
 }
 
+// Answers a change. One that is active is answered once the nodes have it: an
+// acknowledgement promises that the change is in force.
+void KeeperPages::AnswerInForce(const ChangeAnswer& answer, Done done) {
+  if (answer.result != ChangeResult::kActive) {
+    done(AnswerResponse(answer));
+    return;
+  }
+  parts_.coordinator.AwaitPropagation(
+      answer.revision, [answer, done = std::move(done)](bool leads) {
+        if (leads) {
+          done(AnswerResponse(answer));
+        } else {
+          done(std::nullopt);
+        }
+      });
+}
+
 // A refusal must take every accepted change into account, so a quorum confirms
 // the state before it is read.
 void KeeperPages::Change(const net::AdminRequest& request, Done done) {
@@ -271,7 +288,7 @@
   ChangeAnswer answer = config.AnswerTo(change);
   if (answer.result == ChangeResult::kActive ||
       answer.result == ChangeResult::kStaged) {
-    done(AnswerResponse(answer));
+    AnswerInForce(answer, std::move(done));
     return;
   }
   const ConfigRecord* active = config.active();
--- a/src/control/keeper_pages.h
+++ b/src/control/keeper_pages.h
@@ -26,7 +26,7 @@
     ReplicaDriver& driver;
     KeeperLinks& links;
     LeaderRelay& relay;
-    const NodeCoordinator& coordinator;
+    NodeCoordinator& coordinator;
   };
   /// Opens a link to a keeper that an operator wants to add.
   using OpenLink = std::function<void(const world::Endpoint&)>;
@@ -57,6 +57,7 @@
   void Change(const net::AdminRequest& request, Done done);
   void DecideChange(const net::AdminRequest& request, Done done);
   void Propose(const StageConfig& stage, Done done);
+  void AnswerInForce(const ChangeAnswer& answer, Done done);
   void AnswerAfterRead(const Done& done,
                        std::function<net::AdminResponse()> answer);
   net::AdminResponse Show(const net::AdminRequest& request) const;
--- a/src/control/node_coordinator.cc
+++ b/src/control/node_coordinator.cc
@@ -1,16 +1,18 @@
 #include "control/node_coordinator.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 #include <variant>
 
 #include "control/events.h"
+#include "control/propagation.h"
 
 namespace ibisvalve::control {
 namespace {
 
 constexpr Duration kDecisionInterval = std::chrono::milliseconds(50);
-// How long the propagation of a revision is followed.
+// How long a change may be held up by nodes that report but lag.
 constexpr Duration kMaxPropagation = std::chrono::seconds(2);
 
 std::string Join(const std::vector<NodeId>& nodes) {
@@ -81,8 +83,12 @@
   deferred_grants_.clear();
   term_ = 0;
   staged_ = Revision();
-  propagating_ = propagated_ = Revision();
+  propagating_ = Revision();
+  propagated_ = true;
   tracker_ = ActivationTracker();
+  for (const PropagationWaiter& waiter : std::exchange(waiters_, {})) {
+    waiter.done(false);
+  }
 }
 
 bool NodeCoordinator::OnApplied() {
@@ -96,6 +102,8 @@
     term_ = replica.term();
     const ConfigHistory& config = driver_.state().config();
     tracker_.StartTerm(LongestOutstandingLease(config), loop_.Now());
+    sessions_known_at_ =
+        config.active() == nullptr ? Time() : loop_.Now() + kReportTimeout;
   }
   if (Ready()) {
     UpdateStaged();
@@ -169,8 +177,44 @@
   driver_.Propose(command, [](const std::optional<CommandResult>&) {});
 }
 
-// Follows the active revision until every node that reports has it, and logs
-// how it went.
+void NodeCoordinator::AwaitPropagation(Revision revision,
+                                       std::function<void(bool)> done) {
+  if (!Ready()) {
+    done(false);
+    return;
+  }
+  const Time since =
+      revision == propagating_ ? propagating_since_ : loop_.Now();
+  waiters_.push_back({revision, since + kMaxPropagation, std::move(done)});
+  CompleteWaiters();
+}
+
+// Returns whether every node that reports has `revision`, or the wait for it
+// ends at `until`.
+bool NodeCoordinator::HasPropagated(Revision revision, Time until) const {
+  const Time now = loop_.Now();
+  return now >= until || (now >= sessions_known_at_ &&
+                          MeasurePropagation(tracker_.sessions(), revision, now)
+                              .lagging.empty());
+}
+
+void NodeCoordinator::CompleteWaiters() {
+  const auto waiting = std::stable_partition(
+      waiters_.begin(), waiters_.end(), [this](const auto& waiter) {
+        return HasPropagated(waiter.revision, waiter.until);
+      });
+  // A callback may add another waiter.
+  std::vector<PropagationWaiter> completed(
+      std::make_move_iterator(waiters_.begin()),
+      std::make_move_iterator(waiting));
+  waiters_.erase(waiters_.begin(), waiting);
+  for (const PropagationWaiter& waiter : completed) {
+    waiter.done(true);
+  }
+}
+
+// Follows the active revision until every node that reports has it, logs how it
+// went and completes those that wait for it.
 void NodeCoordinator::FollowPropagation() {
   if (!Ready()) {
     return;
@@ -180,22 +224,21 @@
   if (active != nullptr && active->revision != propagating_) {
     propagating_ = active->revision;
     propagating_since_ = now;
-  }
-  if (propagated_ == propagating_) {
-    return;
-  }
-  const Propagation propagation =
-      MeasurePropagation(tracker_.sessions(), propagating_, now);
-  const Duration took = now - propagating_since_;
-  if (!propagation.lagging.empty() && took < kMaxPropagation) {
-    return;
-  }
-  propagated_ = propagating_;
-  LogEvent(kConfigPropagated, {{"revision", propagating_.value},
-                               {"took_ms", ToMillis(took)},
-                               {"confirmed", uint64_t{propagation.confirmed}},
-                               {"lagging", Join(propagation.lagging)},
-                               {"silent", Join(propagation.silent)}});
+    propagated_ = false;
+  }
+  if (!propagated_ &&
+      HasPropagated(propagating_, propagating_since_ + kMaxPropagation)) {
+    propagated_ = true;
+    const Propagation propagation =
+        MeasurePropagation(tracker_.sessions(), propagating_, now);
+    LogEvent(kConfigPropagated,
+             {{"revision", propagating_.value},
+              {"took_ms", ToMillis(now - propagating_since_)},
+              {"confirmed", uint64_t{propagation.confirmed}},
+              {"lagging", Join(propagation.lagging)},
+              {"silent", Join(propagation.silent)}});
+  }
+  CompleteWaiters();
 }
 
 }  // namespace ibisvalve::control
--- a/src/control/node_coordinator.h
+++ b/src/control/node_coordinator.h
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "control/activation_tracker.h"
-#include "control/propagation.h"
 #include "control/replica_driver.h"
 #include "net/net.h"
 
@@ -29,6 +28,11 @@
   /// Resets the leader's state. Called whenever the role of this keeper may
   /// have changed.
   void OnRoleChange();
+  /// Calls `done(true)` once every node that reports to this leader has
+  /// activated `revision`, or after at most 2 s, or `done(false)` if this
+  /// keeper does not lead or stops to lead before. `done` may run within this
+  /// call.
+  void AwaitPropagation(Revision revision, std::function<void(bool)> done);
   /// Handles a change of the replicated state. Returns whether this keeper has
   /// just become a leader with all committed entries applied.
   bool OnApplied();
@@ -41,7 +45,15 @@
     Reply reply;
   };
 
+  struct PropagationWaiter {
+    Revision revision;
+    Time until;
+    std::function<void(bool)> done;
+  };
+
   bool Ready() const;
+  bool HasPropagated(Revision revision, Time until) const;
+  void CompleteWaiters();
   void Grant(const GrantRequest& request);
   void GrantDeferred();
   void UpdateStaged();
@@ -55,10 +67,13 @@
   std::vector<GrantRequest> deferred_grants_;
   uint64_t term_ = 0;  // in which this keeper leads; 0: none
   Revision staged_;    // last passed to the tracker
-  // Active revision whose propagation is followed, and since when; 0: none.
+  std::vector<PropagationWaiter> waiters_;
+  // When the nodes that follow any keeper have reported to a new leader.
+  Time sessions_known_at_{};
+  // Active revision, since when, and whether its propagation is still followed.
   Revision propagating_;
-  Revision propagated_;
   Time propagating_since_{};
+  bool propagated_ = true;
   net::Timer decision_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/control/propagation.cc
+++ b/src/control/propagation.cc
@@ -3,13 +3,6 @@
 #include <iterator>
 
 namespace ibisvalve::control {
-namespace {
-
-// A node that follows a keeper reports every 500 ms; the rest allows for a slow
-// report and its way to the leader.
-constexpr Duration kReportTimeout = std::chrono::milliseconds(1200);
-
-}  // namespace
 
 Propagation MeasurePropagation(
     const std::map<ActivationTracker::Key, NodeSession>& sessions,
--- a/src/control/propagation.h
+++ b/src/control/propagation.h
@@ -7,6 +7,11 @@
 
 namespace ibisvalve::control {
 
+/// Age of a node's last report at which the node may be cut off. A node that
+/// follows a keeper reports every 500 ms; the rest allows for a slow report and
+/// its way to the leader.
+inline constexpr Duration kReportTimeout = std::chrono::milliseconds(1200);
+
 /// How far a revision has reached the nodes, as reported to the leader.
 struct Propagation {
   size_t confirmed = 0;         // nodes that reported this or a later revision
