Read and log the limit and the departure that targets name

The logs could not tell which limit a target names, in which kind of response, and when it ends. Nothing acts on them yet.

--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -21,6 +21,9 @@
                                            "target_replaced"};
 inline constexpr EventCode kAnnouncementLate{1510, Severity::kInfo,
                                              "announcement_late"};
+inline constexpr EventCode kTargetLimit{1511, Severity::kInfo, "target_limit"};
+inline constexpr EventCode kTargetLeaves{1512, Severity::kInfo,
+                                         "target_leaves"};
 inline constexpr EventCode kRequestSent{1520, Severity::kInfo, "request_sent"};
 inline constexpr EventCode kRequestAnswered{1521, Severity::kInfo,
                                             "request_answered"};
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -78,7 +78,11 @@
       load_(loop,
             settings,
             client_.get(),
-            {[this] { AdmitProbed(); }, handlers_.on_load_changed}),
+            {[this](const wire::Headers& headers) {
+               OnTargetNotice(ParseTargetNotice(headers, settings_.names),
+                              "probe");
+             },
+             [this] { AdmitProbed(); }, handlers_.on_load_changed}),
       bodies_(loop, settings.link_mbps, [this](const wire::Credit& credit) {
         const GateAttempt* attempt = Find(credit.id);
         if (attempt != nullptr && attempt->port.send) {
@@ -538,6 +542,7 @@
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
   load_.UpdateFromHeaders(head.headers);
+  OnTargetNotice(ParseTargetNotice(head.headers, settings_.names), "response");
   WatchSlowPhase();
   if (ProvesNotRun(head, settings_.names)) {
     attempt->declined = true;
@@ -562,6 +567,22 @@
                             head.length);
 }
 
+// Logs what the target tells about itself when it changes.
+void Gate::OnTargetNotice(const TargetNotice& notice,
+                          const std::string& source) {
+  const TargetNotice before = std::exchange(target_notice_, notice);
+  if (notice.rate_limit != before.rate_limit) {
+    LogEvent(kTargetLimit,
+             {{"target", target_identity_},
+              {"per_second",
+               notice.rate_limit ? std::to_string(*notice.rate_limit) : "none"},
+              {"source", source}});
+  }
+  if (notice.leaving && !before.leaving) {
+    LogEvent(kTargetLeaves, {{"target", target_identity_}, {"source", source}});
+  }
+}
+
 void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -19,6 +19,7 @@
 #include "dataplane/memory_budget.h"
 #include "dataplane/node_plane.h"
 #include "dataplane/target_client.h"
+#include "dataplane/target_notice.h"
 #include "policy/policy.h"
 
 namespace ibisvalve::dataplane {
@@ -137,6 +138,7 @@
   bool OnClaimed(const AttemptId& id, const wire::ClaimReply& reply);
   void Dispatch(GateAttempt& attempt);
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
+  void OnTargetNotice(const TargetNotice& notice, const std::string& source);
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
@@ -166,6 +168,7 @@
   CrashTracker crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
   std::string target_identity_;
+  TargetNotice target_notice_;  // in the latest response of the target
   policy::Admission admission_;
   claims::AttemptTable attempt_table_;
   std::unique_ptr<TargetClient> client_;  // null without a target
--- a/src/dataplane/header_names.h
+++ b/src/dataplane/header_names.h
@@ -32,6 +32,11 @@
   std::string not_run;
   /// Sent by a target: its load.
   std::string load;
+  /// Sent by a target in need: the requests a second that it takes from all
+  /// hosts together, as a decimal number.
+  std::string rate_limit;
+  /// Sent by a target that leaves, with the value 1.
+  std::string leaving;
   /// Sent to callers: seconds to wait before a retry.
   std::string retry_after = "Retry-After";
   /// Whether the Ibis-* headers are sent.
--- a/src/dataplane/load_tracker.cc
+++ b/src/dataplane/load_tracker.cc
@@ -75,11 +75,13 @@
       EndProbe();
     });
   };
-  probe_ = client_->Call(
-      request,
-      {[this](const TargetHead& head) { UpdateFromHeaders(head.headers); },
-       [](const std::string&) {}, end,
-       [end](TargetFault, const std::string&) { end(); }});
+  probe_ = client_->Call(request,
+                         {[this](const TargetHead& head) {
+                            UpdateFromHeaders(head.headers);
+                            handlers_.on_probe_headers(head.headers);
+                          },
+                          [](const std::string&) {}, end,
+                          [end](TargetFault, const std::string&) { end(); }});
   probe_timer_.StartOnce(kProbeTimeout);
 }
 
--- a/src/dataplane/load_tracker.h
+++ b/src/dataplane/load_tracker.h
@@ -19,6 +19,8 @@
 class LoadTracker {
  public:
   struct Handlers {
+    /// Called with the headers of the response to a probe.
+    std::function<void(const wire::Headers& headers)> on_probe_headers;
     /// Called when a probe ended, with or without a response.
     std::function<void()> on_probed;
     /// Called when the slowdown has changed so much that ingresses must be
--- a/tests/dataplane/load_tracker_test.cc
+++ b/tests/dataplane/load_tracker_test.cc
@@ -24,7 +24,8 @@
     settings_.link_mbps = 8;
     tracker_ = std::make_unique<LoadTracker>(
         loop_, settings_, nullptr,
-        LoadTracker::Handlers{[] {}, [this] { ++changes_; }});
+        LoadTracker::Handlers{[](const wire::Headers&) {}, [] {},
+                              [this] { ++changes_; }});
   }
 
   void ReportLoad(const std::string& percent) {
@@ -63,8 +64,9 @@
 // Two runs take the same time, but one target had reported a slowdown of 7. Its
 // run is as slow as expected, so it must hardly raise the pace.
 TEST_F(LoadTrackerTest, OnlyAnUnreportedSlowdownRaisesThePace) {
-  LoadTracker unreported(loop_, settings_, nullptr,
-                         LoadTracker::Handlers{[] {}, [] {}});
+  LoadTracker unreported(
+      loop_, settings_, nullptr,
+      LoadTracker::Handlers{[](const wire::Headers&) {}, [] {}, [] {}});
   ReportLoad("700");
   tracker_->BeginRun({Incarnation(1), 1}, kUsualServiceUs);
   unreported.BeginRun({Incarnation(1), 2}, kUsualServiceUs);
