Keep to the rate of requests that a target names

A target got its share by slots and speed. The class of fault: back pressure that the other side gives is not acted upon.

Change: all requests to a target pass the gate on its host, which now keeps a token bucket at the rate that the target names (policy::RateLimit). Admission queues a request only if the rate starts it in time and refuses it at once otherwise. Load hints tell ingresses the lower capacity and the wait. A target that names 0 is tried every 10 s, since only a response can end its limit. A response of an earlier target at the same address is not applied.

Ruled out: shares of the limit at each ingress; they waste what an ingress does not use and a restart loses its share. Limits passed on by ingresses to a restarted gate: it probes its target before it admits the first request.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -35,6 +35,10 @@
 constexpr Duration kRedirectTime = std::chrono::milliseconds(10);
 constexpr Duration kRedirectTimePerKib = std::chrono::milliseconds(5);
 
+// Lowest rate, in requests per second, at which a target is used: only its next
+// response can end its limit.
+constexpr double kTrialRate = 0.1;
+
 Duration MaxQueueTime(const wire::OpenAttempt& open) {
   constexpr uint64_t kBytesPerKib = 1024;
   return kRedirectTime +
@@ -337,6 +341,8 @@
 void Gate::SetTargetIdentity(const std::string& identity) {
   if (identity != target_identity_) {
     target_identity_ = identity;
+    target_notice_ = TargetNotice();
+    ApplyReleases(admission_.SetRate(std::nullopt, loop_.Now()));
     if (client_ != nullptr) {
       client_->CloseIdleConnections();
     }
@@ -345,7 +351,7 @@
 
 wire::LoadHint Gate::Hint() const {
   return MakeLoadHint(admission_, load_, bodies_.TransferTime(0),
-                      view_.revision());
+                      view_.revision(), loop_.Now());
 }
 
 void Gate::Send(const FinishedAttempt& finished,
@@ -462,6 +468,7 @@
     Fail(attempt, Outcome::kNotRun, Reason::kDeadline);
     return;
   }
+  attempt.target_identity = target_identity_;
   attempt.stored_response = std::make_shared<claims::StoredResponse>();
   attempt.slowdown = load_.slowdown();
   load_.BeginRun(attempt.open.id, attempt.open.expected_us);
@@ -542,7 +549,10 @@
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
   load_.UpdateFromHeaders(head.headers);
-  OnTargetNotice(ParseTargetNotice(head.headers, settings_.names), "response");
+  if (attempt->target_identity == target_identity_) {
+    OnTargetNotice(ParseTargetNotice(head.headers, settings_.names),
+                   "response");
+  }
   WatchSlowPhase();
   if (ProvesNotRun(head, settings_.names)) {
     attempt->declined = true;
@@ -567,7 +577,8 @@
                             head.length);
 }
 
-// Logs what the target tells about itself when it changes.
+// Applies what the target tells about itself. All requests to the target pass
+// this gate, so its limit holds for all hosts together.
 void Gate::OnTargetNotice(const TargetNotice& notice,
                           const std::string& source) {
   const TargetNotice before = std::exchange(target_notice_, notice);
@@ -577,6 +588,12 @@
               {"per_second",
                notice.rate_limit ? std::to_string(*notice.rate_limit) : "none"},
               {"source", source}});
+    std::optional<double> rate = notice.rate_limit;
+    if (rate) {
+      rate = std::max(*rate, kTrialRate);
+    }
+    ApplyReleases(admission_.SetRate(rate, loop_.Now()));
+    handlers_.on_load_changed();
   }
   if (notice.leaving && !before.leaving) {
     LogEvent(kTargetLeaves, {{"target", target_identity_}, {"source", source}});
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -41,7 +41,8 @@
   Time opened;     // when the attempt arrived, without the rest of its body
   // Time that another gate would need for the body again; 0 for small bodies.
   Duration redirect_cost{0};
-  Time dispatched;      // when the request was sent to the target
+  Time dispatched;              // when the request was sent to the target
+  std::string target_identity;  // of the target that it was sent to
   double slowdown = 1;  // last reported by the target before the dispatch
   MemoryReservation memory;
   std::unique_ptr<net::Timer> deadline_timer;
--- a/src/dataplane/gate_frames.cc
+++ b/src/dataplane/gate_frames.cc
@@ -19,12 +19,13 @@
 wire::LoadHint MakeLoadHint(const policy::Admission& admission,
                             const LoadTracker& load,
                             Duration backlog,
-                            Revision revision) {
+                            Revision revision,
+                            Time now) {
   constexpr double kPermille = 1000;
   wire::LoadHint hint;
   hint.in_flight = ClampToUint16(admission.in_flight());
-  hint.queued = ClampToUint16(admission.queued());
-  hint.limit = ClampToUint16(admission.limit());
+  hint.queued = ClampToUint16(admission.queued() + admission.RateBacklog(now));
+  hint.limit = ClampToUint16(admission.capacity());
   hint.mean_service_time_us = static_cast<uint32_t>(
       std::min<int64_t>(admission.service_time().count(), UINT32_MAX));
   hint.error_permille =
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -13,7 +13,8 @@
 wire::LoadHint MakeLoadHint(const policy::Admission& admission,
                             const LoadTracker& load,
                             Duration backlog,
-                            Revision revision);
+                            Revision revision,
+                            Time now);
 
 /// Sends the result of a finished attempt to `port`, in frames that carry the
 /// id `reply_as`: the stored response, or AttemptFailed if there is none.
--- a/src/dataplane/gate_log.cc
+++ b/src/dataplane/gate_log.cc
@@ -19,7 +19,7 @@
                   {"reason", world::ToString(reason)},
                   {"running", view.admission.in_flight()},
                   {"queued", view.admission.queued()},
-                  {"limit", view.admission.limit()},
+                  {"limit", view.admission.capacity()},
                   {"slowdown", wire::ToPercent(view.load.slowdown())},
                   {"load_age_ms", ToMillis(view.load.age())},
                   {"target", world::ToString(view.target)}});
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -30,7 +30,7 @@
   DecayFailures(now);
   const Decision decision = Preview(terms, now);
   if (decision.admit == Admit::kRun) {
-    CHECK(running_.insert(terms.id).second) << "attempt is already running";
+    Start(terms.id, now);
   } else if (decision.admit == Admit::kQueue) {
     const auto place =
         settings_.by_objective
@@ -89,6 +89,13 @@
   settings_ = settings;
 }
 
+std::vector<Admission::Release> Admission::SetRate(
+    std::optional<double> per_second,
+    Time now) {
+  rate_.Set(per_second, now);
+  return DispatchQueue(now);
+}
+
 uint32_t Admission::in_flight() const {
   return static_cast<uint32_t>(running_.size());
 }
@@ -101,6 +108,27 @@
   return limit_.limit();
 }
 
+uint32_t Admission::capacity() const {
+  const double service =
+      std::chrono::duration<double>(service_times_.mean()).count();
+  if (!rate_.per_second() || service == 0) {
+    return limit_.limit();
+  }
+  const double running = std::ceil(*rate_.per_second() * service);
+  return running < limit_.limit() ? std::max(static_cast<uint32_t>(running), 1U)
+                                  : limit_.limit();
+}
+
+uint32_t Admission::RateBacklog(Time now) const {
+  const Duration wait = rate_.WaitFor(0, now);
+  const Duration service = service_times_.mean();
+  if (wait == Duration(0) || service == Duration(0)) {
+    return 0;
+  }
+  return static_cast<uint32_t>(wait * static_cast<int64_t>(capacity()) /
+                               service);
+}
+
 Duration Admission::service_time() const {
   return service_times_.mean();
 }
@@ -109,11 +137,26 @@
   return failure_share_;
 }
 
-Duration Admission::ExpectedWait(size_t ahead) const {
+bool Admission::CanRun(Time now) const {
+  return running_.size() < limit_.limit() && rate_.IsAvailable(now);
+}
+
+void Admission::Start(const AttemptId& id, Time now) {
+  CHECK(running_.insert(id).second) << "attempt is already running";
+  rate_.Take(now);
+}
+
+Duration Admission::ExpectedWait(size_t ahead, Time now) const {
+  const Duration rate_wait = rate_.WaitFor(ahead, now);
+  if (rate_.per_second() && running_.size() < limit_.limit()) {
+    return rate_wait;
+  }
   // With `limit` runs in parallel one ends every mean / limit on average; the
   // request starts once `ahead` + 1 runs have ended.
-  return service_times_.mean() * static_cast<int64_t>(ahead + 1) /
-         static_cast<int64_t>(limit_.limit());
+  const Duration slot_wait = service_times_.mean() *
+                             static_cast<int64_t>(ahead + 1) /
+                             static_cast<int64_t>(limit_.limit());
+  return std::max(slot_wait, rate_wait);
 }
 
 Admission::Decision Admission::DecideByDeadline(const AdmissionTerms& terms,
@@ -123,13 +166,13 @@
   if (now + service_times_.TenthPercentile(now) >= terms.deadline) {
     return too_late;
   }
-  if (running_.size() < limit_.limit() && queue_.empty()) {
+  if (CanRun(now) && queue_.empty()) {
     return {Admit::kRun, world::Reason::kNone};
   }
   if (queue_.size() >= settings_.max_queue) {
     return busy;
   }
-  const Duration wait = ExpectedWait(queue_.size());
+  const Duration wait = ExpectedWait(queue_.size(), now);
   if (wait > settings_.max_wait) {
     return busy;
   }
@@ -144,14 +187,14 @@
   if (now + terms.expected >= terms.deadline) {
     return {Admit::kRefuse, world::Reason::kDeadline};
   }
-  if (running_.size() < limit_.limit()) {
-    return {Admit::kRun, world::Reason::kNone};
-  }
   const auto ahead = static_cast<size_t>(std::count_if(
       queue_.begin(), queue_.end(), [&](const QueuedAttempt& waiting) {
         return EffectiveObjective(waiting.terms) <= EffectiveObjective(terms);
       }));
-  const Duration wait = ExpectedWait(ahead);
+  if (ahead == 0 && CanRun(now)) {
+    return {Admit::kRun, world::Reason::kNone};
+  }
+  const Duration wait = ExpectedWait(ahead, now);
   if (queue_.size() >= settings_.max_queue || wait > terms.max_queue_wait ||
       now + wait + terms.expected > terms.objective) {
     return {Admit::kRefuse, world::Reason::kBusy};
@@ -183,8 +226,7 @@
   }
   const bool late = now + terms.expected > terms.objective ||
                     now - waiting.queued_at > terms.max_queue_wait;
-  return late && running_.size() >= limit_.limit() ? world::Reason::kBusy
-                                                   : world::Reason::kNone;
+  return late && !CanRun(now) ? world::Reason::kBusy : world::Reason::kNone;
 }
 
 std::vector<Admission::Release> Admission::DispatchQueue(Time now) {
@@ -194,9 +236,8 @@
     const world::Reason reason = WaitRefusal(waiting, now);
     if (reason != world::Reason::kNone) {
       releases.push_back({waiting.terms.id, {Admit::kRefuse, reason}});
-    } else if (running_.size() < limit_.limit()) {
-      CHECK(running_.insert(waiting.terms.id).second)
-          << "attempt is already running";
+    } else if (CanRun(now)) {
+      Start(waiting.terms.id, now);
       releases.push_back(
           {waiting.terms.id, {Admit::kRun, world::Reason::kNone}});
     } else {
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -3,11 +3,13 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_set>
 #include <vector>
 
 #include "base/base.h"
 #include "policy/concurrency_limit.h"
+#include "policy/rate_limit.h"
 #include "policy/run_result.h"
 #include "policy/service_times.h"
 #include "world/world.h"
@@ -87,10 +89,20 @@
   /// Replaces the settings; attempts that run already are not interrupted.
   void Configure(const AdmissionSettings& settings);
 
+  /// Sets the requests per second that the target takes; nullopt: no limit.
+  /// Returns the queued attempts that now start to run.
+  std::vector<Release> SetRate(std::optional<double> per_second, Time now);
+
   uint32_t in_flight() const;
   uint32_t queued() const;
   /// Returns the current concurrency limit, at most the number of slots.
   uint32_t limit() const;
+  /// Returns how many requests run at once on average if the target is fully
+  /// used: its concurrency limit, or less if its rate allows only less.
+  uint32_t capacity() const;
+  /// Returns how many queued requests would delay an arriving one as long as
+  /// the rate of the target does now.
+  uint32_t RateBacklog(Time now) const;
   /// Returns the mean of recent service times; 0 if there are none.
   Duration service_time() const;
   /// Returns the moving average of the share of failed runs, 0 to 1.
@@ -101,7 +113,9 @@
     AdmissionTerms terms;
     Time queued_at;
   };
-  Duration ExpectedWait(size_t ahead) const;
+  bool CanRun(Time now) const;
+  void Start(const AttemptId& id, Time now);
+  Duration ExpectedWait(size_t ahead, Time now) const;
   Decision DecideByDeadline(const AdmissionTerms& terms, Time now) const;
   Decision DecideByObjective(const AdmissionTerms& terms, Time now) const;
   world::Reason WaitRefusalByObjective(const QueuedAttempt& waiting,
@@ -112,6 +126,7 @@
 
   AdmissionSettings settings_;
   ConcurrencyLimit limit_;
+  RateLimit rate_;
   ServiceTimes service_times_;
   std::unordered_set<AttemptId> running_;
   std::deque<QueuedAttempt> queue_;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -16,6 +16,7 @@
 #include "policy/pace_meter.h"             // IWYU pragma: export
 #include "policy/probe_budget.h"           // IWYU pragma: export
 #include "policy/quarantine.h"             // IWYU pragma: export
+#include "policy/rate_limit.h"             // IWYU pragma: export
 #include "policy/refused_callers.h"        // IWYU pragma: export
 #include "policy/retry_after.h"            // IWYU pragma: export
 #include "policy/retry_budget.h"           // IWYU pragma: export
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -100,6 +100,37 @@
                 {MakeId(2), {Admit::kRefuse, world::Reason::kBusy}}}));
 }
 
+// Guards against requests that are held at a target which takes them only after
+// their objective: they must be refused at once, while free slots are no reason
+// to run them.
+TEST(AdmissionTest, AtItsRateATargetQueuesOnlyWhatStartsInTime) {
+  AdmissionSettings settings = SettingsWithSlots(20);
+  settings.by_objective = true;
+  settings.adaptive_limit = false;
+  Admission admission(settings);
+  Time now{seconds(1)};
+  EXPECT_TRUE(admission.SetRate(2, now).empty());
+  const auto arrive = [&](uint64_t id, Duration objective) {
+    return admission
+        .Arrive({MakeId(id), now + seconds(5), now + objective, kService}, now)
+        .admit;
+  };
+  EXPECT_EQ(arrive(1, milliseconds(400)), Admit::kRefuse);
+  EXPECT_EQ(arrive(2, milliseconds(600)), Admit::kQueue);
+  EXPECT_EQ(arrive(3, milliseconds(800)), Admit::kRefuse);
+  EXPECT_EQ(arrive(4, milliseconds(1100)), Admit::kQueue);
+  EXPECT_TRUE(admission.Expire(now + milliseconds(400)).empty());
+  now += milliseconds(500);
+  const auto first = admission.Expire(now);
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first[0].id, MakeId(2));
+  EXPECT_EQ(first[0].decision.admit, Admit::kRun);
+  const auto rest = admission.SetRate(std::nullopt, now);
+  ASSERT_EQ(rest.size(), 1U);
+  EXPECT_EQ(rest[0].id, MakeId(4));
+  EXPECT_EQ(arrive(5, milliseconds(400)), Admit::kRun);
+}
+
 TEST(AdmissionTest, RemovesACancelledAttemptFromTheQueue) {
   Admission admission(SettingsWithSlots(1));
   const Time now{seconds(1)};
