Stop to use a target that says it leaves

What callers saw: nothing yet; the rule is new. A target that leaves says so in its responses, and its announcement may come later or not at all.

Cause: the header was read nowhere; a gate drained its target only on its announcement.

Change: the gate drains its target at the first response that says so. Requests that wait are refused and redirected, gossip tells the ingresses. Announcements of the same run do not take it back; another run, also with the same identity, is used again (TargetRegistry counts runs).

ANewTargetAfterOneThatLeftIsUsed and AnAnnouncementOfTheSameRunDoesNotTakeADepartureBack guard against the opposite.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -598,6 +598,9 @@
   if (notice.leaving && !before.leaving) {
     LogEvent(kTargetLeaves, {{"target", target_identity_}, {"source", source}});
   }
+  if (notice.leaving) {
+    handlers_.on_target_leaves();
+  }
 }
 
 void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -52,6 +52,8 @@
     /// Called when another target than the expected one responded at the local
     /// target's address.
     std::function<void()> on_target_replaced;
+    /// Called when the target says that it leaves.
+    std::function<void()> on_target_leaves;
     /// Called when the target broke the connection during a run, to notify the
     /// other gates of its service.
     std::function<void(const wire::CrashNotice& notice)> on_crash;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -99,6 +99,7 @@
              [this] { monitor_.OnRequestFailure(); },
              [this] { mesh_.Broadcast(wire::LoadNotice{gate_.Hint()}); },
              [this] { monitor_.OnTargetReplaced(); },
+             [this] { monitor_.OnTargetLeaves(); },
              [this](const wire::CrashNotice& notice) {
                ingress_.gates().Broadcast(settings_.service, notice);
              }}),
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -41,6 +41,7 @@
 }
 
 void TargetMonitor::Announce(const TargetAnnouncement& announcement) {
+  const uint64_t run = registry_.run();
   if (!registry_.Apply(announcement)) {
     LogEvent(kAnnouncementLate, {{"identity", announcement.identity},
                                  {"number", announcement.number}});
@@ -52,6 +53,8 @@
     LogEvent(kTargetIdentified, {{"identity", identity_},
                                  {"started_ms", announcement.started_ms}});
   }
+  // Announcements of the run that leaves do not take its departure back.
+  leaves_ = leaves_ && run == registry_.run();
   slots_ = announcement.slots == 0 ? settings_.slots : announcement.slots;
   // A target that announces that it is ready is assumed to be reachable until
   // the next check.
@@ -67,6 +70,13 @@
   }
 }
 
+void TargetMonitor::OnTargetLeaves() {
+  if (!leaves_) {
+    leaves_ = true;
+    UpdateState();
+  }
+}
+
 void TargetMonitor::SetDraining(bool draining) {
   if (draining_ != draining) {
     draining_ = draining;
@@ -151,7 +161,7 @@
 void TargetMonitor::UpdateState() {
   const std::optional<TargetAnnouncement>& announced = registry_.current();
   world::TargetState state = world::TargetState::kReady;
-  if (draining_ ||
+  if (draining_ || leaves_ ||
       (announced && announced->state == world::TargetState::kDraining)) {
     state = world::TargetState::kDraining;
   } else if (!reachable_ || replaced_) {
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -43,6 +43,9 @@
   /// Handles a response of another target at the local target's address. The
   /// state is down until a target announces itself with a new identity.
   void OnTargetReplaced();
+  /// Handles a response with which the target says that it leaves. It drains
+  /// until another run of a target announces itself.
+  void OnTargetLeaves();
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
   world::TargetState state() const { return state_; }
@@ -73,6 +76,7 @@
   std::string identity_;
   bool reachable_ = false;
   bool replaced_ = false;  // another target responds at the address
+  bool leaves_ = false;    // the target has said that it leaves
   bool draining_ = false;
   bool checking_ = false;
   uint32_t slots_;
--- a/src/dataplane/target_registry.cc
+++ b/src/dataplane/target_registry.cc
@@ -14,6 +14,7 @@
 
 bool TargetRegistry::Apply(const TargetAnnouncement& announcement) {
   if (!current_) {
+    ++run_;
     current_ = announcement;
     if (announcement.stopping) {
       current_->state = world::TargetState::kDraining;
@@ -46,6 +47,7 @@
       previous_identities_.pop_front();
     }
   }
+  ++run_;
   current_ = announcement;
   return true;
 }
--- a/src/dataplane/target_registry.h
+++ b/src/dataplane/target_registry.h
@@ -32,6 +32,8 @@
   /// Applies an announcement. Returns false, and ignores it, if it is outdated
   /// or belongs to an earlier run.
   bool Apply(const TargetAnnouncement& announcement);
+  /// Returns the number of the current run, counted from 1; 0 before the first.
+  uint64_t run() const { return run_; }
   /// Returns the latest announcement of the current run; nothing before the
   /// first.
   const std::optional<TargetAnnouncement>& current() const { return current_; }
@@ -41,6 +43,7 @@
   bool IsPreviousRun(const std::string& identity) const;
 
   std::optional<TargetAnnouncement> current_;
+  uint64_t run_ = 0;
   std::deque<std::string> previous_identities_;  // identities of earlier runs
 };
 
--- a/tests/dataplane/target_limit_test.cc
+++ b/tests/dataplane/target_limit_test.cc
@@ -90,6 +90,25 @@
   EXPECT_EQ(gate_->member.target, world::TargetState::kDraining);
 }
 
+// Guards against a late announcement that takes a departure back.
+TEST_F(TargetLimitTest, AnAnnouncementOfTheSameRunDoesNotTakeADepartureBack) {
+  TargetAnnouncement announcement;
+  announcement.identity = "this";
+  announcement.started_ms = 1000;
+  announcement.number = 1;
+  Start();
+  gate_->plane->Announce(announcement);
+  told_ = {{"X-Leaving", "1"}};
+  Fetch(*ingresses_[0], {"GET", "/told", {}, ""});
+  announcement.number = 2;
+  gate_->plane->Announce(announcement);
+  EXPECT_EQ(CountArrivals(milliseconds(200)), 0U);
+  announcement.started_ms = 2000;  // the target has started again
+  told_.clear();
+  gate_->plane->Announce(announcement);
+  EXPECT_GE(CountArrivals(milliseconds(300)), 50U);
+}
+
 // Guards against a departure that outlives the target: the next one at the same
 // address must be used.
 TEST_F(TargetLimitTest, ANewTargetAfterOneThatLeftIsUsed) {
