Take the time on its way from the time left of an attempt

Cause: an attempt tells the time that was left when it was sent, and the gate counted it from the arrival.

Change: OpenAttempt has the time at which it was sent (a new field: gates and ingresses of older builds cannot be mixed with this one). policy::TransitDelay finds how much longer than on an idle link it was on its way, without clocks that agree, as LEDBAT does (RFC 6817); the gate takes that from the times left. The clock is CLOCK_BOOTTIME: the steady clock stops while a host is suspended, and its attempts would look late afterwards.

Ruled out: waiting for a cancel before an attempt is started; it delays every request. A deadline by the time of day; it jumps.

--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -1,6 +1,7 @@
 #include "base/time.h"
 
 #include <glog/logging.h>
+#include <time.h>
 
 #include <algorithm>
 
@@ -18,6 +19,15 @@
                milliseconds::rep{0}));
 }
 
+uint64_t BootMicros() {
+  timespec time{};
+  PCHECK(clock_gettime(CLOCK_BOOTTIME, &time) == 0);
+  return static_cast<uint64_t>(std::chrono::duration_cast<Duration>(
+                                   std::chrono::seconds(time.tv_sec) +
+                                   std::chrono::nanoseconds(time.tv_nsec))
+                                   .count());
+}
+
 uint64_t WallMicros() {
   return static_cast<uint64_t>(
       std::chrono::duration_cast<Duration>(
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -53,6 +53,10 @@
 /// Returns `duration` in whole milliseconds; 0 if it is negative.
 uint64_t ToMillis(Duration duration);
 
+/// Returns the time since this host started in microseconds, which includes
+/// time during which it was suspended. Not comparable between hosts.
+uint64_t BootMicros();
+
 /// Returns the wall-clock time in microseconds since the Unix epoch. For
 /// display, retention and incarnations only; never used to order events.
 uint64_t WallMicros();
--- a/src/dataplane/mesh_server.cc
+++ b/src/dataplane/mesh_server.cc
@@ -1,5 +1,6 @@
 #include "dataplane/mesh_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -67,8 +68,7 @@
       OnHello(link, wire::Decode<wire::MeshHello>(payload));
       return;
     case wire::OpenAttempt::kType:
-      gate_.Open(wire::Decode<wire::OpenAttempt>(payload),
-                 ReplyPortFor(number));
+      OnOpen(number, link, wire::Decode<wire::OpenAttempt>(payload));
       return;
     case wire::BodyPart::kType:
       gate_.AddBody(wire::Decode<wire::BodyPart>(payload));
@@ -111,6 +111,16 @@
       wire::MeshHello{settings_.id, settings_.incarnation, view_.revision()});
 }
 
+// Takes the time that the attempt was on its way from the times left, which
+// were right when it was sent.
+void MeshServer::OnOpen(uint64_t number, Link& link, wire::OpenAttempt open) {
+  const auto delay = static_cast<uint64_t>(
+      link.transit.OnArrival(open.sent_us, BootMicros()).count());
+  open.remaining_us -= std::min(open.remaining_us, delay);
+  open.objective_us -= std::min(open.objective_us, delay);
+  gate_.Open(open, ReplyPortFor(number));
+}
+
 void MeshServer::OnClosed(uint64_t number, const std::string& why) {
   const auto found = links_.find(number);
   if (found == links_.end()) {
--- a/src/dataplane/mesh_server.h
+++ b/src/dataplane/mesh_server.h
@@ -12,6 +12,7 @@
 #include "dataplane/gate.h"
 #include "dataplane/node_plane.h"
 #include "net/net.h"
+#include "policy/policy.h"
 
 namespace ibisvalve::dataplane {
 
@@ -41,11 +42,13 @@
     std::string peer;  // node id from the hello; empty before
     bool hello_received = false;
     Time last_received;
+    policy::TransitDelay transit;
   };
 
   void Accept(int fd);
   void OnFrame(uint64_t number, wire::FrameType type, std::string_view payload);
   void OnHello(Link& link, const wire::MeshHello& hello);
+  void OnOpen(uint64_t number, Link& link, wire::OpenAttempt open);
   void OnClosed(uint64_t number, const std::string& why);
   void CloseSilent();
   ReplyPort ReplyPortFor(uint64_t number);
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -53,6 +53,7 @@
   open.expected_us =
       static_cast<uint64_t>(request.ExpectedServiceTime().count());
   open.priority = request.terms.priority;
+  open.sent_us = BootMicros();
   return open;
 }
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -24,5 +24,6 @@
 #include "policy/service_time_estimate.h"  // IWYU pragma: export
 #include "policy/silence_bound.h"          // IWYU pragma: export
 #include "policy/subset.h"                 // IWYU pragma: export
+#include "policy/transit_delay.h"          // IWYU pragma: export
 #include "policy/weighed_chooser.h"        // IWYU pragma: export
 #include "policy/weighted_round_robin.h"   // IWYU pragma: export
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -74,13 +74,14 @@
   uint64_t expected_us = 0;   // typical service time; 0: unknown
   uint32_t priority = 0;      // 0 is the highest priority
   bool may_redirect = false;  // another target is nearly as good
+  uint64_t sent_us = 0;       // by the sender's BootMicros
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
             body_complete, caller, objective_us, expected_us, priority,
-            may_redirect);
+            may_redirect, sent_us);
   }
 };
 
