Bound the backlog that a low rate is told as, and tell only its start and end

Found on reading the change: the wait for a rate of nearly 0 overflowed 32 bits before it was clamped for the hint, so such a target could look free; and each small change of a rate was sent to all ingresses at once. The backlog is bounded (AdmissionTest.TellsTheWaitForItsRateAsABacklog; it checks the bound, and was not seen failing, as the overflow needs a service time of microseconds), and ingresses are notified only when a limit begins or ends; responses tell the rest.

--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -178,7 +178,7 @@
     const ConfigRecord* base_record = driver_.state().config().Find(base);
     entry->second = EncodeText(record.text,
                                base_record == nullptr ? "" : base_record->text);
-    // The oldest revision comes first and is not the one just added.
+    // Evicts a text of the oldest revision, but not the one just added.
     if (encoded_.size() > kMaxEncodedTexts) {
       encoded_.erase(entry == encoded_.begin() ? std::next(entry)
                                                : encoded_.begin());
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -593,7 +593,10 @@
       rate = std::max(*rate, kTrialRate);
     }
     ApplyReleases(admission_.SetRate(rate, loop_.Now()));
-    handlers_.on_load_changed();
+    // Smaller changes are told with the next responses.
+    if (notice.rate_limit.has_value() != before.rate_limit.has_value()) {
+      handlers_.on_load_changed();
+    }
   }
   if (notice.leaving && !before.leaving) {
     LogEvent(kTargetLeaves, {{"target", target_identity_}, {"source", source}});
--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -15,6 +15,9 @@
 // urgent priorities.
 constexpr Duration kPriorityStep = std::chrono::milliseconds(150);
 
+// Limits the backlog that a very low rate is reported as.
+constexpr int64_t kMaxRateBacklog = 10'000;
+
 Time EffectiveObjective(const AdmissionTerms& terms) {
   constexpr uint32_t kMaxPriority = 10;
   return terms.objective + kPriorityStep * static_cast<int64_t>(std::min(
@@ -125,8 +128,8 @@
   if (wait == Duration(0) || service == Duration(0)) {
     return 0;
   }
-  return static_cast<uint32_t>(wait * static_cast<int64_t>(capacity()) /
-                               service);
+  const int64_t runs = wait * static_cast<int64_t>(capacity()) / service;
+  return static_cast<uint32_t>(std::min(runs, kMaxRateBacklog));
 }
 
 Duration Admission::service_time() const {
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -131,6 +131,23 @@
   EXPECT_EQ(arrive(5, milliseconds(400)), Admit::kRun);
 }
 
+// Guards against a target at a low rate that looks free to ingresses, and
+// against a wait that overflows the hint.
+TEST(AdmissionTest, TellsTheWaitForItsRateAsABacklog) {
+  Admission admission(SettingsWithSlots(20));
+  Time now = RunSequentially(admission, Time{seconds(1)}, milliseconds(100), 5);
+  EXPECT_EQ(admission.capacity(), 20U);
+  EXPECT_EQ(admission.RateBacklog(now), 0U);
+  admission.SetRate(20, now);
+  EXPECT_EQ(admission.capacity(), 2U);
+  admission.SetRate(1, now);
+  EXPECT_EQ(admission.capacity(), 1U);
+  EXPECT_GE(admission.RateBacklog(now), 9U);
+  EXPECT_LE(admission.RateBacklog(now), 10U);
+  admission.SetRate(0, now);
+  EXPECT_EQ(admission.RateBacklog(now), 10'000U);
+}
+
 TEST(AdmissionTest, RemovesACancelledAttemptFromTheQueue) {
   Admission admission(SettingsWithSlots(1));
   const Time now{seconds(1)};
