Do not let requests wait for a load probe that the target holds

What callers saw: nothing was reported.

Cause: a probe that got no response within 20 ms stayed in progress, and requests that arrived later waited for it without a timer: until the target answered it, or their deadline passed.

Change: an overdue probe is no longer waited for, and given up for another one after a second.

Evidence: HeldProbeTest.RequestsDoNotWaitForAProbeThatTheTargetHolds failed before (second and third request: 5,001 ms, 'unknown: deadline') and passes.

--- a/src/dataplane/load_tracker.cc
+++ b/src/dataplane/load_tracker.cc
@@ -15,6 +15,8 @@
 constexpr Duration kMinNotifyInterval = std::chrono::milliseconds(40);
 // A healthy target responds to a load probe within 1 to 2 ms.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(20);
+// A probe that is overdue for this long is given up for another one.
+constexpr Duration kProbeGiveUpTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -62,11 +64,15 @@
 }
 
 void LoadTracker::Probe(Time since) {
-  if (client_ == nullptr || probing() || reported_at_ >= since ||
+  const Time now = loop_.Now();
+  const bool in_progress =
+      probe_ != nullptr && now < probe_started_ + kProbeGiveUpTime;
+  if (client_ == nullptr || in_progress || reported_at_ >= since ||
       path_.empty()) {
     return;
   }
   ++probes_;
+  probe_started_ = now;
   const TargetRequest request{
       "GET", path_, {{"Host", world::ToString(*settings_.target)}}, ""};
   const auto end = [this] {
--- a/src/dataplane/load_tracker.h
+++ b/src/dataplane/load_tracker.h
@@ -43,8 +43,8 @@
   /// `since` or a probe is in progress. The health status in that response is
   /// ignored.
   void Probe(Time since);
-  /// Returns whether a probe is in progress.
-  bool probing() const { return probe_ != nullptr; }
+  /// Returns whether a probe is in progress that may still be waited for.
+  bool probing() const { return probe_timer_.running(); }
   /// Returns the number of probes sent.
   uint64_t probes() const { return probes_; }
 
@@ -79,7 +79,8 @@
   TargetClient* client_;
   Handlers handlers_;
   std::string path_;
-  std::unique_ptr<TargetCall> probe_;
+  std::unique_ptr<TargetCall> probe_;  // also while it is overdue
+  Time probe_started_{};
   net::Timer probe_timer_;
   net::Timer notify_timer_;
   uint64_t probes_ = 0;
