Log suspects, reports of crashes and those that change nothing

No decision changes. The logs could not tell the hypotheses apart: IV1702 stood in the catalogue and was logged nowhere, a report with a known number was dropped without a line, and nothing told how many gates had heard of a crash.

Added: IV1702 (suspect), IV1708 (report of a known crash, nothing changed), IV1513 (crash reported, with the number of gates told).

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -34,11 +34,24 @@
 
 void CrashTracker::OnCrashNotice(const wire::CrashNotice& notice) {
   const policy::CrashId crash{notice.gate, notice.incarnation, notice.number};
-  for (const Digest& quarantined :
-       quarantine_.OnCrash(crash, notice.in_flight, loop_.Now())) {
-    LogEvent(policy::kRequestQuarantined,
-             {{"fingerprint", ToHex(quarantined)},
-              {"service", settings_.service.value}});
+  const policy::CrashEffect effect =
+      quarantine_.OnCrash(crash, notice.in_flight, loop_.Now());
+  const auto log = [&](const EventCode& event, const Digest& fingerprint) {
+    LogEvent(event, {{"fingerprint", ToHex(fingerprint)},
+                     {"service", settings_.service.value},
+                     {"gate", notice.gate.value},
+                     {"crash", notice.number}});
+  };
+  if (effect.already_known) {
+    for (const Digest& fingerprint : notice.in_flight) {
+      log(policy::kCrashAlreadyKnown, fingerprint);
+    }
+  }
+  for (const Digest& fingerprint : effect.suspected) {
+    log(policy::kRequestSuspected, fingerprint);
+  }
+  for (const Digest& fingerprint : effect.quarantined) {
+    log(policy::kRequestQuarantined, fingerprint);
   }
 }
 
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -101,7 +101,12 @@
              [this] { monitor_.OnTargetReplaced(); },
              [this] { monitor_.OnTargetLeaves(); },
              [this](const wire::CrashNotice& notice) {
-               ingress_.gates().Broadcast(settings_.service, notice);
+               const size_t told =
+                   ingress_.gates().Broadcast(settings_.service, notice);
+               LogEvent(kCrashReported,
+                        {{"crash", notice.number},
+                         {"requests", uint64_t{notice.in_flight.size()}},
+                         {"gates_told", uint64_t{told}}});
              }}),
       ingress_(loop, settings_, view, gate_, memory_, handlers_),
       mesh_(loop, settings_, view, gate_, handlers_.present_file),
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -12,6 +12,8 @@
                                                "request-quarantined"};
 inline constexpr EventCode kQuarantineLifted{1704, Severity::kInfo,
                                              "quarantine-lifted"};
+inline constexpr EventCode kCrashAlreadyKnown{1708, Severity::kInfo,
+                                              "crash-already-known"};
 inline constexpr EventCode kLimitLowered{1705, Severity::kWarning,
                                          "limit-lowered"};
 inline constexpr EventCode kLimitRestored{1706, Severity::kInfo,
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -7,16 +7,16 @@
 Quarantine::Quarantine(const QuarantineSettings& settings)
     : settings_(settings) {}
 
-std::vector<Digest> Quarantine::OnCrash(const CrashId& crash,
-                                        const std::vector<Digest>& in_flight,
-                                        Time now) {
+CrashEffect Quarantine::OnCrash(const CrashId& crash,
+                                const std::vector<Digest>& in_flight,
+                                Time now) {
   EvictExpired(now);
   const Time expiry =
       now + std::max(settings_.suspicion_period, settings_.quarantine_period);
   if (!known_crashes_.emplace(crash, expiry).second) {
-    return {};
+    return {true, {}, {}};
   }
-  std::vector<Digest> quarantined;
+  CrashEffect effect;
   for (const Digest& fingerprint : in_flight) {
     Suspect& suspect = suspects_[fingerprint];
     const bool before = IsQuarantined(suspect);
@@ -26,10 +26,12 @@
     suspect.until = now + (after ? settings_.quarantine_period
                                  : settings_.suspicion_period);
     if (after && !before) {
-      quarantined.push_back(fingerprint);
+      effect.quarantined.push_back(fingerprint);
+    } else if (!after && suspect.crashes.size() == 1) {
+      effect.suspected.push_back(fingerprint);
     }
   }
-  return quarantined;
+  return effect;
 }
 
 void Quarantine::OnAnswer(Digest fingerprint, Time now) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -37,6 +37,15 @@
   kQuarantined,  // refused without a run
 };
 
+/// What a reported crash changed.
+struct CrashEffect {
+  bool already_known = false;  // a crash with this identity was reported before
+  std::vector<Digest> suspected;    // requests that became suspects
+  std::vector<Digest> quarantined;  // requests that were quarantined
+
+  auto operator<=>(const CrashEffect&) const = default;
+};
+
 /// A quarantined request, as listed for operators.
 struct QuarantineEntry {
   Digest fingerprint;
@@ -55,10 +64,10 @@
   explicit Quarantine(const QuarantineSettings& settings = {});
 
   /// Records a crash of a target with the requests `in_flight`. Ignores a crash
-  /// that was already reported. Returns the newly quarantined requests.
-  std::vector<Digest> OnCrash(const CrashId& crash,
-                              const std::vector<Digest>& in_flight,
-                              Time now);
+  /// that was already reported. Returns what it changed.
+  CrashEffect OnCrash(const CrashId& crash,
+                      const std::vector<Digest>& in_flight,
+                      Time now);
   /// Records that a run of the request ended with a complete response.
   void OnAnswer(Digest fingerprint, Time now);
   /// Returns the classification of the request.
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -111,11 +111,11 @@
   Quarantine quarantine;
   const Digest poison(1);
   const Digest harmless(2);
-  EXPECT_TRUE(
-      quarantine.OnCrash(MakeCrashId(1), {poison, harmless}, kStart).empty());
+  EXPECT_TRUE(quarantine.OnCrash(MakeCrashId(1), {poison, harmless}, kStart)
+                  .quarantined.empty());
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kSuspect);
   EXPECT_EQ(quarantine.OnCrash(MakeCrashId(2), {poison, Digest(3)}, kStart),
-            (std::vector<Digest>{poison}));
+            (CrashEffect{false, {Digest(3)}, {poison}}));
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
   EXPECT_EQ(quarantine.Check(harmless, kStart), Verdict::kSuspect);
   EXPECT_EQ(quarantine.Check(Digest(4), kStart), Verdict::kClear);
