--- /dev/null
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -0,0 +1,262 @@
+#include <algorithm>
+#include <list>
+
+#include "dataplane/crashing_target.h"
+#include "dataplane/fault_relay.h"
+#include "dataplane/plane_fixture.h"
+
+namespace ibisvalve::dataplane {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TargetRequest kPoison{"GET", "/poison", {}, ""};
+constexpr Duration kDowntime = milliseconds(150);
+
+// Fixture with targets that end at each request for /poison and start again
+// soon. A request may crash two targets before it is quarantined.
+class RepeatedCrashTest : public PlaneTest {
+ protected:
+  static constexpr int kMaxCrashes = 2;
+
+  struct Host {
+    std::unique_ptr<CrashingTarget> target;
+    Node* node = nullptr;
+  };
+
+  // Starts an ingress without a target and `hosts` nodes with one.
+  void Start(int hosts) {
+    ingress_ = &AddNode("suva-0", nullptr);
+    for (int i = 0; i < hosts; ++i) {
+      AddHost();
+    }
+  }
+
+  Host& AddHost() {
+    const auto host = std::make_unique<Host>();
+    host->target = std::make_unique<CrashingTarget>(loop_, kDowntime);
+    host->node =
+        &AddNode("suva-" + std::to_string(++next_host_), host->target->local());
+    WaitReady(*host->node);
+    hosts_.push_back(std::move(*host));
+    return hosts_.back();
+  }
+
+  // Stops the node of `host` without notice, as its peers see it.
+  void KillNode(Host& host) {
+    world::Member gone = host.node->member;
+    std::erase_if(nodes_, [&](const std::unique_ptr<Node>& node) {
+      return node.get() == host.node;
+    });
+    host.node = nullptr;
+    gone.state = world::MemberState::kDead;
+    UpdateMember(gone);
+  }
+
+  int Crashes() const {
+    int crashes = 0;
+    for (const Host& host : hosts_) {
+      crashes += host.target->crashes();
+    }
+    return crashes;
+  }
+
+  // Returns the number of requests that the targets are running.
+  size_t Waiting() const {
+    size_t waiting = 0;
+    for (const Host& host : hosts_) {
+      waiting += host.target->waiting();
+    }
+    return waiting;
+  }
+
+  bool AllRunning() const {
+    return std::all_of(hosts_.begin(), hosts_.end(), [](const Host& host) {
+      return host.target->running() &&
+             (host.node == nullptr ||
+              host.node->member.target == world::TargetState::kReady);
+    });
+  }
+
+  // Returns the number of nodes that cannot reach their targets.
+  size_t DownNodes() const {
+    return static_cast<size_t>(
+        std::count_if(hosts_.begin(), hosts_.end(), [](const Host& host) {
+          return host.node->member.target == world::TargetState::kDown;
+        }));
+  }
+
+  // Sends the request `count` times through `node`, each time once all targets
+  // are ready.
+  CallerResponse SendPoison(const Node& node, int count) {
+    CallerResponse last;
+    for (int i = 0; i < count; ++i) {
+      RunUntil([this] { return AllRunning(); });
+      last = Fetch(node, kPoison);
+    }
+    RunUntil([this] { return AllRunning(); });
+    return last;
+  }
+
+  Node* ingress_ = nullptr;
+  std::list<Host> hosts_;
+  int next_host_ = 0;
+};
+
+// Guards against a gate that misses crashes because its own target is down.
+TEST_F(RepeatedCrashTest, AGateWhoseTargetIsDownLearnsOfOtherCrashes) {
+  const TargetRequest booking{"POST", "/poison", {}, "one attempt only"};
+  service_.contracts.push_back({{"POST"},
+                                "/poison",
+                                world::Repeat::kNever,
+                                world::KeyRule::kOptional,
+                                {}});
+  Start(3);
+  Fetch(*ingress_, booking);
+  ASSERT_EQ(Crashes(), 1);
+  RunUntil([this] { return DownNodes() == 1; });
+  Fetch(*ingress_, booking);
+  ASSERT_EQ(Crashes(), 2);
+  // An ingress that has not seen the crashes sends to each gate.
+  const Node& other = AddNode("suva-9", nullptr);
+  CallerResponse last;
+  for (int i = 0; i < 40; ++i) {
+    RunUntil([this] { return AllRunning(); });
+    last = Fetch(other, booking);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+  EXPECT_EQ(last.status, 503);
+  EXPECT_EQ(last.Get("Ibis-Reason"), "quarantined");
+}
+
+// Guards against crash evidence that is lost when the connections of several
+// requests break at the same crash.
+TEST_F(RepeatedCrashTest, OtherRequestsInFlightDoNotHideTheOneThatCrashes) {
+  Start(5);
+  int sent = 0;
+  for (int round = 0; round < 12; ++round) {
+    RunUntil([this] { return AllRunning(); });
+    for (size_t i = 0; i < 3 * hosts_.size(); ++i) {
+      Send(*ingress_, {"GET", "/slow/" + std::to_string(++sent), {}, ""});
+    }
+    RunUntil([&] { return Waiting() == 3 * hosts_.size(); });
+    Fetch(*ingress_, kPoison);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against targets that join after a quarantine and run its request.
+TEST_F(RepeatedCrashTest, GatesThatJoinLaterRefuseAQuarantinedRequest) {
+  Start(5);
+  SendPoison(*ingress_, 5);
+  ASSERT_EQ(Crashes(), kMaxCrashes);
+  for (int join = 0; join < 4; ++join) {
+    AddHost();
+    SendPoison(*ingress_, 15);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against a node that joins after a quarantine and takes the request
+// from a caller of its own before it has talked to any other node.
+TEST_F(RepeatedCrashTest, AnIngressThatJoinsLaterKnowsOfTheQuarantine) {
+  Start(5);
+  SendPoison(*ingress_, 5);
+  ASSERT_EQ(Crashes(), kMaxCrashes);
+  for (int join = 0; join < 4; ++join) {
+    const Host& joined = AddHost();
+    SendPoison(*joined.node, 15);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against a restart of a gate that forgets the quarantines.
+TEST_F(RepeatedCrashTest, ARestartedGateRefusesAQuarantinedRequest) {
+  Start(3);
+  SendPoison(*ingress_, 5);
+  ASSERT_EQ(Crashes(), kMaxCrashes);
+  for (Host& host : hosts_) {
+    const NodeId id = host.node->member.id;
+    KillNode(host);
+    host.node = &AddNode(id.value, host.target->local());
+    WaitReady(*host.node);
+    SendPoison(*host.node, 5);
+    SendPoison(*ingress_, 5);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against a gate that runs a quarantined request because the notices
+// were lost on a broken path to it.
+TEST_F(RepeatedCrashTest, AGateThatWasCutOffLearnsOfCrashesAfterwards) {
+  Start(3);
+  Host& cut = hosts_.back();
+  FaultRelay relay(loop_);
+  const world::Endpoint mesh = cut.node->member.mesh;
+  cut.node->member.mesh = relay.local();
+  relay.SetTarget({"127.0.0.1", 1});
+  UpdateMember(cut.node->member);
+  SendPoison(*ingress_, 5);
+  const int before = Crashes();
+  relay.SetTarget(mesh);
+  RunUntil([&, start = loop_.Now()] {
+    return loop_.Now() - start > std::chrono::seconds(2);
+  });
+  SendPoison(*cut.node, 10);
+  SendPoison(*ingress_, 10);
+  EXPECT_EQ(before, kMaxCrashes);
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against targets that end without closing their connections, so that
+// the request just seems to take too long.
+TEST_F(RepeatedCrashTest, ATargetThatFallsSilentCountsAsCrashed) {
+  service_.deadline = milliseconds(300);
+  Start(4);
+  for (Host& host : hosts_) {
+    host.target->FallSilentWhenCrashing();
+  }
+  SendPoison(*ingress_, 10);
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against a crash that nobody hears of because the node beside the
+// target ends with it.
+TEST_F(RepeatedCrashTest, ANodeThatEndsWithItsTargetDoesNotHideTheCrash) {
+  Start(6);
+  for (Host& host : hosts_) {
+    host.target->SetOnCrash([this, &host] { KillNode(host); });
+  }
+  for (int i = 0; i < 12; ++i) {
+    Fetch(*ingress_, kPoison);
+    for (Host& host : hosts_) {
+      if (host.node == nullptr) {
+        host.node = &AddNode("suva-" + std::to_string(++next_host_),
+                             host.target->local());
+        WaitReady(*host.node);
+      }
+    }
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
+// Guards against the quarantine of a popular request that was only in flight
+// when others crashed the targets.
+TEST_F(RepeatedCrashTest, AHarmlessRequestInFlightAtCrashesIsNotQuarantined) {
+  Start(5);
+  const TargetRequest popular{"GET", "/slow/popular", {}, ""};
+  for (int round = 0; round < 6; ++round) {
+    RunUntil([this] { return AllRunning(); });
+    for (int i = 0; i < 10; ++i) {
+      Send(*ingress_, popular);
+    }
+    RunUntil([this] { return Waiting() == 10 || ended_ == sent_; });
+    Fetch(*ingress_, {"GET", "/poison", {}, "body " + std::to_string(round)});
+    RunUntil([this] { return AllRunning(); });
+    const CallerResponse response = Fetch(*ingress_, popular);
+    ASSERT_EQ(response.status, 200) << response.Get("Ibis-Reason");
+  }
+}
+
+}  // namespace
+}  // namespace ibisvalve::dataplane
