Count each request that is reported for a crash, not only the first

Cause: at a crash every request in flight loses its connection, and each broken connection is reported with the number of the crash. A report with a number that was known was dropped whole, so that only the first connection to break gave a suspect. Where others are in flight, the request that crashed the target is rarely the first. Class: a guard against duplicates that tells reports apart by less than what they say.

Change: what is known of a crash is kept by request and crash. A crash counts once for each request, however often and with whichever others it is reported. Clearing marks the crashes of a request instead of forgetting them, so that a late report of a crash does not count again. At most 16 crashes a request are kept.

Ruled out: one report a crash after all connections have broken; the retry of a request whose connection broke first would overtake it.

EachRequestReportedForACrashBecomesASuspect failed before (the request stays clear) and passes.

--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -11,23 +11,20 @@
                                 const std::vector<Digest>& in_flight,
                                 Time now) {
   EvictExpired(now);
-  const Time expiry =
-      now + std::max(settings_.suspicion_period, settings_.quarantine_period);
-  if (!known_crashes_.emplace(crash, expiry).second) {
-    return {true, {}, {}};
-  }
-  CrashEffect effect;
+  CrashEffect effect{true, {}, {}};
   for (const Digest& fingerprint : in_flight) {
-    Suspect& suspect = suspects_[fingerprint];
-    const bool before = IsQuarantined(suspect);
-    // A set, as a request can be in flight several times at one crash.
-    suspect.crashes.insert(crash);
-    const bool after = IsQuarantined(suspect);
-    suspect.until = now + (after ? settings_.quarantine_period
-                                 : settings_.suspicion_period);
-    if (after && !before) {
+    Record& record = records_[fingerprint];
+    if (!record.emplace(crash, Crash{now, false}).second) {
+      continue;
+    }
+    effect.already_known = false;
+    if (record.size() > settings_.max_crashes) {
+      DropOldestCrash(record);
+    }
+    const uint32_t crashes = CountCrashes(record);
+    if (crashes == settings_.crash_threshold) {
       effect.quarantined.push_back(fingerprint);
-    } else if (!after && suspect.crashes.size() == 1) {
+    } else if (crashes == 1) {
       effect.suspected.push_back(fingerprint);
     }
   }
@@ -35,20 +32,22 @@
 }
 
 void Quarantine::OnAnswer(Digest fingerprint, Time now) {
-  const auto found = suspects_.find(fingerprint);
-  if (found == suspects_.end()) {
-    return;
-  }
+  const auto found = records_.find(fingerprint);
   // A quarantine lasts until it expires or is lifted: a response that was
   // already in flight is no evidence about the runs that crashed.
-  if (!IsQuarantined(found->second) || now >= found->second.until) {
-    suspects_.erase(found);
+  if (found == records_.end() ||
+      (IsQuarantined(found->second) && now < ExpiryOf(found->second))) {
+    return;
+  }
+  for (auto& [id, crash] : found->second) {
+    crash.cleared = true;
   }
 }
 
 Verdict Quarantine::Check(Digest fingerprint, Time now) const {
-  const auto found = suspects_.find(fingerprint);
-  if (found == suspects_.end() || now >= found->second.until) {
+  const auto found = records_.find(fingerprint);
+  if (found == records_.end() || now >= ExpiryOf(found->second) ||
+      CountCrashes(found->second) == 0) {
     return Verdict::kClear;
   }
   return IsQuarantined(found->second) ? Verdict::kQuarantined
@@ -58,39 +57,65 @@
 bool Quarantine::Lift(Digest fingerprint, Time now) {
   const bool quarantined = Check(fingerprint, now) == Verdict::kQuarantined;
   if (quarantined) {
-    suspects_.erase(fingerprint);
+    for (auto& [id, crash] : records_.at(fingerprint)) {
+      crash.cleared = true;
+    }
   }
   return quarantined;
 }
 
 std::vector<QuarantineEntry> Quarantine::List(Time now) const {
   std::vector<QuarantineEntry> entries;
-  for (const auto& [fingerprint, suspect] : suspects_) {
-    if (now < suspect.until && IsQuarantined(suspect)) {
-      entries.push_back({fingerprint,
-                         static_cast<uint32_t>(suspect.crashes.size()),
-                         suspect.until});
+  for (const auto& [fingerprint, record] : records_) {
+    if (now < ExpiryOf(record) && IsQuarantined(record)) {
+      entries.push_back({fingerprint, CountCrashes(record), ExpiryOf(record)});
     }
   }
   return entries;
 }
 
-bool Quarantine::IsQuarantined(const Suspect& suspect) const {
-  return suspect.crashes.size() >= settings_.crash_threshold;
+// Returns the number of crashes of which the request has not been cleared.
+uint32_t Quarantine::CountCrashes(const Record& record) const {
+  return static_cast<uint32_t>(
+      std::count_if(record.begin(), record.end(),
+                    [](const auto& entry) { return !entry.second.cleared; }));
+}
+
+bool Quarantine::IsQuarantined(const Record& record) const {
+  return CountCrashes(record) >= settings_.crash_threshold;
+}
+
+Time Quarantine::ExpiryOf(const Record& record) const {
+  Time last{};
+  for (const auto& [id, crash] : record) {
+    last = std::max(last, crash.at);
+  }
+  return last + (IsQuarantined(record) ? settings_.quarantine_period
+                                       : settings_.suspicion_period);
+}
+
+// Drops the oldest crash, one of which the request has been cleared if
+// possible.
+void Quarantine::DropOldestCrash(Record& record) const {
+  record.erase(std::min_element(
+      record.begin(), record.end(), [](const auto& a, const auto& b) {
+        return a.second.cleared != b.second.cleared ? a.second.cleared
+                                                    : a.second.at < b.second.at;
+      }));
 }
 
 void Quarantine::EvictExpired(Time now) {
-  std::erase_if(known_crashes_,
-                [&](const auto& entry) { return now >= entry.second; });
-  std::erase_if(suspects_,
-                [&](const auto& entry) { return now >= entry.second.until; });
+  std::erase_if(records_, [&](const auto& entry) {
+    return now >= ExpiryOf(entry.second);
+  });
   // Evicts the entries that expire first, suspects before quarantined requests.
-  while (suspects_.size() > settings_.max_fingerprints) {
-    suspects_.erase(std::min_element(
-        suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
+  while (records_.size() > settings_.max_fingerprints) {
+    records_.erase(std::min_element(
+        records_.begin(), records_.end(), [&](const auto& a, const auto& b) {
           const bool first = IsQuarantined(a.second);
           const bool second = IsQuarantined(b.second);
-          return first != second ? second : a.second.until < b.second.until;
+          return first != second ? second
+                                 : ExpiryOf(a.second) < ExpiryOf(b.second);
         }));
   }
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -3,7 +3,6 @@
 #include <compare>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "base/base.h"
@@ -17,6 +16,7 @@
   Duration suspicion_period = std::chrono::minutes(10);
   Duration quarantine_period = std::chrono::minutes(10);
   uint32_t max_fingerprints = 4096;  // suspects and quarantined requests kept
+  uint32_t max_crashes = 16;         // kept for each, the latest ones
 
   auto operator<=>(const QuarantineSettings&) const = default;
 };
@@ -39,8 +39,8 @@
 
 /// What a reported crash changed.
 struct CrashEffect {
-  bool already_known = false;  // a crash with this identity was reported before
-  std::vector<Digest> suspected;    // requests that became suspects
+  bool already_known = false;     // nothing: the report repeats an earlier one
+  std::vector<Digest> suspected;  // requests that became suspects
   std::vector<Digest> quarantined;  // requests that were quarantined
 
   auto operator<=>(const CrashEffect&) const = default;
@@ -63,8 +63,9 @@
  public:
   explicit Quarantine(const QuarantineSettings& settings = {});
 
-  /// Records a crash of a target with the requests `in_flight`. Ignores a crash
-  /// that was already reported. Returns what it changed.
+  /// Records that the requests `in_flight` were running when a target crashed.
+  /// One crash may be reported several times, with other requests each time;
+  /// it counts once for each request. Returns what it changed.
   CrashEffect OnCrash(const CrashId& crash,
                       const std::vector<Digest>& in_flight,
                       Time now);
@@ -79,17 +80,23 @@
   std::vector<QuarantineEntry> List(Time now) const;
 
  private:
-  struct Suspect {
-    std::set<CrashId> crashes;
-    Time until{};
+  // What is known of a request that was in flight at a crash.
+  struct Crash {
+    Time at{};
+    // Whether a later response or an operator has cleared the request of this
+    // crash. Kept, so that a repeated report does not count again.
+    bool cleared = false;
   };
+  using Record = std::map<CrashId, Crash>;
 
-  bool IsQuarantined(const Suspect& suspect) const;
+  uint32_t CountCrashes(const Record& record) const;
+  bool IsQuarantined(const Record& record) const;
+  Time ExpiryOf(const Record& record) const;
+  void DropOldestCrash(Record& record) const;
   void EvictExpired(Time now);
 
   QuarantineSettings settings_;
-  std::map<Digest, Suspect> suspects_;
-  std::map<CrashId, Time> known_crashes_;  // with expiry time
+  std::map<Digest, Record> records_;
 };
 
 }  // namespace ibisvalve::policy
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -133,6 +133,21 @@
   EXPECT_EQ(quarantine.Check(harmless, kStart), Verdict::kSuspect);
 }
 
+// Guards against evidence that is lost because another request was reported
+// first for the same crash.
+TEST(QuarantineTest, EachRequestReportedForACrashBecomesASuspect) {
+  Quarantine quarantine;
+  const Digest poison(1);
+  for (uint64_t crash = 1; crash <= 2; ++crash) {
+    quarantine.OnCrash(MakeCrashId(crash), {Digest(100 + crash)}, kStart);
+    const CrashEffect effect =
+        quarantine.OnCrash(MakeCrashId(crash), {poison}, kStart);
+    EXPECT_FALSE(effect.already_known);
+  }
+  EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
+  EXPECT_EQ(quarantine.Check(Digest(101), kStart), Verdict::kSuspect);
+}
+
 TEST(QuarantineTest, ClearsASuspectAfterACompleteResponse) {
   Quarantine quarantine;
   const Digest frequent(1);
