Tell of crashes also the gates whose own target is down

What callers saw: a target that the request had crashed was crashed again when it came back, after a second crash elsewhere had put the request in quarantine.

Cause: notices went to the gates whose target is ready. A gate whose target has just crashed is not among them, and it is the one that has seen the request. Class: a list made for choosing where to send work, used for telling who must know.

Change: FleetView::Gates, the live members of a service whatever their target's state. The other use of the list, telling gates that a quarantine is lifted, is mended with it.

--- a/src/dataplane/fleet_view.cc
+++ b/src/dataplane/fleet_view.cc
@@ -59,18 +59,29 @@
 
 std::vector<const world::Member*> FleetView::Targets(
     const ServiceName& service) const {
-  std::vector<const world::Member*> targets;
+  return Select(service, world::IsServing);
+}
+
+std::vector<const world::Member*> FleetView::Gates(
+    const ServiceName& service) const {
+  return Select(service, world::IsRunning);
+}
+
+std::vector<const world::Member*> FleetView::Select(
+    const ServiceName& service,
+    bool (*wanted)(const world::Member&)) const {
+  std::vector<const world::Member*> selected;
   const auto found = by_service_.find(service);
   if (found == by_service_.end()) {
-    return targets;
+    return selected;
   }
   for (const NodeId& id : found->second) {
     const world::Member& member = members_.at(id);
-    if (world::IsServing(member)) {
-      targets.push_back(&member);
+    if (wanted(member)) {
+      selected.push_back(&member);
     }
   }
-  return targets;
+  return selected;
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -36,8 +36,14 @@
   const world::Member* Find(const NodeId& id) const;
   /// Returns the members that currently accept requests of `service`.
   std::vector<const world::Member*> Targets(const ServiceName& service) const;
+  /// Returns the live members with a target of `service` in any state.
+  std::vector<const world::Member*> Gates(const ServiceName& service) const;
 
  private:
+  std::vector<const world::Member*> Select(
+      const ServiceName& service,
+      bool (*wanted)(const world::Member&)) const;
+
   std::shared_ptr<const world::Fleet> fleet_;
   Revision revision_;
   std::function<bool()> lease_held_;
--- a/src/dataplane/gate_client.h
+++ b/src/dataplane/gate_client.h
@@ -42,12 +42,12 @@
       peers_.Send(attempt.gate, attempt.link, message);
     }
   }
-  /// Sends `message` to the gates of all other targets of `service`. Returns
-  /// how many gates that is.
+  /// Sends `message` to the gates of all other targets of `service`, whatever
+  /// the state of the target. Returns how many gates that is.
   template <typename Message>
   size_t Broadcast(const ServiceName& service, const Message& message) {
     size_t gates = 0;
-    for (const world::Member* member : view_.Targets(service)) {
+    for (const world::Member* member : view_.Gates(service)) {
       if (member->id != settings_.id) {
         const auto link = peers_.GetOrOpenLink(member->id);
         peers_.Send(member->id, link.value_or(0), message);
--- a/src/world/member.cc
+++ b/src/world/member.cc
@@ -34,15 +34,17 @@
   return "invalid";
 }
 
+bool IsRunning(const Member& member) {
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
 bool IsLiveKeeper(const Member& member) {
-  return !member.control.ip.empty() && (member.state == MemberState::kAlive ||
-                                        member.state == MemberState::kSuspect);
+  return !member.control.ip.empty() && IsRunning(member);
 }
 
 bool IsServing(const Member& member) {
-  return (member.state == MemberState::kAlive ||
-          member.state == MemberState::kSuspect) &&
-         member.target == TargetState::kReady;
+  return IsRunning(member) && member.target == TargetState::kReady;
 }
 
 }  // namespace ibisvalve::world
--- a/src/world/member.h
+++ b/src/world/member.h
@@ -71,6 +71,10 @@
 /// Returns whether `member` is a keeper that is alive or suspect.
 bool IsLiveKeeper(const Member& member);
 
+/// Returns whether the process of `member` runs, as far as is known: it is
+/// alive or suspect.
+bool IsRunning(const Member& member);
+
 /// Returns whether `member` is alive or suspect and its target is ready for new
 /// requests.
 bool IsServing(const Member& member);
