Make every node know of crashes, and pass them on with each attempt

Cause: what is known of crashes lived in the gates that were members, reachable and running when the one notice went out. Nothing told it again, and an ingress never knew. Class: replicated state that is pushed once, with nothing that makes replicas equal.

Change: - The crash records belong to the node, ingress and gate share them. An ingress refuses a quarantined request at once instead of asking a gate. - An attempt carries what its ingress knows of its request, a failure or refusal what the gate knows. So no retry can overtake the news, whichever links work. - Each node compares its quarantined requests with one peer a second, one after the other, and both take what they lack (CrashSync). A node that has just started asks every 50 ms until a peer has replied. - Records merge in any order and number: a crash and its clearing are never taken back. - A request is identified with the host or service that it names, as the records are not those of one service any longer. Ids, caller and node stay out of it. - A lifted quarantine is told to all nodes, not only to gates.

Ruled out: keepers as holders of the records (a restart of all nodes at once still forgets them; two more crashes); gossip, whose datagrams have no order relative to the attempts; notices to all nodes of the fleet at each crash (n links a crash).

QuarantineTest.MergedRecordsAgree is new with Merge.

--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -106,6 +106,10 @@
     return std::nullopt;
   }
   parsed_.fingerprint = FingerprintOf(request_);
+  parsed_.crash_key =
+      DigestOf((fleet_.routes.empty() ? parsed_.service->name.value
+                                      : HostOf(request_.headers)) +
+               '\n' + ToHex(parsed_.fingerprint));
   return parsed_;
 }
 
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "dataplane/node_plane.h"
@@ -10,35 +11,51 @@
 
 namespace ibisvalve::dataplane {
 
-/// Tracks the requests that crashed targets of the local target's service, at
-/// this gate and at the service's other gates, and quarantines those that were
-/// in flight at repeated crashes.
+/// Tracks the requests that were in flight at crashes of targets, as far as
+/// this node knows, and quarantines those that were in flight at repeated ones.
+/// Shared by the ingress and the gate of the node. Runs on the event loop.
 class CrashTracker {
  public:
   using SendNotice = std::function<void(const wire::CrashNotice& notice)>;
 
   /// Creates a tracker without suspects. `send_notice` sends a notice to the
-  /// other gates of the service.
+  /// other gates of the local target's service.
   CrashTracker(net::EventLoop& loop,
                const PlaneSettings& settings,
                SendNotice send_notice);
 
-  /// Records that the target broke the connection while it ran the request
-  /// `fingerprint`. Notifies the other gates first, so that the notice precedes
-  /// any retry that the ingress sends to one of them.
-  void OnCrashDuringRun(Digest fingerprint);
+  /// Records that the local target broke the connection while it ran the
+  /// request `request`. Notifies the other gates first, so that the notice
+  /// precedes any retry that the ingress sends to one of them.
+  void OnCrashDuringRun(Digest request);
   /// Records that a run of the request ended with a complete response.
-  void OnResponse(Digest fingerprint);
-  /// Records a crash that another gate reported.
-  void OnCrashNotice(const wire::CrashNotice& notice);
+  void OnResponse(Digest request);
+  /// Adds what another node knows of a request.
+  void Learn(const world::CrashRecord& record);
+  /// Adds what another node knows of several requests.
+  void OnNotice(const wire::CrashNotice& notice);
+  /// Returns the crashes at which the request was in flight.
+  world::CrashRecord Find(Digest request) const;
   /// Returns whether the request must be refused.
-  bool IsQuarantined(Digest fingerprint) const;
+  bool IsQuarantined(Digest request) const;
   /// Lifts the quarantine of a request; returns false if it has none.
-  bool Lift(Digest fingerprint);
+  bool Lift(Digest request);
   /// Returns the quarantined requests, for the operators' page.
   std::vector<policy::QuarantineEntry> List() const;
 
+  /// Returns the digest of the records that nodes exchange regularly.
+  Digest SyncDigest() const;
+  /// Returns these records.
+  wire::CrashNotice SyncRecords() const;
+  /// Returns the reply to a peer that compares its records with this node's.
+  wire::CrashSyncReply ReplyTo(const wire::CrashSync& sync) const;
+  /// Adds the records of a peer, and returns those that the peer lacks.
+  wire::CrashNotice OnSyncReply(const wire::CrashSyncReply& reply);
+
  private:
+  void Log(const policy::CrashEffect& effect,
+           const world::CrashRecord& cause) const;
+
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
   SendNotice send_notice_;
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -34,6 +34,8 @@
   bool MayServe(world::Repeat repeat) const;
   /// Returns the member `id`, or null. Valid until the next SetMember call.
   const world::Member* Find(const NodeId& id) const;
+  /// Returns all members that were ever announced, by id.
+  const std::map<NodeId, world::Member>& members() const { return members_; }
   /// Returns the members that currently accept requests of `service`.
   std::vector<const world::Member*> Targets(const ServiceName& service) const;
   /// Returns the live members with a target of `service` in any state.
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -53,6 +53,7 @@
            const FleetView& view,
            ClaimPort& claims,
            MemoryBudget& memory,
+           CrashTracker& crashes,
            Handlers handlers)
     : loop_(loop),
       settings_(settings),
@@ -60,7 +61,7 @@
       claims_(claims),
       memory_(memory),
       handlers_(std::move(handlers)),
-      crashes_(loop, settings, handlers_.on_crash),
+      crashes_(crashes),
       admission_(MakeAdmissionSettings(view,
                                        settings.service,
                                        settings.slots,
@@ -100,9 +101,14 @@
   if (open.gate != settings_.incarnation) {
     // The frame is addressed to another incarnation of this gate, which cannot
     // have received it, so the attempt has not run.
-    port.send(wire::AttemptFailed{open.id, Outcome::kNotRun,
-                                  Reason::kGateRestarted, view_.revision(),
-                                  Hint(), std::nullopt, 0});
+    port.send(wire::AttemptFailed{open.id,
+                                  Outcome::kNotRun,
+                                  Reason::kGateRestarted,
+                                  view_.revision(),
+                                  Hint(),
+                                  std::nullopt,
+                                  0,
+                                  {}});
     return;
   }
   const AttemptPhase phase = attempt_table_.Open(open.id);
@@ -118,7 +124,8 @@
     Refuse(open, port, *reason);
     return;
   }
-  if (crashes_.IsQuarantined(open.fingerprint)) {
+  crashes_.Learn(open.crashes);
+  if (crashes_.IsQuarantined(open.crashes.request)) {
     Refuse(open, port, Reason::kQuarantined);
     return;
   }
@@ -180,7 +187,7 @@
   attempt_table_.Finish(open.id, finished, false);
   Count(finished);
   LogAdmissionDecision(kAttemptRefused, open, reason, LogContext());
-  Send(finished, open.id, port);
+  Send(finished, open.id, port, crashes_.Find(open.crashes.request));
 }
 
 void Gate::AddBody(const wire::BodyPart& part) {
@@ -242,9 +249,14 @@
 
 void Gate::Query(const wire::QueryAttempt& query, const ReplyPort& port) {
   if (query.gate != settings_.incarnation) {
-    port.send(wire::AttemptFailed{query.reply_as, Outcome::kUnknown,
-                                  Reason::kGateRestarted, view_.revision(),
-                                  Hint(), std::nullopt, 0});
+    port.send(wire::AttemptFailed{query.reply_as,
+                                  Outcome::kUnknown,
+                                  Reason::kGateRestarted,
+                                  view_.revision(),
+                                  Hint(),
+                                  std::nullopt,
+                                  0,
+                                  {}});
     return;
   }
   const AttemptPhase phase = attempt_table_.Query(query.id);
@@ -356,8 +368,10 @@
 
 void Gate::Send(const FinishedAttempt& finished,
                 const AttemptId& reply_as,
-                const ReplyPort& port) const {
-  SendAttemptResult(finished, reply_as, port, view_.revision(), Hint());
+                const ReplyPort& port,
+                const world::CrashRecord& crashes) const {
+  SendAttemptResult(finished, reply_as, port, view_.revision(), Hint(),
+                    crashes);
 }
 
 void Gate::Admit(GateAttempt& attempt) {
@@ -444,9 +458,14 @@
       break;
     case wire::ClaimVerdict::kTaken:
       if (attempt->port.send) {
-        attempt->port.send(wire::AttemptFailed{
-            id, Outcome::kNotRun, Reason::kKeyClaimed, view_.revision(), Hint(),
-            reply.holder, reply.status});
+        attempt->port.send(wire::AttemptFailed{id,
+                                               Outcome::kNotRun,
+                                               Reason::kKeyClaimed,
+                                               view_.revision(),
+                                               Hint(),
+                                               reply.holder,
+                                               reply.status,
+                                               {}});
         attempt->port.send = nullptr;
       }
       Fail(*attempt, Outcome::kNotRun, Reason::kKeyClaimed);
@@ -632,7 +651,7 @@
   }
   const uint16_t status = attempt->response->status();
   attempt->response->OnEnd(Hint());
-  crashes_.OnResponse(attempt->open.fingerprint);
+  crashes_.OnResponse(attempt->open.crashes.request);
   ReleaseSlot(*attempt, status,
               status >= kFirstServerError ? policy::RunResult::kFailed
                                           : policy::RunResult::kSucceeded);
@@ -676,7 +695,7 @@
     return;
   }
   if (reached) {
-    crashes_.OnCrashDuringRun(attempt->open.fingerprint);
+    crashes_.OnCrashDuringRun(attempt->open.crashes.request);
   }
   Fail(*attempt, reached ? Outcome::kUnknown : Outcome::kNotRun,
        reached ? Reason::kTargetBroke : Reason::kTargetDown);
@@ -700,7 +719,8 @@
 void Gate::Fail(GateAttempt& attempt, Outcome outcome, Reason reason) {
   const FinishedAttempt finished{outcome, reason, 0, nullptr};
   if (attempt.port.send) {
-    Send(finished, attempt.open.id, attempt.port);
+    Send(finished, attempt.open.id, attempt.port,
+         crashes_.Find(attempt.open.crashes.request));
   }
   for (const ResponseFollower& follower : attempt.followers) {
     Send(finished, follower.reply_as, follower.port);
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -54,9 +54,6 @@
     std::function<void()> on_target_replaced;
     /// Called when the target says that it leaves.
     std::function<void()> on_target_leaves;
-    /// Called when the target broke the connection during a run, to notify the
-    /// other gates of its service.
-    std::function<void(const wire::CrashNotice& notice)> on_crash;
   };
 
   /// Creates the gate. All references must outlive it.
@@ -65,6 +62,7 @@
        const FleetView& view,
        ClaimPort& claims,
        MemoryBudget& memory,
+       CrashTracker& crashes,
        Handlers handlers);
   ~Gate();
   Gate(const Gate&) = delete;
@@ -124,7 +122,8 @@
                       const ReplyPort& port);
   void Send(const claims::FinishedAttempt& finished,
             const AttemptId& reply_as,
-            const ReplyPort& port) const;
+            const ReplyPort& port,
+            const world::CrashRecord& crashes = {}) const;
   void ReceiveBody(GateAttempt& attempt);
   policy::AdmissionTerms AdmissionTermsOf(const GateAttempt& attempt,
                                           Duration expected) const;
@@ -167,7 +166,7 @@
   KeyClaims claims_;
   MemoryBudget& memory_;
   Handlers handlers_;
-  CrashTracker crashes_;
+  CrashTracker& crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
   std::string target_identity_;
   TargetNotice target_notice_;  // in the latest response of the target
--- a/src/dataplane/gate_client.h
+++ b/src/dataplane/gate_client.h
@@ -49,20 +49,32 @@
     size_t gates = 0;
     for (const world::Member* member : view_.Gates(service)) {
       if (member->id != settings_.id) {
-        const auto link = peers_.GetOrOpenLink(member->id);
-        peers_.Send(member->id, link.value_or(0), message);
+        SendToPeer(member->id, message);
         ++gates;
       }
     }
     return gates;
   }
-  const PeerTable& peers() const { return peers_; }
-  /// Requests the active configuration file of `peer`.
-  void FetchFile(const NodeId& peer) {
+  /// Sends `message` to all other nodes that run.
+  template <typename Message>
+  void BroadcastToAll(const Message& message) {
+    for (const auto& [id, member] : view_.members()) {
+      if (id != settings_.id && world::IsRunning(member) &&
+          !member.mesh.ip.empty()) {
+        SendToPeer(id, message);
+      }
+    }
+  }
+  /// Sends `message` to the gate of `peer`, if it is a known member.
+  template <typename Message>
+  void SendToPeer(const NodeId& peer, const Message& message) {
     if (const auto link = peers_.GetOrOpenLink(peer)) {
-      peers_.Send(peer, *link, wire::FetchFile{});
+      peers_.Send(peer, *link, message);
     }
   }
+  const PeerTable& peers() const { return peers_; }
+  /// Requests the active configuration file of `peer`.
+  void FetchFile(const NodeId& peer) { SendToPeer(peer, wire::FetchFile{}); }
 
  private:
   void SendLocal(const wire::OpenAttempt& message);
--- a/src/dataplane/gate_frames.cc
+++ b/src/dataplane/gate_frames.cc
@@ -39,7 +39,8 @@
                        const AttemptId& reply_as,
                        const ReplyPort& port,
                        Revision revision,
-                       const wire::LoadHint& hint) {
+                       const wire::LoadHint& hint,
+                       const world::CrashRecord& crashes) {
   const bool answered = finished.outcome == Outcome::kAnswered;
   if (answered && finished.response != nullptr) {
     ResponseSender sender(reply_as, port.send);
@@ -51,10 +52,10 @@
   }
   // The response is no longer stored and cannot be sent again. The attempt ran,
   // so its outcome is reported as unknown, with the status of its run.
-  port.send(wire::AttemptFailed{reply_as,
-                                answered ? Outcome::kUnknown : finished.outcome,
-                                answered ? Reason::kLinkLost : finished.reason,
-                                revision, hint, std::nullopt, finished.status});
+  port.send(wire::AttemptFailed{
+      reply_as, answered ? Outcome::kUnknown : finished.outcome,
+      answered ? Reason::kLinkLost : finished.reason, revision, hint,
+      std::nullopt, finished.status, crashes.crashes});
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -17,11 +17,13 @@
                             Time now);
 
 /// Sends the result of a finished attempt to `port`, in frames that carry the
-/// id `reply_as`: the stored response, or AttemptFailed if there is none.
+/// id `reply_as`: the stored response, or AttemptFailed with the `crashes` of
+/// the request if there is none.
 void SendAttemptResult(const claims::FinishedAttempt& finished,
                        const AttemptId& reply_as,
                        const ReplyPort& port,
                        Revision revision,
-                       const wire::LoadHint& hint);
+                       const wire::LoadHint& hint,
+                       const world::CrashRecord& crashes);
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -50,11 +50,13 @@
                  const FleetView& view,
                  Gate& gate,
                  MemoryBudget& memory,
+                 CrashTracker& crashes,
                  const PlaneHandlers& handlers)
     : loop_(loop),
       settings_(settings),
       view_(view),
       memory_(memory),
+      crashes_(crashes),
       handlers_(handlers),
       node_digest_(DigestOf(settings.id.value)),
       refused_callers_(kMaxRefusedCallers),
@@ -84,7 +86,11 @@
                 if (handlers_.on_file) {
                   handlers_.on_file(file);
                 }
+              },
+              [this](const NodeId& peer, const wire::CrashSyncReply& reply) {
+                crash_sync_.OnReply(peer, reply);
               }}),
+      crash_sync_(loop, settings, view, crashes, gates_),
       recovery_(loop,
                 attempts_,
                 gates_,
@@ -113,6 +119,10 @@
   } else if (!view_.MayServe(terms->terms.repeat)) {
     RejectRequest(exchange, {Reason::kIsolated, "no keeper confirms the file"},
                   terms->service->name);
+  } else if (crashes_.IsQuarantined(terms->crash_key)) {
+    RejectRequest(exchange,
+                  {Reason::kQuarantined, "the request has crashed targets"},
+                  terms->service->name);
   } else {
     Accept(exchange, *terms);
   }
@@ -268,6 +278,7 @@
   request->tried.insert(choice->gate);
   wire::OpenAttempt open = MakeOpenAttempt(*request, attempt, settings_,
                                            view_.revision(), loop_.Now());
+  open.crashes = crashes_.Find(request->terms.crash_key);
   open.may_redirect = choice->has_alternative &&
                       request->attempts_made <= kMaxAttemptsWithRedirect;
   LogSent(*request, attempt, settings_.names, view_.revision(),
@@ -410,6 +421,7 @@
   const IngressAttempt& attempt = *found.attempt;
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
   OnNewerRevision(attempt.gate, failed.revision);
+  crashes_.Learn({found.request->terms.crash_key, failed.crashes});
   if (failed.claimed_status != 0) {
     found.request->first_status = failed.claimed_status;
   }
@@ -494,6 +506,7 @@
        request->terms.max_attempts});
   if (now >= request->deadline ||
       request->broken_targets >= kMaxBrokenTargets ||
+      crashes_.IsQuarantined(request->terms.crash_key) ||
       (rule == RetryRule::kBudgeted &&
        !PolicyOf(*request).retries.TryTake(now))) {
     rule = RetryRule::kNever;
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -9,6 +9,8 @@
 
 #include "dataplane/attempt_index.h"
 #include "dataplane/candidate_table.h"
+#include "dataplane/crash_sync.h"
+#include "dataplane/crash_tracker.h"
 #include "dataplane/gate.h"
 #include "dataplane/gate_client.h"
 #include "dataplane/link_recovery.h"
@@ -42,6 +44,7 @@
           const FleetView& view,
           Gate& gate,
           MemoryBudget& memory,
+          CrashTracker& crashes,
           const PlaneHandlers& handlers);
   ~Ingress();
   Ingress(const Ingress&) = delete;
@@ -118,12 +121,14 @@
   const PlaneSettings& settings_;
   const FleetView& view_;
   MemoryBudget& memory_;
+  CrashTracker& crashes_;
   const PlaneHandlers& handlers_;
   Digest node_digest_;  // of this node's id; part of each AttemptId
   policy::RefusedCallers refused_callers_;
   CandidateTable candidates_;
   ServicePolicies policies_;
   GateClient gates_;
+  CrashSync crash_sync_;
   uint64_t next_request_ = 0;
   uint64_t next_attempt_ = 0;
   std::unordered_map<uint64_t, RequestPtr> requests_;
--- a/src/dataplane/mesh_link.cc
+++ b/src/dataplane/mesh_link.cc
@@ -85,6 +85,9 @@
     case wire::ActiveFile::kType:
       handlers_.on_file(wire::Decode<wire::ActiveFile>(payload));
       return;
+    case wire::CrashSyncReply::kType:
+      handlers_.on_crash_sync(wire::Decode<wire::CrashSyncReply>(payload));
+      return;
     case wire::Pong::kType:
       OnPong(wire::Decode<wire::Pong>(payload));
       return;
--- a/src/dataplane/mesh_link.h
+++ b/src/dataplane/mesh_link.h
@@ -31,6 +31,7 @@
     std::function<void(const wire::Pong& pong)> on_pong;
     std::function<void(const wire::LoadHint& hint)> on_load;
     std::function<void(const wire::ActiveFile& file)> on_file;
+    std::function<void(const wire::CrashSyncReply& reply)> on_crash_sync;
     /// Called once when the link is closed or has been silent for too long.
     /// Must destroy the link. `why` is for logs.
     std::function<void(LinkFailure failure, const std::string& why)> on_failed;
--- a/src/dataplane/mesh_server.cc
+++ b/src/dataplane/mesh_server.cc
@@ -84,7 +84,11 @@
                   ReplyPortFor(number));
       return;
     case wire::CrashNotice::kType:
-      gate_.crashes().OnCrashNotice(wire::Decode<wire::CrashNotice>(payload));
+      gate_.crashes().OnNotice(wire::Decode<wire::CrashNotice>(payload));
+      return;
+    case wire::CrashSync::kType:
+      link.frames->Send(
+          gate_.crashes().ReplyTo(wire::Decode<wire::CrashSync>(payload)));
       return;
     case wire::LiftNotice::kType:
       gate_.crashes().Lift(wire::Decode<wire::LiftNotice>(payload).fingerprint);
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dataplane/caller_server.h"
+#include "dataplane/crash_tracker.h"
 #include "dataplane/events.h"
 #include "dataplane/gate.h"
 #include "dataplane/ingress.h"
@@ -63,6 +64,7 @@
   std::optional<world::TargetState> reported_state_;
   uint32_t reported_slots_ = 0;
   std::function<void()> on_stopped_;  // null unless a stop is in progress
+  CrashTracker crashes_;
   Gate gate_;
   Ingress ingress_;
   MeshServer mesh_;
@@ -86,11 +88,21 @@
       claims_(std::move(claims)),
       handlers_(std::move(handlers)),
       memory_(settings.body_memory),
+      crashes_(loop,
+               settings_,
+               [this](const wire::CrashNotice& notice) {
+                 const size_t told =
+                     ingress_.gates().Broadcast(settings_.service, notice);
+                 LogEvent(kCrashReported,
+                          {{"requests", uint64_t{notice.records.size()}},
+                           {"gates_told", uint64_t{told}}});
+               }),
       gate_(loop,
             settings_,
             view,
             claims_,
             memory_,
+            crashes_,
             {[this](Revision seen) {
                if (handlers_.on_newer_revision) {
                  handlers_.on_newer_revision(seen);
@@ -99,16 +111,8 @@
              [this] { monitor_.OnRequestFailure(); },
              [this] { mesh_.Broadcast(wire::LoadNotice{gate_.Hint()}); },
              [this] { monitor_.OnTargetReplaced(); },
-             [this] { monitor_.OnTargetLeaves(); },
-             [this](const wire::CrashNotice& notice) {
-               const size_t told =
-                   ingress_.gates().Broadcast(settings_.service, notice);
-               LogEvent(kCrashReported,
-                        {{"crash", notice.number},
-                         {"requests", uint64_t{notice.in_flight.size()}},
-                         {"gates_told", uint64_t{told}}});
-             }}),
-      ingress_(loop, settings_, view, gate_, memory_, handlers_),
+             [this] { monitor_.OnTargetLeaves(); }}),
+      ingress_(loop, settings_, view, gate_, memory_, crashes_, handlers_),
       mesh_(loop, settings_, view, gate_, handlers_.present_file),
       callers_(loop,
                settings_.callers,
@@ -178,11 +182,10 @@
   actions.announce = [this](const TargetAnnouncement& announcement) {
     Announce(announcement);
   };
-  actions.quarantined = [this] { return gate_.crashes().List(); };
+  actions.quarantined = [this] { return crashes_.List(); };
   actions.lift = [this](Digest fingerprint) {
-    ingress_.gates().Broadcast(settings_.service,
-                               wire::LiftNotice{fingerprint});
-    return gate_.crashes().Lift(fingerprint);
+    ingress_.gates().BroadcastToAll(wire::LiftNotice{fingerprint});
+    return crashes_.Lift(fingerprint);
   };
   actions.status = [this] { return StatusJson(); };
   actions.now = [this] { return loop_.Now(); };
@@ -251,6 +254,8 @@
       static_cast<double>(monitor_.checks()), true);
   Add(out, "ibis_measuring_load_probes_total",
       static_cast<double>(gate_.probes()), true);
+  Add(out, "ibis_quarantined_requests",
+      static_cast<double>(crashes_.List().size()), false);
   Add(out, "ibis_body_memory_bytes", static_cast<double>(memory_.used()),
       false);
 }
--- a/src/dataplane/peer_table.cc
+++ b/src/dataplane/peer_table.cc
@@ -131,6 +131,9 @@
   handlers.on_file = [this](const wire::ActiveFile& file) {
     handlers_.on_file(file);
   };
+  handlers.on_crash_sync = [this, gate](const wire::CrashSyncReply& reply) {
+    handlers_.on_crash_sync(gate, reply);
+  };
   handlers.on_failed = [this, gate, number](LinkFailure failure,
                                             const std::string& why) {
     OnLinkFailed(gate, number, failure, why);
--- a/src/dataplane/peer_table.h
+++ b/src/dataplane/peer_table.h
@@ -30,6 +30,9 @@
     std::function<void(const NodeId& gate, Revision seen)> on_newer_revision;
     /// Called when a peer has sent its active configuration file.
     std::function<void(const wire::ActiveFile& file)> on_file;
+    /// Called when `gate` has replied to CrashSync.
+    std::function<void(const NodeId& gate, const wire::CrashSyncReply& reply)>
+        on_crash_sync;
   };
 
   /// All references must outlive the table.
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "world/world.h"
 
 namespace ibisvalve::policy {
 
@@ -21,15 +22,6 @@
   auto operator<=>(const QuarantineSettings&) const = default;
 };
 
-/// Identifies a crash of a target across all nodes.
-struct CrashId {
-  NodeId gate;
-  Incarnation incarnation;  // of the gate
-  uint64_t number = 0;      // sequence number at the gate
-
-  auto operator<=>(const CrashId&) const = default;
-};
-
 /// Classification of a request by its fingerprint.
 enum class Verdict : uint8_t {
   kClear,
@@ -42,6 +34,7 @@
   bool already_known = false;     // nothing: the report repeats an earlier one
   std::vector<Digest> suspected;  // requests that became suspects
   std::vector<Digest> quarantined;  // requests that were quarantined
+  std::vector<Digest> released;     // requests that are quarantined no longer
 
   auto operator<=>(const CrashEffect&) const = default;
 };
@@ -58,7 +51,9 @@
 /// Detects requests that crash targets. Each request in flight at a crash
 /// becomes a suspect and is quarantined after `crash_threshold` of them. A
 /// complete response clears a suspect, so that a frequent but harmless request
-/// is not quarantined.
+/// is not quarantined. Records of several nodes can be merged in any order and
+/// any number of times: a crash, and that a request is cleared of it, is never
+/// taken back.
 class Quarantine {
  public:
   explicit Quarantine(const QuarantineSettings& settings = {});
@@ -66,9 +61,17 @@
   /// Records that the requests `in_flight` were running when a target crashed.
   /// One crash may be reported several times, with other requests each time;
   /// it counts once for each request. Returns what it changed.
-  CrashEffect OnCrash(const CrashId& crash,
+  CrashEffect OnCrash(const world::CrashId& crash,
                       const std::vector<Digest>& in_flight,
                       Time now);
+  /// Adds what another node knows of a request. Returns what it changed.
+  CrashEffect Merge(const world::CrashRecord& record, Time now);
+  /// Returns the crashes at which the request was in flight.
+  world::CrashRecord Find(Digest fingerprint, Time now) const;
+  /// Returns the records of requests that are or were quarantined, at most
+  /// `max_records`, those that expire last first.
+  std::vector<world::CrashRecord> QuarantineRecords(size_t max_records,
+                                                    Time now) const;
   /// Records that a run of the request ended with a complete response.
   void OnAnswer(Digest fingerprint, Time now);
   /// Returns the classification of the request.
@@ -87,12 +90,18 @@
     // crash. Kept, so that a repeated report does not count again.
     bool cleared = false;
   };
-  using Record = std::map<CrashId, Crash>;
+  using Record = std::map<world::CrashId, Crash>;
 
+  CrashEffect Add(Digest fingerprint,
+                  const world::CrashId& id,
+                  const Crash& crash);
   uint32_t CountCrashes(const Record& record) const;
   bool IsQuarantined(const Record& record) const;
   Time ExpiryOf(const Record& record) const;
-  void DropOldestCrash(Record& record) const;
+  static void DropOldestCrash(Record& record);
+  static world::CrashRecord ToRecord(Digest fingerprint,
+                                     const Record& record,
+                                     Time now);
   void EvictExpired(Time now);
 
   QuarantineSettings settings_;
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -75,13 +75,16 @@
   uint32_t priority = 0;      // 0 is the highest priority
   bool may_redirect = false;  // another target is nearly as good
   uint64_t sent_us = 0;       // by the sender's BootMicros
+  // Identifies the request in reports of crashes, with those that the ingress
+  // knows.
+  world::CrashRecord crashes;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
             body_complete, caller, objective_us, expected_us, priority,
-            may_redirect, sent_us);
+            may_redirect, sent_us, crashes);
   }
 };
 
@@ -155,10 +158,13 @@
   std::optional<ClaimHolder> holder;  // set with kKeyClaimed
   // With kKeyClaimed, the HTTP status of the holder's run; 0: unknown.
   uint16_t claimed_status = 0;
+  // Crashes of targets at which the request was in flight, known at the gate.
+  std::vector<world::KnownCrash> crashes;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, outcome, reason, revision, hint, holder, claimed_status);
+    archive(id, outcome, reason, revision, hint, holder, claimed_status,
+            crashes);
   }
 };
 
@@ -212,18 +218,38 @@
   }
 };
 
-/// Reports to the other gates of a service that a target crashed while these
-/// requests were in flight.
+/// Tells what the sender knows of crashes of targets.
 struct CrashNotice {
   static constexpr FrameType kType = 13;
-  NodeId gate;
-  Incarnation incarnation;        // of the gate
-  uint64_t number = 0;            // sequence number of the crash at the gate
-  std::vector<Digest> in_flight;  // fingerprints of the requests
+  std::vector<world::CrashRecord> records;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(gate, incarnation, number, in_flight);
+    archive(records);
+  }
+};
+
+/// Compares the records of quarantined requests of two nodes. The reply is
+/// CrashSyncReply.
+struct CrashSync {
+  static constexpr FrameType kType = 18;
+  Digest digest;  // of the sender's records
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(digest);
+  }
+};
+
+/// Reply to CrashSync.
+struct CrashSyncReply {
+  static constexpr FrameType kType = 19;
+  Digest digest;                            // of the replier's records
+  std::vector<world::CrashRecord> records;  // empty if the digests are equal
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(digest, records);
   }
 };
 
--- /dev/null
+++ b/src/world/crash.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "base/base.h"
+
+namespace ibisvalve::world {
+
+/// Identifies a crash of a target across all nodes.
+struct CrashId {
+  NodeId gate;              // of the target
+  Incarnation incarnation;  // of the gate
+  // Sequence number at the gate; 0 if the gate has ended with its target.
+  uint64_t number = 0;
+
+  auto operator<=>(const CrashId&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(gate, incarnation, number);
+  }
+};
+
+/// A crash at which some request was in flight, as nodes tell it each other.
+struct KnownCrash {
+  CrashId id;
+  uint64_t age_us = 0;  // time since the crash
+  // Whether a later response or an operator has cleared the request of it.
+  bool cleared = false;
+
+  auto operator<=>(const KnownCrash&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, age_us, cleared);
+  }
+};
+
+/// The crashes at which one request was in flight.
+struct CrashRecord {
+  Digest request;
+  std::vector<KnownCrash> crashes;
+
+  auto operator<=>(const CrashRecord&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(request, crashes);
+  }
+};
+
+}  // namespace ibisvalve::world
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -103,7 +103,7 @@
   }
 }
 
-CrashId MakeCrashId(uint64_t number) {
+world::CrashId MakeCrashId(uint64_t number) {
   return {MakeNodeId(static_cast<int>(number)), Incarnation(1), number};
 }
 
@@ -115,7 +115,7 @@
                   .quarantined.empty());
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kSuspect);
   EXPECT_EQ(quarantine.OnCrash(MakeCrashId(2), {poison, Digest(3)}, kStart),
-            (CrashEffect{false, {Digest(3)}, {poison}}));
+            (CrashEffect{false, {Digest(3)}, {poison}, {}}));
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
   EXPECT_EQ(quarantine.Check(harmless, kStart), Verdict::kSuspect);
   EXPECT_EQ(quarantine.Check(Digest(4), kStart), Verdict::kClear);
@@ -148,6 +148,34 @@
   EXPECT_EQ(quarantine.Check(Digest(101), kStart), Verdict::kSuspect);
 }
 
+// Guards against nodes that do not agree after they have told each other what
+// they know, in whichever order.
+TEST(QuarantineTest, MergedRecordsAgree) {
+  const Digest poison(1);
+  const Digest lifted(2);
+  Quarantine first;
+  Quarantine second;
+  first.OnCrash(MakeCrashId(1), {poison, lifted}, kStart);
+  first.OnCrash(MakeCrashId(2), {lifted}, kStart);
+  second.Merge(first.Find(lifted, kStart), kStart);
+  EXPECT_TRUE(first.Lift(lifted, kStart));
+  second.OnCrash(MakeCrashId(3), {poison}, kStart);
+  const Time later = kStart + std::chrono::seconds(5);
+  EXPECT_EQ(first.Merge(second.Find(poison, later), later).quarantined,
+            (std::vector<Digest>{poison}));
+  EXPECT_EQ(second.Merge(first.Find(lifted, later), later).released,
+            (std::vector<Digest>{lifted}));
+  second.Merge(first.Find(poison, later), later);
+  EXPECT_TRUE(first.Merge(second.Find(lifted, later), later).already_known);
+  for (const Digest& request : {poison, lifted}) {
+    EXPECT_EQ(first.Find(request, later), second.Find(request, later));
+  }
+  EXPECT_EQ(second.Check(poison, later), Verdict::kQuarantined);
+  EXPECT_EQ(second.Check(lifted, later), Verdict::kClear);
+  EXPECT_EQ(second.QuarantineRecords(10, later).size(), 2U);
+  EXPECT_TRUE(second.QuarantineRecords(10, kStart + minutes(10)).empty());
+}
+
 TEST(QuarantineTest, ClearsASuspectAfterACompleteResponse) {
   Quarantine quarantine;
   const Digest frequent(1);
