Clear a request of crashes at every node once a target has answered it

What callers saw: a popular lookup that was in flight beside a request that crashes targets got 503 for ten minutes, from all nodes.

Cause: a response cleared a suspect only at the gate that had it, and never ended a quarantine. A popular request is in flight at each crash; two crashes in a row, or several targets that end at once, quarantined it before any response was counted, and its other runs, which went on well, were ignored. Class: evidence against is shared, evidence for is not.

Change: a complete response below 500 clears a request of all crashes known so far, quarantined or not. The gate tells the other gates, the ingress that gets the response clears its own record, and CrashSync spreads it like crashes. Crashes after it count anew. A 5xx does not clear: the run may have failed because of a crash.

Ruled out: clearing only requests that were not alone at a crash; where several targets end at once a popular request can be alone at each.

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -38,8 +38,27 @@
   send_notice_({{Find(request)}});
 }
 
-void CrashTracker::OnResponse(Digest request) {
-  quarantine_.OnAnswer(request, loop_.Now());
+void CrashTracker::OnResponse(Digest request, uint16_t status) {
+  if (Clear(request, status)) {
+    send_notice_({{Find(request)}});
+  }
+}
+
+void CrashTracker::OnRemoteResponse(Digest request, uint16_t status) {
+  Clear(request, status);
+}
+
+// Clears the request of its crashes if the response shows that it is harmless.
+// Returns whether that changed anything.
+bool CrashTracker::Clear(Digest request, uint16_t status) {
+  constexpr uint16_t kFirstServerError = 500;
+  if (status >= kFirstServerError ||
+      !quarantine_.OnAnswer(request, loop_.Now())) {
+    return false;
+  }
+  LogEvent(policy::kSuspectCleared,
+           {{"fingerprint", ToHex(request)}, {"status", uint64_t{status}}});
+  return true;
 }
 
 void CrashTracker::Learn(const world::CrashRecord& record) {
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -28,8 +28,13 @@
   /// request `request`. Notifies the other gates first, so that the notice
   /// precedes any retry that the ingress sends to one of them.
   void OnCrashDuringRun(Digest request);
-  /// Records that a run of the request ended with a complete response.
-  void OnResponse(Digest request);
+  /// Records that the local target has answered the request completely, and
+  /// tells the other gates if that clears it. An error of the target (5xx) does
+  /// not, as a run that failed may have done so because of a crash.
+  void OnResponse(Digest request, uint16_t status);
+  /// Records that the target of another node has answered a request of this
+  /// node's ingress completely.
+  void OnRemoteResponse(Digest request, uint16_t status);
   /// Adds what another node knows of a request.
   void Learn(const world::CrashRecord& record);
   /// Adds what another node knows of several requests.
@@ -53,6 +58,7 @@
   wire::CrashNotice OnSyncReply(const wire::CrashSyncReply& reply);
 
  private:
+  bool Clear(Digest request, uint16_t status);
   void Log(const policy::CrashEffect& effect,
            const world::CrashRecord& cause) const;
 
--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -24,8 +24,7 @@
 inline constexpr EventCode kTargetLimit{1511, Severity::kInfo, "target_limit"};
 inline constexpr EventCode kTargetLeaves{1512, Severity::kInfo,
                                          "target_leaves"};
-inline constexpr EventCode kCrashReported{1513, Severity::kWarning,
-                                          "crash_reported"};
+inline constexpr EventCode kCrashesTold{1513, Severity::kInfo, "crashes_told"};
 inline constexpr EventCode kRequestSent{1520, Severity::kInfo, "request_sent"};
 inline constexpr EventCode kRequestAnswered{1521, Severity::kInfo,
                                             "request_answered"};
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -651,7 +651,7 @@
   }
   const uint16_t status = attempt->response->status();
   attempt->response->OnEnd(Hint());
-  crashes_.OnResponse(attempt->open.crashes.request);
+  crashes_.OnResponse(attempt->open.crashes.request, status);
   ReleaseSlot(*attempt, status,
               status >= kFirstServerError ? policy::RunResult::kFailed
                                           : policy::RunResult::kSucceeded);
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -453,6 +453,7 @@
   record.gate = winner.gate;
   record.outcome = Outcome::kAnswered;
   record.status = winner.relay->status();
+  crashes_.OnRemoteResponse(request->terms.crash_key, record.status);
   ServicePolicy& policy = PolicyOf(*request);
   policy.retries.Deposit(now);
   const bool failed = record.status >= kFirstServerError;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -93,7 +93,7 @@
                [this](const wire::CrashNotice& notice) {
                  const size_t told =
                      ingress_.gates().Broadcast(settings_.service, notice);
-                 LogEvent(kCrashReported,
+                 LogEvent(kCrashesTold,
                           {{"requests", uint64_t{notice.records.size()}},
                            {"gates_told", uint64_t{told}}});
                }),
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -14,6 +14,8 @@
                                              "quarantine-lifted"};
 inline constexpr EventCode kCrashAlreadyKnown{1708, Severity::kInfo,
                                               "crash-already-known"};
+inline constexpr EventCode kSuspectCleared{1709, Severity::kInfo,
+                                           "suspect-cleared"};
 inline constexpr EventCode kLimitLowered{1705, Severity::kWarning,
                                          "limit-lowered"};
 inline constexpr EventCode kLimitRestored{1706, Severity::kInfo,
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -98,17 +98,12 @@
   return records;
 }
 
-void Quarantine::OnAnswer(Digest fingerprint, Time now) {
-  const auto found = records_.find(fingerprint);
-  // A quarantine lasts until it expires or is lifted: a response that was
-  // already in flight is no evidence about the runs that crashed.
-  if (found == records_.end() ||
-      (IsQuarantined(found->second) && now < ExpiryOf(found->second))) {
-    return;
-  }
-  for (auto& [id, crash] : found->second) {
-    crash.cleared = true;
+bool Quarantine::OnAnswer(Digest fingerprint, Time now) {
+  const bool known = Check(fingerprint, now) != Verdict::kClear;
+  if (known) {
+    ClearOfAllCrashes(records_.at(fingerprint));
   }
+  return known;
 }
 
 Verdict Quarantine::Check(Digest fingerprint, Time now) const {
@@ -124,9 +119,7 @@
 bool Quarantine::Lift(Digest fingerprint, Time now) {
   const bool quarantined = Check(fingerprint, now) == Verdict::kQuarantined;
   if (quarantined) {
-    for (auto& [id, crash] : records_.at(fingerprint)) {
-      crash.cleared = true;
-    }
+    ClearOfAllCrashes(records_.at(fingerprint));
   }
   return quarantined;
 }
@@ -161,6 +154,12 @@
                                        : settings_.suspicion_period);
 }
 
+void Quarantine::ClearOfAllCrashes(Record& record) {
+  for (auto& [id, crash] : record) {
+    crash.cleared = true;
+  }
+}
+
 // Drops the oldest crash, one of which the request has been cleared if
 // possible.
 void Quarantine::DropOldestCrash(Record& record) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -50,10 +50,10 @@
 
 /// Detects requests that crash targets. Each request in flight at a crash
 /// becomes a suspect and is quarantined after `crash_threshold` of them. A
-/// complete response clears a suspect, so that a frequent but harmless request
-/// is not quarantined. Records of several nodes can be merged in any order and
-/// any number of times: a crash, and that a request is cleared of it, is never
-/// taken back.
+/// complete response clears it, so that a frequent but harmless request is not
+/// quarantined for the crashes of another. Records of several nodes can be
+/// merged in any order and any number of times: a crash, and that a request is
+/// cleared of it, is never taken back.
 class Quarantine {
  public:
   explicit Quarantine(const QuarantineSettings& settings = {});
@@ -72,8 +72,10 @@
   /// `max_records`, those that expire last first.
   std::vector<world::CrashRecord> QuarantineRecords(size_t max_records,
                                                     Time now) const;
-  /// Records that a run of the request ended with a complete response.
-  void OnAnswer(Digest fingerprint, Time now);
+  /// Records that a target has answered the request, which clears it of all
+  /// crashes: a request that crashes each target that runs it is never
+  /// answered. Returns whether it was suspected or quarantined.
+  bool OnAnswer(Digest fingerprint, Time now);
   /// Returns the classification of the request.
   Verdict Check(Digest fingerprint, Time now) const;
   /// Ends the quarantine of the request and clears its record. Returns false if
@@ -98,6 +100,7 @@
   uint32_t CountCrashes(const Record& record) const;
   bool IsQuarantined(const Record& record) const;
   Time ExpiryOf(const Record& record) const;
+  static void ClearOfAllCrashes(Record& record);
   static void DropOldestCrash(Record& record);
   static world::CrashRecord ToRecord(Digest fingerprint,
                                      const Record& record,
