Count the end of a gate as a crash for the requests that it had

Cause: only a gate reports that its target broke. The ingress saw a lost link whose other end refuses connections, or a gate of a later incarnation, and drew no conclusion. Class: a failure detector that dies with what it watches.

Change: an ingress whose query finds that the gate has ended counts a crash for the request, under the gate's incarnation and number 0, so that the reports of all ingresses are one crash. It tells the gates of the service. A gate that merely cannot be reached does not count, since its target may be well. A gate that is killed beside a healthy target makes suspects, which the next response clears.

Not covered: a host that loses power and answers nothing.

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -35,12 +35,24 @@
                                           {"crash", crash.number}});
   }
   Log(effect, {request, {{crash, 0, false}}});
-  send_notice_({{Find(request)}});
+  send_notice_(settings_.service, {{Find(request)}});
+}
+
+void CrashTracker::OnGateEnded(const GateRun& gate_run,
+                               const ServiceName& service,
+                               Digest request) {
+  const world::CrashId crash{gate_run.gate, gate_run.incarnation, 0};
+  const policy::CrashEffect effect =
+      quarantine_.OnCrash(crash, {request}, loop_.Now());
+  if (!effect.already_known) {
+    Log(effect, {request, {{crash, 0, false}}});
+    send_notice_(service, {{Find(request)}});
+  }
 }
 
 void CrashTracker::OnResponse(Digest request, uint16_t status) {
   if (Clear(request, status)) {
-    send_notice_({{Find(request)}});
+    send_notice_(settings_.service, {{Find(request)}});
   }
 }
 
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -11,15 +11,24 @@
 
 namespace ibisvalve::dataplane {
 
+/// One run of the process of a gate.
+struct GateRun {
+  NodeId gate;
+  Incarnation incarnation;
+
+  auto operator<=>(const GateRun&) const = default;
+};
+
 /// Tracks the requests that were in flight at crashes of targets, as far as
 /// this node knows, and quarantines those that were in flight at repeated ones.
 /// Shared by the ingress and the gate of the node. Runs on the event loop.
 class CrashTracker {
  public:
-  using SendNotice = std::function<void(const wire::CrashNotice& notice)>;
+  using SendNotice = std::function<void(const ServiceName& service,
+                                        const wire::CrashNotice& notice)>;
 
   /// Creates a tracker without suspects. `send_notice` sends a notice to the
-  /// other gates of the local target's service.
+  /// other gates of a service.
   CrashTracker(net::EventLoop& loop,
                const PlaneSettings& settings,
                SendNotice send_notice);
@@ -28,6 +37,12 @@
   /// request `request`. Notifies the other gates first, so that the notice
   /// precedes any retry that the ingress sends to one of them.
   void OnCrashDuringRun(Digest request);
+  /// Records that a gate of `service` has ended while it had the request.
+  /// `gate_run` names the gate and its incarnation; all reports of its end
+  /// count as one crash.
+  void OnGateEnded(const GateRun& gate_run,
+                   const ServiceName& service,
+                   Digest request);
   /// Records that the local target has answered the request completely, and
   /// tells the other gates if that clears it. An error of the target (5xx) does
   /// not, as a run that failed may have done so because of a crash.
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -91,13 +91,15 @@
                 crash_sync_.OnReply(peer, reply);
               }}),
       crash_sync_(loop, settings, view, crashes, gates_),
-      recovery_(loop,
-                attempts_,
-                gates_,
-                settings.link_silence,
-                [this](const AttemptId& id, Outcome outcome, Reason reason) {
-                  FailAttempt(id, outcome, reason);
-                }) {}
+      recovery_(
+          loop,
+          attempts_,
+          gates_,
+          settings.link_silence,
+          [this](const AttemptId& id, Outcome outcome, Reason reason) {
+            FailAttempt(id, outcome, reason);
+          },
+          [this](const AttemptIndex::Found& found) { OnGateEnded(found); }) {}
 
 Ingress::~Ingress() = default;
 
@@ -422,6 +424,10 @@
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
   OnNewerRevision(attempt.gate, failed.revision);
   crashes_.Learn({found.request->terms.crash_key, failed.crashes});
+  if (failed.outcome == Outcome::kUnknown &&
+      failed.reason == Reason::kGateRestarted) {
+    OnGateEnded(found);
+  }
   if (failed.claimed_status != 0) {
     found.request->first_status = failed.claimed_status;
   }
@@ -434,6 +440,15 @@
   FailAttempt(AttemptId(attempt.id), failed.outcome, failed.reason);
 }
 
+// The target may have ended with its gate, and then nobody else reports it.
+void Ingress::OnGateEnded(const AttemptIndex::Found& found) {
+  if (!found.attempt->awaited) {
+    crashes_.OnGateEnded({found.attempt->gate, found.attempt->gate_incarnation},
+                         found.request->terms.service->name,
+                         found.request->terms.crash_key);
+  }
+}
+
 void Ingress::HandleReply(const AttemptIndex::Found& found,
                           const wire::AttemptRunning&) {
   found.attempt->needs_query = false;
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -96,6 +96,7 @@
                    const wire::AttemptRunning& running);
   void HandleReply(const AttemptIndex::Found& found,
                    const wire::Credit& credit);
+  void OnGateEnded(const AttemptIndex::Found& found);
   void OnResponseComplete(const RequestPtr& request, const AttemptId& id);
   void FailAttempt(const AttemptId& id,
                    world::Outcome outcome,
--- a/src/dataplane/link_recovery.cc
+++ b/src/dataplane/link_recovery.cc
@@ -11,10 +11,12 @@
                            AttemptIndex& attempts,
                            GateClient& gates,
                            Duration interval,
-                           Fail fail)
+                           Fail fail,
+                           GateEnded gate_ended)
     : attempts_(attempts),
       gates_(gates),
       fail_(std::move(fail)),
+      gate_ended_(std::move(gate_ended)),
       timer_(loop, [this] { RepeatQueries(); }) {
   timer_.StartPeriodic(interval);
 }
@@ -43,6 +45,9 @@
         failure == LinkFailure::kRefused && attempt.queries > 0;
     const bool retry_instead =
         attempt.queries > 0 && found.request->repeatable();
+    if (gate_exited) {
+      gate_ended_(found);
+    }
     if (never_sent) {
       fail_(id, Outcome::kNotRun, Reason::kTargetDown);
     } else if (attempt.relay->committed() || retry_instead || gate_exited) {
--- a/src/dataplane/link_recovery.h
+++ b/src/dataplane/link_recovery.h
@@ -17,13 +17,19 @@
   using Fail = std::function<
       void(const AttemptId& id, world::Outcome outcome, world::Reason reason)>;
 
-  /// Calls `fail` for each attempt that ended without a response. Queries that
-  /// got no reply because their link failed too are repeated every `interval`.
+  /// Reports that the gate of an attempt has ended while it had the attempt.
+  using GateEnded = std::function<void(const AttemptIndex::Found& found)>;
+
+  /// Calls `fail` for each attempt that ended without a response, and
+  /// `gate_ended` before it if the gate's host refuses connections. Queries
+  /// that got no reply because their link failed too are repeated every
+  /// `interval`.
   LinkRecovery(net::EventLoop& loop,
                AttemptIndex& attempts,
                GateClient& gates,
                Duration interval,
-               Fail fail);
+               Fail fail,
+               GateEnded gate_ended);
 
   /// Handles the failure of link number `link` to `gate`: fails the attempts on
   /// it or queries the gate about them.
@@ -38,6 +44,7 @@
   AttemptIndex& attempts_;
   GateClient& gates_;
   Fail fail_;
+  GateEnded gate_ended_;
   uint64_t queries_ = 0;
   net::Timer timer_;
 };
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -88,15 +88,15 @@
       claims_(std::move(claims)),
       handlers_(std::move(handlers)),
       memory_(settings.body_memory),
-      crashes_(loop,
-               settings_,
-               [this](const wire::CrashNotice& notice) {
-                 const size_t told =
-                     ingress_.gates().Broadcast(settings_.service, notice);
-                 LogEvent(kCrashesTold,
-                          {{"requests", uint64_t{notice.records.size()}},
-                           {"gates_told", uint64_t{told}}});
-               }),
+      crashes_(
+          loop,
+          settings_,
+          [this](const ServiceName& service, const wire::CrashNotice& notice) {
+            const size_t told = ingress_.gates().Broadcast(service, notice);
+            LogEvent(kCrashesTold,
+                     {{"requests", uint64_t{notice.records.size()}},
+                      {"gates_told", uint64_t{told}}});
+          }),
       gate_(loop,
             settings_,
             view,
