Count the end of a silent target as a crash for what it did not answer

What callers saw: a request whose targets fall silent instead of breaking their connections ended one target with each retry, 10 in 10 (2 promised). It looked like a request that takes too long.

Cause: only a broken connection counted as a sign of a crash. A silent end shows as a deadline, and the gate learns later, from refused connections or from the announcement of the target's next run, that the target had ended; nothing joined the two. Class: evidence that comes in two halves, of which the first was thrown away.

Change: a gate remembers runs that were given up without a response (64, for 30 s), and forgets those after whose start the target still answered a later run. When the target is found to have ended (no longer reachable, or a new run announced) these runs and those in flight count for one crash, each once.

Ruled out: counting each deadline; slow targets would put requests in quarantine.

AnAnnouncedRestartCountsAsACrashOfTheRunBefore and UnansweredRunsTest are new.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -329,12 +329,15 @@
 }
 
 void Gate::SetTargetState(world::TargetState state, uint32_t slots) {
-  target_state_ = state;
+  const world::TargetState before = std::exchange(target_state_, state);
   admission_.Configure(MakeAdmissionSettings(view_, settings_.service, slots,
                                              settings_.names.load.empty()));
   if (state == world::TargetState::kReady) {
     return;
   }
+  if (state == world::TargetState::kDown && before != state) {
+    OnTargetEnded();
+  }
   std::vector<AttemptId> waiting;
   for (const auto& [id, attempt] : in_flight_) {
     if (!attempt->holds_slot()) {
@@ -350,6 +353,20 @@
   }
 }
 
+void Gate::OnTargetEnded() {
+  std::vector<Digest> requests = unanswered_.Take(loop_.Now());
+  for (const auto& [id, attempt] : in_flight_) {
+    if (attempt->stage == AttemptStage::kRunning &&
+        attempt->response == nullptr && !attempt->declined &&
+        !std::exchange(attempt->crash_counted, true)) {
+      requests.push_back(attempt->open.crashes.request);
+    }
+  }
+  for (const Digest& request : requests) {
+    crashes_.OnCrashDuringRun(request);
+  }
+}
+
 void Gate::SetTargetIdentity(const std::string& identity) {
   if (identity != target_identity_) {
     target_identity_ = identity;
@@ -568,6 +585,7 @@
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
   load_.UpdateFromHeaders(head.headers);
+  unanswered_.OnResponse(attempt->dispatched);
   if (attempt->target_identity == target_identity_) {
     OnTargetNotice(ParseTargetNotice(head.headers, settings_.names),
                    "response");
@@ -694,7 +712,7 @@
     Fail(*attempt, Outcome::kNotRun, Reason::kTargetRefused);
     return;
   }
-  if (reached) {
+  if (reached && !attempt->crash_counted) {
     crashes_.OnCrashDuringRun(attempt->open.crashes.request);
   }
   Fail(*attempt, reached ? Outcome::kUnknown : Outcome::kNotRun,
@@ -717,6 +735,13 @@
 }
 
 void Gate::Fail(GateAttempt& attempt, Outcome outcome, Reason reason) {
+  const bool given_up =
+      reason == Reason::kDeadline || reason == Reason::kCancelled;
+  if (given_up && attempt.stage == AttemptStage::kRunning &&
+      attempt.response == nullptr && !attempt.crash_counted) {
+    unanswered_.Add(attempt.open.crashes.request, attempt.dispatched,
+                    loop_.Now());
+  }
   const FinishedAttempt finished{outcome, reason, 0, nullptr};
   if (attempt.port.send) {
     Send(finished, attempt.open.id, attempt.port,
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -93,6 +93,9 @@
   /// Sets the identity of the target that may run requests from now on. Closes
   /// idle connections to a previous one.
   void SetTargetIdentity(const std::string& identity);
+  /// Handles that the target has ended, though its connections may still look
+  /// open: what it was running, or had not answered before, may have ended it.
+  void OnTargetEnded();
   /// Returns the load hint that is attached to responses.
   wire::LoadHint Hint() const;
   /// Sets the path at which the target reports its load; empty: none.
@@ -169,6 +172,7 @@
   CrashTracker& crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
   std::string target_identity_;
+  policy::UnansweredRuns unanswered_;
   TargetNotice target_notice_;  // in the latest response of the target
   policy::Admission admission_;
   claims::AttemptTable attempt_table_;
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -54,6 +54,7 @@
   std::shared_ptr<claims::StoredResponse> stored_response;
   std::vector<ResponseFollower> followers;
   bool awaits_load_probe = false;  // is admitted when the load probe ends
+  bool crash_counted = false;      // its run counts for a crash of the target
   bool declined = false;  // the target responded that it did not run it
 
   /// Returns whether an idempotency key must be claimed before it runs.
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -135,7 +135,11 @@
       probe_timer_(loop, [this] { ProbeLoad(); }) {}
 
 void NodePlane::Impl::Announce(const TargetAnnouncement& announcement) {
+  const uint64_t run = monitor_.run();
   monitor_.Announce(announcement);
+  if (run != 0 && monitor_.run() != run) {
+    gate_.OnTargetEnded();
+  }
   gate_.SetTargetIdentity(monitor_.identity());
 }
 
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -48,6 +48,8 @@
   void OnTargetLeaves();
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
+  /// Returns the number of the announced run of the target; 0: none yet.
+  uint64_t run() const { return registry_.run(); }
   world::TargetState state() const { return state_; }
   uint32_t slots() const { return slots_; }
   bool draining() const { return draining_; }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -25,5 +25,6 @@
 #include "policy/silence_bound.h"          // IWYU pragma: export
 #include "policy/subset.h"                 // IWYU pragma: export
 #include "policy/transit_delay.h"          // IWYU pragma: export
+#include "policy/unanswered_runs.h"        // IWYU pragma: export
 #include "policy/weighed_chooser.h"        // IWYU pragma: export
 #include "policy/weighted_round_robin.h"   // IWYU pragma: export
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -220,6 +220,40 @@
   EXPECT_EQ(Crashes(), kMaxCrashes);
 }
 
+// Guards against targets that end silently and are heard of again only when
+// their next run announces itself.
+TEST_F(RepeatedCrashTest, AnAnnouncedRestartCountsAsACrashOfTheRunBefore) {
+  service_.deadline = milliseconds(100);
+  ingress_ = &AddNode("suva-0", nullptr);
+  std::list<FakeTarget> targets;
+  for (int i = 1; i <= 2; ++i) {
+    // Never answers.
+    const FakeTarget& target =
+        targets.emplace_back(loop_, [](evhttp_request*) {});
+    WaitReady(AddNode("suva-" + std::to_string(i), &target));
+  }
+  const auto announce = [this](const std::string& run) {
+    for (size_t i = 1; i < nodes_.size(); ++i) {
+      TargetAnnouncement announcement;
+      announcement.identity = nodes_[i]->member.id.value + run;
+      announcement.started_ms = run == "a" ? 1 : 2;
+      nodes_[i]->plane->Announce(announcement);
+    }
+  };
+  announce("a");
+  for (int i = 0; i < 20 && (targets.front().seen().empty() ||
+                             targets.back().seen().empty());
+       ++i) {
+    Fetch(*ingress_, kPoison);
+  }
+  EXPECT_EQ(Fetch(*ingress_, kPoison).status, 504);
+  announce("b");
+  for (const auto& node : nodes_) {
+    RunUntil([&] { return Metric(*node, "ibis_quarantined_requests") == 1; });
+  }
+  EXPECT_EQ(Fetch(*ingress_, kPoison).Get("Ibis-Reason"), "quarantined");
+}
+
 // Guards against a crash that nobody hears of because the node beside the
 // target ends with it.
 TEST_F(RepeatedCrashTest, ANodeThatEndsWithItsTargetDoesNotHideTheCrash) {
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -232,6 +232,21 @@
   EXPECT_EQ(quarantine.Check(Digest(1), kStart), Verdict::kQuarantined);
 }
 
+// Guards against suspicion of requests after whose start the target was alive.
+TEST(UnansweredRunsTest, KeepsTheRunsThatMayHaveEndedTheTarget) {
+  UnansweredRuns runs;
+  const auto at = [](int value) {
+    return kStart + std::chrono::seconds(value);
+  };
+  runs.Add(Digest(1), at(0), at(1));
+  runs.Add(Digest(2), at(2), at(3));
+  runs.OnResponse(at(1));
+  EXPECT_EQ(runs.Take(at(4)), (std::vector<Digest>{Digest(2)}));
+  EXPECT_TRUE(runs.Take(at(4)).empty());
+  runs.Add(Digest(3), at(4), at(5));
+  EXPECT_TRUE(runs.Take(at(60)).empty());
+}
+
 std::vector<SubsetMember> MakeMembers(int count) {
   const std::vector<std::string> zones = {"suva", "nadi", "lautoka"};
   std::vector<SubsetMember> members;
