Check the quarantine again when a request that waited gets its slot

What callers saw: a request that waited at a gate while it was quarantined elsewhere ran there, a third crash.

Cause: the quarantine was checked when the attempt arrived, not when it started. Class: a check that is not repeated at the time of use.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -504,6 +504,11 @@
     Fail(attempt, Outcome::kNotRun, Reason::kDeadline);
     return;
   }
+  // It may have been quarantined while it waited for a slot.
+  if (crashes_.IsQuarantined(attempt.open.crashes.request)) {
+    Fail(attempt, Outcome::kNotRun, Reason::kQuarantined);
+    return;
+  }
   attempt.target_identity = target_identity_;
   attempt.stored_response = std::make_shared<claims::StoredResponse>();
   attempt.slowdown = load_.slowdown();
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -145,6 +145,55 @@
   EXPECT_EQ(Crashes(), kMaxCrashes);
 }
 
+// Guards against a gate that runs a request which was quarantined elsewhere
+// while it waited for a slot.
+TEST_F(RepeatedCrashTest, ARequestThatWaitsWhenItIsQuarantinedIsNotRun) {
+  constexpr int kHosts = 3;
+  const TargetRequest booking{"POST", "/poison", {}, "one attempt only"};
+  service_.contracts.push_back({{"POST"},
+                                "/poison",
+                                world::Repeat::kNever,
+                                world::KeyRule::kOptional,
+                                {}});
+  slots_ = 1;
+  Start(kHosts);
+  // Each ingress sees the target of one host only.
+  std::vector<Node*> ingresses;
+  for (int i = 0; i < kHosts; ++i) {
+    ingresses.push_back(&AddNode("nadi-" + std::to_string(i), nullptr));
+  }
+  for (int i = 0; i < kHosts; ++i) {
+    int number = 0;
+    for (const Host& host : hosts_) {
+      if (number++ != i) {
+        world::Member hidden = host.node->member;
+        hidden.target = world::TargetState::kDraining;
+        ingresses[i]->view.SetMember(hidden);
+      }
+    }
+  }
+  // The slots become free one after the other. A gate holds a request for 20 ms
+  // at most.
+  const Time start = loop_.Now();
+  Duration next(0);
+  const auto run_until = [&](Duration at) {
+    RunUntil([&] { return loop_.Now() - start >= at; });
+  };
+  for (const Node* ingress : ingresses) {
+    Send(*ingress, {"GET", "/slow/" + ingress->member.id.value, {}, ""});
+    run_until(next += milliseconds(7));
+  }
+  run_until(CrashingTarget::kServiceTime - milliseconds(3));
+  std::shared_ptr<CallerResponse> last;
+  for (const Node* ingress : ingresses) {
+    last = Send(*ingress, booking);
+  }
+  RunUntil([this] { return ended_ == sent_; });
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+  EXPECT_EQ(last->status, 503);
+  EXPECT_EQ(last->Get("Ibis-Reason"), "quarantined");
+}
+
 // Guards against targets that join after a quarantine and run its request.
 TEST_F(RepeatedCrashTest, GatesThatJoinLaterRefuseAQuarantinedRequest) {
   Start(5);
