Do not take an earlier refusal for that of a later request

What callers saw: 503 with the statement that the request has not run, while the target runs it; a caller that believes it sends a Booking twice (REFUSED, TWICE).

Cause: a response without a request id was taken for that of the current call if its status was 300 or above, on any connection. A target that writes an earlier refusal once more on a kept connection so refuses the next request. The same holds where a request is sent again under its id on the connection on which it was refused. Class: a default for one case (a request that the target cannot parse) applied where the history of the connection makes it ambiguous.

Change: a response without an id belongs to the call only if the connection has carried no other; otherwise it is skipped and the connection not used again. A request does not reuse a connection on which a request with its id has failed.

Ruled out: closing a connection after each refusal; under load refusals are frequent, and targets pay for new connections.

--- a/src/dataplane/target_client.cc
+++ b/src/dataplane/target_client.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "dataplane/http_headers.h"
+
 namespace ibisvalve::dataplane {
 namespace {
 
@@ -56,7 +58,7 @@
                                                Reuse reuse) {
   auto state = std::make_shared<TargetCall::State>();
   state->client = this;
-  state->connection = TakeConnection(reuse);
+  state->connection = TakeConnection(request, reuse);
   state->epoch = epoch_;
   state->handlers = std::move(handlers);
   ++in_use_;
@@ -105,9 +107,13 @@
   }
 }
 
-TargetClient::Connection TargetClient::TakeConnection(Reuse reuse) {
+TargetClient::Connection TargetClient::TakeConnection(
+    const TargetRequest& request,
+    Reuse reuse) {
+  const std::string* id =
+      id_header_.empty() ? nullptr : FindHeader(request.headers, id_header_);
   const bool usable =
-      !idle_.empty() &&
+      !idle_.empty() && (id == nullptr || !idle_.back()->HasFailed(*id)) &&
       (reuse == Reuse::kAny ||
        loop_.Now() - idle_.back()->idle_since() <= kRecentlyUsedInterval);
   if (usable) {
--- a/src/dataplane/target_client.h
+++ b/src/dataplane/target_client.h
@@ -77,7 +77,7 @@
   friend class TargetCall;
   using Connection = std::shared_ptr<TargetConnection>;
 
-  Connection TakeConnection(Reuse reuse);
+  Connection TakeConnection(const TargetRequest& request, Reuse reuse);
   void Finish(const std::shared_ptr<TargetCall::State>& state, bool reusable);
   void RemoveIdle(const TargetConnection* connection);
   void CloseLater(Connection connection);
--- a/src/dataplane/target_connection.cc
+++ b/src/dataplane/target_connection.cc
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "dataplane/http_headers.h"
@@ -21,6 +22,8 @@
 
 constexpr uint16_t kFirstFinalStatus = 200;
 constexpr uint16_t kFirstRedirect = 300;
+constexpr uint16_t kFirstFailure = 400;
+constexpr size_t kMaxFailedIds = 64;
 
 }  // namespace
 
@@ -70,6 +73,7 @@
   const std::string* id =
       id_header_.empty() ? nullptr : FindHeader(request.headers, id_header_);
   id_ = id == nullptr ? "" : *id;
+  ++calls_;
   in_call_ = true;
   head_delivered_ = false;
   reader_.Next(kResponseLimits, method_ == "HEAD");
@@ -81,6 +85,11 @@
   }
 }
 
+bool TargetConnection::HasFailed(const std::string& id) const {
+  return std::find(failed_ids_.begin(), failed_ids_.end(), id) !=
+         failed_ids_.end();
+}
+
 void TargetConnection::SetReading(bool reading) {
   if (reading) {
     bufferevent_enable(bufferevent_, EV_READ);
@@ -136,6 +145,12 @@
     return;
   }
   head_delivered_ = true;
+  if (head.status >= kFirstFailure && !id_.empty()) {
+    if (failed_ids_.size() == kMaxFailedIds) {
+      failed_ids_.pop_front();
+    }
+    failed_ids_.push_back(id_);
+  }
   handlers_.on_head(TargetHead{head.status, head.headers, head.length});
 }
 
@@ -145,8 +160,9 @@
   }
   const std::string* id = FindHeader(head.headers, id_header_);
   if (id == nullptr) {
-    // A target that could not parse the request cannot repeat its id.
-    return head.status >= kFirstRedirect;
+    // A target that could not parse the request cannot repeat its id. After an
+    // earlier call the response may as well be another one to that call.
+    return calls_ == 1 && head.status >= kFirstRedirect;
   }
   return *id == id_;
 }
--- a/src/dataplane/target_connection.h
+++ b/src/dataplane/target_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -65,6 +66,10 @@
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
 
+  /// Returns whether an earlier request with this id failed on this connection.
+  /// Its response may come once more, and could not be told from that to a new
+  /// request with the same id.
+  bool HasFailed(const std::string& id) const;
   /// Sends `request`. The previous call must have ended.
   void StartCall(const TargetRequest& request, Handlers handlers);
   /// Pauses or resumes reading the response, to apply back pressure to the
@@ -90,6 +95,8 @@
   Handlers handlers_;
   std::string method_;  // of the current call
   std::string id_;      // request id of the current call; empty: none
+  uint64_t calls_ = 0;
+  std::deque<std::string> failed_ids_;  // the latest ones
   bool in_call_ = false;
   bool head_delivered_ = false;
   // An interim response (1xx) or the response to an earlier call is being
