Let a planned stop wait for requests that are being received

What callers saw: an upload that was on its way when its node was stopped was taken, passed to a target, and cut off when the process exited (LOST).

Cause: a stop was over once no attempt and no request was in flight. A request whose last bytes had not arrived yet, and a response that was not sent completely, counted for nothing; the process went on to leave the group, took the request meanwhile, and exited. Class: "idle" decided by less than all the work that the process has accepted.

Change: a stop also waits for connections on which a request is being received or served, or a response is unsent, within its limit.

AStopWaitsForARequestThatIsBeingReceived: no answer before, though a target ran the request; 200 after.

--- a/src/dataplane/caller_connection.cc
+++ b/src/dataplane/caller_connection.cc
@@ -84,6 +84,16 @@
   }
 }
 
+bool CallerConnection::busy() const {
+  if (bufferevent_ == nullptr || lingering_) {
+    return false;
+  }
+  const bool receiving = reader_.started() && !closing_;
+  const bool unsent =
+      evbuffer_get_length(bufferevent_get_output(bufferevent_)) > 0;
+  return receiving || unsent || !pipeline_.empty();
+}
+
 evbuffer* CallerConnection::output() {
   return bufferevent_get_output(bufferevent_);
 }
--- a/src/dataplane/caller_connection.h
+++ b/src/dataplane/caller_connection.h
@@ -54,6 +54,9 @@
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
   /// Closes the connection if no request is being read or served.
   void CloseIfIdle();
+  /// Returns whether a request is being received or served, or a response is
+  /// not sent completely.
+  bool busy() const;
   bool keep_alive_disabled() const { return keep_alive_disabled_; }
   /// Returns the number of requests being served.
   size_t active() const { return pipeline_.size(); }
--- a/src/dataplane/caller_server.cc
+++ b/src/dataplane/caller_server.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace ibisvalve::dataplane {
@@ -33,6 +34,12 @@
   }
 }
 
+bool CallerServer::busy() const {
+  return std::any_of(
+      connections_.begin(), connections_.end(),
+      [](const auto& connection) { return connection.second->busy(); });
+}
+
 void CallerServer::Accept(int fd) {
   if (connections_.size() >= max_connections_) {
     close(fd);
--- a/src/dataplane/caller_server.h
+++ b/src/dataplane/caller_server.h
@@ -41,6 +41,9 @@
   void StopListening();
   /// Returns the endpoint that the server listens on.
   world::Endpoint local() const { return local_; }
+  /// Returns whether a request is being received or served, or a response is
+  /// not sent completely.
+  bool busy() const;
   /// Returns the number of open connections.
   size_t connections() const { return connections_.size(); }
 
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -163,7 +163,7 @@
 
 void NodePlane::Impl::CheckStopped() {
   if (!linger_timer_.running() && gate_.in_flight() == 0 &&
-      ingress_.in_flight() == 0) {
+      ingress_.in_flight() == 0 && !callers_.busy()) {
     FinishStop("idle");
   }
 }
