Refuse requests that cannot end before a planned stop does

What callers saw: a request that came late in a planned stop was passed on and cut off at its limit with no answer, also one that may not be repeated (LOST).

Cause: a request was taken whatever time was left until the limit of the stop. Class: work is accepted without the time to finish it.

Change: during a stop a request is taken only if its deadline, and 100 ms to send the response, lie before the limit. Otherwise it is refused as not run at once and its connection is closed. The bound is the deadline and not the expected time, since only the deadline is certain.

ARequestThatCannotEndBeforeTheStopIsRefusedAtOnce: no answer and one run before; 503 not-run and no run after.

--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -20,6 +20,8 @@
 // How long after the deadline of a non-repeatable request the ingress waits for
 // its gate to report the outcome.
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(50);
+// Time to send the last responses before this node stops.
+constexpr Duration kStopMargin = std::chrono::milliseconds(100);
 // After its deadline, a response that is being streamed is aborted when no
 // bytes have arrived for this long.
 constexpr Duration kStallTimeout = std::chrono::seconds(10);
@@ -121,6 +123,11 @@
   } else if (!view_.MayServe(terms->terms.repeat)) {
     RejectRequest(exchange, {Reason::kIsolated, "no keeper confirms the file"},
                   terms->service->name);
+  } else if (!CanEndBeforeStop(*terms)) {
+    RejectRequest(
+        exchange,
+        {Reason::kDraining, "this node stops before its deadline", true},
+        terms->service->name);
   } else if (crashes_.IsQuarantined(terms->crash_key)) {
     RejectRequest(exchange,
                   {Reason::kQuarantined, "the request has crashed targets"},
@@ -190,6 +197,11 @@
   StartOrFail(request);
 }
 
+bool Ingress::CanEndBeforeStop(const CallerTerms& terms) const {
+  return !stop_time_ ||
+         loop_.Now() + terms.deadline + kStopMargin < *stop_time_;
+}
+
 // Sets the arrival of the caller's first attempt.
 void Ingress::RestoreFirstArrival(RequestState& request) {
   const std::optional<Time> first = refused_callers_.OnArrival(
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -53,6 +54,10 @@
   /// Serves one request of a caller.
   void OnRequest(const std::shared_ptr<CallerExchange>& exchange);
 
+  /// Sets the time at which this node stops: requests whose deadlines are later
+  /// are refused from now on, as they could be cut off.
+  void SetStopTime(Time stop) { stop_time_ = stop; }
+
   /// Rejects bytes from a caller that are not a valid request.
   void RejectMalformed(CallerExchange& exchange, const net::HttpError& error);
 
@@ -71,6 +76,7 @@
                      const ServiceName& service);
   void Accept(const std::shared_ptr<CallerExchange>& exchange,
               const CallerTerms& terms);
+  bool CanEndBeforeStop(const CallerTerms& terms) const;
   void RestoreFirstArrival(RequestState& request);
   void AddTimers(const RequestPtr& request);
   ServicePolicy& PolicyOf(const RequestState& request);
@@ -130,6 +136,7 @@
   ServicePolicies policies_;
   GateClient gates_;
   CrashSync crash_sync_;
+  std::optional<Time> stop_time_;
   uint64_t next_request_ = 0;
   uint64_t next_attempt_ = 0;
   std::unordered_map<uint64_t, RequestPtr> requests_;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -151,6 +151,7 @@
   constexpr Duration kStopCheckInterval = std::chrono::milliseconds(10);
   on_stopped_ = std::move(done);
   callers_.DisableKeepAlive();
+  ingress_.SetStopTime(loop_.Now() + limit);
   monitor_.SetDraining(true);
   if (settings_.stop_linger > Duration(0)) {
     linger_timer_.StartOnce(settings_.stop_linger);
@@ -171,6 +172,7 @@
 void NodePlane::Impl::FinishStop(const std::string& how) {
   stop_timer_.Stop();
   stop_check_timer_.Stop();
+  ingress_.SetStopTime(loop_.Now());  // the process is about to exit
   LogEvent(kPlaneStopped,
            {{"how", how},
             {"in_flight", uint64_t{gate_.in_flight() + ingress_.in_flight()}}});
--- a/tests/dataplane/late_in_a_stop_test.cc
+++ b/tests/dataplane/late_in_a_stop_test.cc
@@ -62,6 +62,16 @@
   Duration took_{0};
 };
 
+// Guards against requests that are taken late in a planned stop and cut off
+// without an answer at its end, while a target runs them.
+TEST_F(LateInAStopTest, ARequestThatCannotEndBeforeTheStopIsRefusedAtOnce) {
+  const std::string received = StopAndSend(kStopLimit - milliseconds(200));
+  EXPECT_EQ(received.rfind("HTTP/1.1 503", 0), 0U) << received;
+  EXPECT_NE(received.find("Ibis-Outcome: not-run"), std::string::npos);
+  EXPECT_EQ(Runs(), 0U);
+  EXPECT_LT(took_, kStopLimit);
+}
+
 // Guards against a planned stop that ends while a request is being received, so
 // that the request is passed on and cut off when the process exits.
 TEST_F(LateInAStopTest, AStopWaitsForARequestThatIsBeingReceived) {
