--- a/tests/dataplane/raw_socket.h
+++ b/tests/dataplane/raw_socket.h
@@ -88,6 +88,11 @@
   }
 
   world::Endpoint local() const { return listener_.local(); }
+  /// Replaces the bytes of later responses and what follows them.
+  void SetResponse(const std::string& response, AfterResponse end) {
+    response_ = response;
+    end_ = end;
+  }
   size_t requests() const { return requests_; }
   /// Returns the number of connections with a request that the peer has closed.
   size_t closed() const { return closed_; }
@@ -104,7 +109,8 @@
         },
         [](bufferevent* written, void* argument) {
           auto* self = static_cast<RawServer*>(argument);
-          if (self->requests_ == 0 || self->end_ == AfterResponse::kKeepOpen) {
+          if (self->asked_.count(written) == 0 ||
+              self->end_ == AfterResponse::kKeepOpen) {
             return;
           }
           const int socket = bufferevent_getfd(written);
@@ -139,11 +145,13 @@
   }
 
   void Reset(bufferevent* end) {
+    if (asked_.erase(end) == 0) {
+      return;  // closed by the peer, or reset already
+    }
     const linger reset_on_close{1, 0};
     setsockopt(bufferevent_getfd(end), SOL_SOCKET, SO_LINGER, &reset_on_close,
                sizeof(reset_on_close));
     ends_.remove(end);
-    asked_.erase(end);
     bufferevent_free(end);
   }
 
