Report a node as ready once it knows the quarantined requests

What callers saw: a node that had just restarted took the request from a caller of its own and ran it at its own target, before it had talked to any other node.

Cause: readiness asked for a configuration only. The first comparison of crash records with a peer came up to 50 ms later. Class: a process takes part before its replica has caught up.

Change: a node is ready once a peer has replied, or after one second without a reply (it is on its own). It asks every 20 ms until then.

What remains: a node that finds no peer within a second serves without the records.

--- a/src/dataplane/crash_sync.cc
+++ b/src/dataplane/crash_sync.cc
@@ -9,8 +9,9 @@
 constexpr Duration kInterval = std::chrono::seconds(1);
 // A node that has just started knows no quarantine: it asks more often until a
 // peer replies.
-constexpr Duration kStartInterval = std::chrono::milliseconds(50);
-constexpr Duration kStartPeriod = std::chrono::seconds(5);
+constexpr Duration kStartInterval = std::chrono::milliseconds(20);
+// A node that gets no reply for this long is on its own.
+constexpr Duration kStartPeriod = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -43,8 +44,11 @@
     gates_.SendToPeer(peers[next_peer_++ % peers.size()],
                       wire::CrashSync{crashes_.SyncDigest()});
   }
-  const bool starting = !replied_ && loop_.Now() - started_ < kStartPeriod;
-  timer_.StartOnce(starting ? kStartInterval : kInterval);
+  timer_.StartOnce(settled() ? kInterval : kStartInterval);
+}
+
+bool CrashSync::settled() const {
+  return replied_ || loop_.Now() - started_ >= kStartPeriod;
 }
 
 void CrashSync::OnReply(const NodeId& peer, const wire::CrashSyncReply& reply) {
--- a/src/dataplane/crash_sync.h
+++ b/src/dataplane/crash_sync.h
@@ -22,6 +22,8 @@
             CrashTracker& crashes,
             GateClient& gates);
 
+  /// Returns whether a peer has replied since the start, or none does.
+  bool settled() const;
   /// Handles the records of `peer`, and sends it those that it lacks.
   void OnReply(const NodeId& peer, const wire::CrashSyncReply& reply);
 
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -61,6 +61,9 @@
   /// Rejects bytes from a caller that are not a valid request.
   void RejectMalformed(CallerExchange& exchange, const net::HttpError& error);
 
+  /// Returns whether this node knows the quarantined requests of its peers, or
+  /// has found none that tells them.
+  bool knows_crashes() const { return crash_sync_.settled(); }
   /// Returns the number of requests being served.
   size_t in_flight() const { return requests_.size(); }
   /// Returns how many queries about the outcome of an attempt were sent to
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -45,6 +45,7 @@
   std::string StatusJson() const;
   void Collect(std::vector<MetricSample>& out) const;
 
+  bool ready() const { return ingress_.knows_crashes(); }
   const CallerServer& callers() const { return callers_; }
   const MeshServer& mesh() const { return mesh_; }
 
@@ -375,6 +376,10 @@
   impl_->Serve(admin);
 }
 
+bool NodePlane::ready() const {
+  return impl_->ready();
+}
+
 world::Endpoint NodePlane::callers() const {
   return impl_->callers().local();
 }
--- a/src/node/admin_pages.cc
+++ b/src/node/admin_pages.cc
@@ -44,7 +44,8 @@
                     std::function<std::string()> status) {
   admin.Handle("GET", "/healthz", [parts](const auto&, const auto& reply) {
     const Revision active = parts.agent.active();
-    const bool ready = parts.agent.lease_held() && active > Revision(0);
+    const bool ready =
+        parts.agent.lease_held() && active > Revision(0) && parts.plane.ready();
     const json body{{"ready", ready}, {"revision", active.value}};
     reply({ready ? 200 : 503, kJson, body.dump()});
   });
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -116,7 +116,7 @@
 }
 
 bool NodeProcess::ready() const {
-  return !stopping_ && view_.fleet() != nullptr;
+  return !stopping_ && view_.fleet() != nullptr && plane_->ready();
 }
 
 void NodeProcess::OnMember(const world::Member& member) {
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -45,7 +45,8 @@
   void Reload(const config::Settings& settings);
   /// Processes an announcement that the local target sent about itself.
   void Announce(const dataplane::TargetAnnouncement& announcement);
-  /// Returns whether this node has an active configuration and is not stopping.
+  /// Returns whether this node has an active configuration, knows the requests
+  /// that are quarantined and is not stopping.
   bool ready() const;
 
  private:
