Do not take a target that says it is ill for one that has ended

Found on reading the diff: a target whose health check answers 503 was treated like one that cannot be reached, so that the requests it was running became suspects of a crash.

Change: the monitor tells an answered check from one without an answer, and only the latter counts as the end of the target. AnUnhealthyTargetThatAnswersHasNotCrashed guards it, with a new metric, ibis_suspected_requests.

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -106,6 +106,10 @@
   return quarantine_.List(loop_.Now());
 }
 
+size_t CrashTracker::CountSuspects() const {
+  return quarantine_.CountSuspects(loop_.Now());
+}
+
 Digest CrashTracker::SyncDigest() const {
   std::vector<world::CrashRecord> records = SyncRecords().records;
   std::sort(records.begin(), records.end());
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -63,6 +63,8 @@
   /// Returns the quarantined requests, for the operators' page.
   std::vector<policy::QuarantineEntry> List() const;
 
+  /// Returns the number of suspects, without the quarantined requests.
+  size_t CountSuspects() const;
   /// Returns the digest of the records that nodes exchange regularly.
   Digest SyncDigest() const;
   /// Returns these records.
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -329,15 +329,12 @@
 }
 
 void Gate::SetTargetState(world::TargetState state, uint32_t slots) {
-  const world::TargetState before = std::exchange(target_state_, state);
+  target_state_ = state;
   admission_.Configure(MakeAdmissionSettings(view_, settings_.service, slots,
                                              settings_.names.load.empty()));
   if (state == world::TargetState::kReady) {
     return;
   }
-  if (state == world::TargetState::kDown && before != state) {
-    OnTargetEnded();
-  }
   std::vector<AttemptId> waiting;
   for (const auto& [id, attempt] : in_flight_) {
     if (!attempt->holds_slot()) {
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -95,6 +95,7 @@
   void SetTargetIdentity(const std::string& identity);
   /// Handles that the target has ended, though its connections may still look
   /// open: what it was running, or had not answered before, may have ended it.
+  /// Each run counts once, however often this is called.
   void OnTargetEnded();
   /// Returns the load hint that is attached to responses.
   wire::LoadHint Hint() const;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -261,6 +261,8 @@
       static_cast<double>(monitor_.checks()), true);
   Add(out, "ibis_measuring_load_probes_total",
       static_cast<double>(gate_.probes()), true);
+  Add(out, "ibis_suspected_requests",
+      static_cast<double>(crashes_.CountSuspects()), false);
   Add(out, "ibis_quarantined_requests",
       static_cast<double>(crashes_.List().size()), false);
   Add(out, "ibis_body_memory_bytes", static_cast<double>(memory_.used()),
@@ -268,6 +270,9 @@
 }
 
 void NodePlane::Impl::OnTargetState(world::TargetState state, uint32_t slots) {
+  if (!monitor_.answers_checks()) {
+    gate_.OnTargetEnded();
+  }
   gate_.SetTargetState(state, slots);
   if (reported_state_ == state && reported_slots_ == slots) {
     return;
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -27,7 +27,7 @@
       on_state_(std::move(on_state)),
       slots_(settings.slots),
       timer_(loop, [this] { Check(); }),
-      connect_timer_(loop, [this] { OnCheckResult(false); }) {
+      connect_timer_(loop, [this] { OnCheckResult(false, false); }) {
   if (settings_.target && checks_enabled()) {
     timer_.StartOnce(Duration(0));
   }
@@ -108,8 +108,9 @@
                  kCheckTimeout,
                  [this, alive = alive_](const net::HttpResult& result) {
                    if (*alive) {
-                     OnCheckResult(result.status >= kMinHealthyStatus &&
-                                   result.status < kHealthyStatusEnd);
+                     OnCheckResult(result.status != 0,
+                                   result.status >= kMinHealthyStatus &&
+                                       result.status < kHealthyStatusEnd);
                    }
                  });
 }
@@ -120,8 +121,9 @@
   bufferevent_setcb(
       connecting_, nullptr, nullptr,
       [](bufferevent*, int16_t what, void* argument) {
-        static_cast<TargetMonitor*>(argument)->OnCheckResult(
-            (what & BEV_EVENT_CONNECTED) != 0);
+        const bool connected = (what & BEV_EVENT_CONNECTED) != 0;
+        static_cast<TargetMonitor*>(argument)->OnCheckResult(connected,
+                                                             connected);
       },
       this);
   connect_timer_.StartOnce(kCheckTimeout);
@@ -132,7 +134,8 @@
   }
 }
 
-void TargetMonitor::OnCheckResult(bool healthy) {
+void TargetMonitor::OnCheckResult(bool answered, bool healthy) {
+  answers_checks_ = answered;
   if (connecting_ != nullptr) {
     bufferevent_free(std::exchange(connecting_, nullptr));
   }
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -48,6 +48,8 @@
   void OnTargetLeaves();
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
+  /// Returns whether the target answered the latest check, healthy or not.
+  bool answers_checks() const { return answers_checks_; }
   /// Returns the number of the announced run of the target; 0: none yet.
   uint64_t run() const { return registry_.run(); }
   world::TargetState state() const { return state_; }
@@ -65,7 +67,7 @@
   void Check();
   void CheckHttp();
   void CheckConnect();
-  void OnCheckResult(bool healthy);
+  void OnCheckResult(bool answered, bool healthy);
   void ScheduleNext();
   void UpdateState();
 
@@ -80,6 +82,7 @@
   bool replaced_ = false;  // another target responds at the address
   bool leaves_ = false;    // the target has said that it leaves
   bool draining_ = false;
+  bool answers_checks_ = true;
   bool checking_ = false;
   uint32_t slots_;
   uint64_t checks_ = 0;
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -124,6 +124,13 @@
   return quarantined;
 }
 
+size_t Quarantine::CountSuspects(Time now) const {
+  return static_cast<size_t>(
+      std::count_if(records_.begin(), records_.end(), [&](const auto& entry) {
+        return Check(entry.first, now) == Verdict::kSuspect;
+      }));
+}
+
 std::vector<QuarantineEntry> Quarantine::List(Time now) const {
   std::vector<QuarantineEntry> entries;
   for (const auto& [fingerprint, record] : records_) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -81,6 +81,8 @@
   /// Ends the quarantine of the request and clears its record. Returns false if
   /// it is not quarantined.
   bool Lift(Digest fingerprint, Time now);
+  /// Returns the number of suspects, without the quarantined requests.
+  size_t CountSuspects(Time now) const;
   /// Returns the quarantined requests, sorted by fingerprint.
   std::vector<QuarantineEntry> List(Time now) const;
 
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -144,6 +144,7 @@
       settings.target = target;
       settings.service = service_.name;
       settings.slots = slots_;
+      settings.health_path = health_path_;
     }
     auto& node = *nodes_.emplace_back(std::make_unique<Node>());
     Node* raw = &node;
@@ -273,6 +274,7 @@
   bool same_incarnation_ = false;  // all nodes get the same incarnation
   uint64_t body_memory_ = 24 << 20;
   uint32_t slots_ = 4;
+  std::string health_path_;  // empty: targets are checked by connecting
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<NodeId, std::unique_ptr<TargetClient>> clients_;
   std::vector<std::unique_ptr<TargetCall>> calls_;
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -160,6 +160,7 @@
   Start(kHosts);
   // Each ingress sees the target of one host only.
   std::vector<Node*> ingresses;
+  ingresses.reserve(kHosts);
   for (int i = 0; i < kHosts; ++i) {
     ingresses.push_back(&AddNode("nadi-" + std::to_string(i), nullptr));
   }
@@ -302,6 +303,30 @@
   EXPECT_EQ(Fetch(*ingress_, kPoison).Get("Ibis-Reason"), "quarantined");
 }
 
+// Guards against suspicion of requests whose target only says that it is ill.
+TEST_F(RepeatedCrashTest, AnUnhealthyTargetThatAnswersHasNotCrashed) {
+  bool healthy = true;
+  std::vector<evhttp_request*> held;
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    if (std::string(evhttp_request_get_uri(request)) != "/health") {
+      held.push_back(request);
+    } else {
+      evhttp_send_reply(request, healthy ? 200 : 503, nullptr, nullptr);
+    }
+  });
+  health_path_ = "/health";
+  Node& gate = AddNode("suva-1", &target);
+  WaitReady(gate);
+  const auto response = Send(gate, {"GET", "/rooms", {}, ""});
+  RunUntil([&] { return !held.empty(); });
+  healthy = false;
+  RunUntil([&] { return gate.member.target == world::TargetState::kDown; });
+  EXPECT_EQ(Metric(gate, "ibis_suspected_requests"), 0);
+  RespondOk(held.front(), "fine");
+  RunUntil([this] { return ended_ == sent_; });
+  EXPECT_EQ(response->status, 200);
+}
+
 // Guards against a crash that nobody hears of because the node beside the
 // target ends with it.
 TEST_F(RepeatedCrashTest, ANodeThatEndsWithItsTargetDoesNotHideTheCrash) {
--- a/tests/dataplane/repeated_refusal_test.cc
+++ b/tests/dataplane/repeated_refusal_test.cc
@@ -51,7 +51,7 @@
     const CallerResponse refused = Fetch(gate, Booking(first));
     EXPECT_EQ(refused.status, 503);
     EXPECT_EQ(refused.Get("Ibis-Outcome"), "not-run");
-    const CallerResponse response = Fetch(gate, Booking(second));
+    CallerResponse response = Fetch(gate, Booking(second));
     EXPECT_EQ(requests_, 2);
     return response;
   }
