Send a body again that was lost with its link

What callers saw: an upload whose link was given up while its body was being sent got no answer until its deadline, 20 s in the case seen, then 503.

Cause: the ingress asks over a new link what became of the attempt. The gate was still receiving its body, answered "running" and moved the attempt to the new link; the rest of the body had gone down with the old one, whose end then concerned no attempt. Class: a state that counts as running though what it waits for cannot come.

Change: a gate that is asked about an attempt whose body is not complete fails it as not run, and an ingress may send a request again to the same gate after a lost link, as after a restart of the gate: the gate itself may be well.

ABodyThatWasOnALostLinkIsSentAgain: 503 after 5.0 s before; 200 after.

Not mended: why the link counted as silent. Heartbeats wait behind a large body on the same link.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -270,6 +270,12 @@
       attempt->port = port;
       Fail(*attempt, Outcome::kUnknown, Reason::kLinkLost);
       return;
+    } else if (attempt->stage == AttemptStage::kReceiving &&
+               attempt->open.body.size() < attempt->open.body_bytes) {
+      // The rest of the body was on the old link and does not arrive.
+      attempt->port = port;
+      Fail(*attempt, Outcome::kNotRun, Reason::kLinkLost);
+      return;
     } else {
       attempt->port = port;
     }
--- a/src/dataplane/retry_rules.cc
+++ b/src/dataplane/retry_rules.cc
@@ -43,7 +43,9 @@
   if (outcome == Outcome::kUnknown) {
     return repeatable && may_offer ? RetryRule::kBudgeted : RetryRule::kNever;
   }
-  if (reason == Reason::kRevision || reason == Reason::kGateRestarted) {
+  // The gate itself may be well.
+  if (reason == Reason::kRevision || reason == Reason::kGateRestarted ||
+      reason == Reason::kLinkLost) {
     return RetryRule::kAfterDelay;
   }
   // A request that has not reached any target yet may be retried freely.
--- a/tests/dataplane/silent_link_test.cc
+++ b/tests/dataplane/silent_link_test.cc
@@ -102,6 +102,26 @@
   EXPECT_EQ(CountBookings(target), 1U);
 }
 
+// Guards against a request that waits until its deadline for the rest of a body
+// that was lost with its link.
+TEST_F(SilentLinkTest, ABodyThatWasOnALostLinkIsSentAgain) {
+  const std::string body(8 << 20, 'x');
+  service_.limits.request_body = body.size();
+  FakeTarget target(loop_, [&](evhttp_request* request) {
+    RespondOk(request, std::to_string(BodyOf(request).size()));
+  });
+  Start(target);
+  const Time start = loop_.Now();
+  const auto response = Send(*ingress_, {"POST", "/bookings", {}, body});
+  RunUntil([&] { return Metric(*gate_, "ibis_gate_in_flight") == 1; });
+  relay_.Stall(FaultRelay::Direction::kBoth);
+  RunUntil([&] { return ended_ == sent_; });
+  EXPECT_EQ(response->status, 200) << response->body;
+  EXPECT_EQ(response->body, std::to_string(body.size()));
+  EXPECT_LT(loop_.Now() - start, service_.deadline / 2);
+  EXPECT_EQ(CountBookings(target), 1U);
+}
+
 TEST_F(SilentLinkTest, ARestartedGateLeavesTheOutcomeUnknown) {
   evhttp_request* held = nullptr;
   FakeTarget target(loop_, [&](evhttp_request* request) {
