--- a/tests/dataplane/cut_head_test.cc
+++ b/tests/dataplane/cut_head_test.cc
@@ -1,3 +1,5 @@
+#include <ostream>
+
 #include "dataplane/plane_fixture.h"
 #include "dataplane/raw_socket.h"
 
@@ -12,6 +14,10 @@
   bool local;  // the target is on the ingress's own host
 };
 
+void PrintTo(const CutHeadCase& param, std::ostream* out) {
+  *out << param.name;
+}
+
 // Fixture with a target that sends the first bytes of a head and then closes or
 // resets the connection.
 class CutHeadTest : public PlaneTest,
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 const TargetRequest kPoison{"GET", "/poison", {}, ""};
+// The same as a request that may not be repeated.
+const TargetRequest kPoisonOnce{"POST", "/poison", {}, "one attempt only"};
 constexpr Duration kDowntime = milliseconds(150);
 
 // Fixture with targets that end at each request for /poison and start again
@@ -19,6 +21,14 @@
  protected:
   static constexpr int kMaxCrashes = 2;
 
+  RepeatedCrashTest() {
+    service_.contracts.push_back({{kPoisonOnce.method},
+                                  kPoisonOnce.uri,
+                                  world::Repeat::kNever,
+                                  world::KeyRule::kOptional,
+                                  {}});
+  }
+
   struct Host {
     std::unique_ptr<CrashingTarget> target;
     Node* node = nullptr;
@@ -105,24 +115,18 @@
 
 // Guards against a gate that misses crashes because its own target is down.
 TEST_F(RepeatedCrashTest, AGateWhoseTargetIsDownLearnsOfOtherCrashes) {
-  const TargetRequest booking{"POST", "/poison", {}, "one attempt only"};
-  service_.contracts.push_back({{"POST"},
-                                "/poison",
-                                world::Repeat::kNever,
-                                world::KeyRule::kOptional,
-                                {}});
   Start(3);
-  Fetch(*ingress_, booking);
+  Fetch(*ingress_, kPoisonOnce);
   ASSERT_EQ(Crashes(), 1);
   RunUntil([this] { return DownNodes() == 1; });
-  Fetch(*ingress_, booking);
+  Fetch(*ingress_, kPoisonOnce);
   ASSERT_EQ(Crashes(), 2);
   // An ingress that has not seen the crashes sends to each gate.
   const Node& other = AddNode("suva-9", nullptr);
   CallerResponse last;
   for (int i = 0; i < 40; ++i) {
     RunUntil([this] { return AllRunning(); });
-    last = Fetch(other, booking);
+    last = Fetch(other, kPoisonOnce);
   }
   EXPECT_EQ(Crashes(), kMaxCrashes);
   EXPECT_EQ(last.status, 503);
@@ -149,12 +153,6 @@
 // while it waited for a slot.
 TEST_F(RepeatedCrashTest, ARequestThatWaitsWhenItIsQuarantinedIsNotRun) {
   constexpr int kHosts = 3;
-  const TargetRequest booking{"POST", "/poison", {}, "one attempt only"};
-  service_.contracts.push_back({{"POST"},
-                                "/poison",
-                                world::Repeat::kNever,
-                                world::KeyRule::kOptional,
-                                {}});
   service_.limits.queue = std::chrono::seconds(2);
   slots_ = 1;
   Start(kHosts);
@@ -186,7 +184,7 @@
   }
   std::shared_ptr<CallerResponse> last;
   for (const Node* ingress : ingresses) {
-    last = Send(*ingress, booking);
+    last = Send(*ingress, kPoisonOnce);
   }
   RunUntil([this] { return ended_ == sent_; });
   EXPECT_EQ(Crashes(), kMaxCrashes);
