--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -10,7 +10,7 @@
 
 namespace ibisvalve::policy {
 
-/// Settings of the request quarantine of one service.
+/// Settings of the request quarantine of a node.
 struct QuarantineSettings {
   uint32_t crash_threshold = 2;  // with a request in flight, to quarantine it
   // Both periods start at the last crash with the request in flight.
@@ -25,14 +25,14 @@
 /// Classification of a request by its fingerprint.
 enum class Verdict : uint8_t {
   kClear,
-  kSuspect,      // in flight at a crash: may run, but is not retried
+  kSuspect,      // in flight at a crash: may run
   kQuarantined,  // refused without a run
 };
 
 /// What a reported crash changed.
 struct CrashEffect {
-  bool already_known = false;     // nothing: the report repeats an earlier one
-  std::vector<Digest> suspected;  // requests that became suspects
+  bool already_known = false;       // the report repeats an earlier one
+  std::vector<Digest> suspected;    // requests that became suspects
   std::vector<Digest> quarantined;  // requests that were quarantined
   std::vector<Digest> released;     // requests that are quarantined no longer
 
