Log which forms of a request crash targets, and from which caller

Change: a request has an identity of two digests, of the very same request and of its path and body (`world::RequestIdentity`). The ingress logs both with method and caller (IV1527) when a target has broken the connection during a run, and when it refuses the request for its crashes. Nothing decides differently.

--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -72,6 +72,7 @@
   bool ResolveRoute(const PickService& pick);
   bool ResolveService();
   bool ReadKey();
+  world::RequestIdentity Identify() const;
   bool Refuse(Reason reason, const std::string& detail, bool close = false) {
     refusal_ = {reason, detail, close};
     return false;
@@ -106,10 +107,7 @@
     return std::nullopt;
   }
   parsed_.fingerprint = FingerprintOf(request_);
-  parsed_.crash_key =
-      DigestOf((fleet_.routes.empty() ? parsed_.service->name.value
-                                      : HostOf(request_.headers)) +
-               '\n' + ToHex(parsed_.fingerprint));
+  parsed_.identity = Identify();
   return parsed_;
 }
 
@@ -179,6 +177,16 @@
   return true;
 }
 
+// Returns the identity of the request: host or service, method, URI and body of
+// the very same one, path and body of the resource.
+world::RequestIdentity TermsParser::Identify() const {
+  const std::string host = fleet_.routes.empty() ? parsed_.service->name.value
+                                                 : HostOf(request_.headers);
+  return {
+      DigestOf(host + '\n' + ToHex(parsed_.fingerprint)),
+      DigestOf(PathOf(request_.uri) + '\n' + ToHex(DigestOf(request_.body)))};
+}
+
 }  // namespace
 
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -21,9 +21,8 @@
   bool under_retry = false;  // a caller further up the chain is retrying
   std::string key;           // value of Idempotency-Key, or empty
   Digest fingerprint;        // of method, URI and body
-  // Identifies the request in reports of crashes: as `fingerprint`, with the
-  // host or service that it names.
-  Digest crash_key;
+  // Identifies the request in reports of crashes.
+  world::RequestIdentity identity;
   Duration objective{0};      // latency objective of the response
   uint32_t priority = 0;      // 0 is the most urgent
   uint32_t max_attempts = 1;  // maximum number of targets that may get it
--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -38,6 +38,8 @@
                                            "attempt_refused"};
 inline constexpr EventCode kAttemptEnded{1526, Severity::kInfo,
                                          "attempt_ended"};
+inline constexpr EventCode kRequestCrashing{1527, Severity::kWarning,
+                                            "request_crashing"};
 inline constexpr EventCode kPlaneStopped{1507, Severity::kInfo,
                                          "plane_stopped"};
 
--- a/src/dataplane/ingress_log.cc
+++ b/src/dataplane/ingress_log.cc
@@ -35,6 +35,19 @@
        {"revision", revision.value}});
 }
 
+void LogCrashing(const CallerRequest& request,
+                 const world::RequestIdentity& identity,
+                 const world::CrashRecord& known,
+                 const PlaneSettings& settings) {
+  LogEvent(kRequestCrashing,
+           {{"request", RequestIdOf(request.headers, settings.names)},
+            {"fingerprint", ToHex(identity.request)},
+            {"resource", ToHex(identity.resource)},
+            {"method", request.method},
+            {"caller", settings.service.value},
+            {"crashes", uint64_t{known.crashes.size()}}});
+}
+
 void LogEnd(const RequestState& request,
             const RequestRecord& record,
             const HeaderNames& names) {
--- a/src/dataplane/ingress_log.h
+++ b/src/dataplane/ingress_log.h
@@ -19,6 +19,13 @@
              const std::pair<wire::LoadHint, uint64_t>& hint,
              Time now);
 
+/// Logs which request crashes targets: a target has broken the connection while
+/// it ran it, or it is refused for the crashes in `known`.
+void LogCrashing(const CallerRequest& request,
+                 const world::RequestIdentity& identity,
+                 const world::CrashRecord& known,
+                 const PlaneSettings& settings);
+
 /// Logs the end of a request.
 void LogEnd(const RequestState& request,
             const RequestRecord& record,
--- a/src/world/crash.h
+++ b/src/world/crash.h
@@ -8,6 +8,20 @@
 
 namespace ibisvalve::world {
 
+/// Identifies a request in reports of crashes, at two levels. Neither changes
+/// if its caller sends it again.
+struct RequestIdentity {
+  Digest request;   // the very same request
+  Digest resource;  // all requests for the same path with the same body
+
+  auto operator<=>(const RequestIdentity&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(request, resource);
+  }
+};
+
 /// Identifies a crash of a target across all nodes.
 struct CrashId {
   NodeId gate;              // of the target
