--- a/tests/dataplane/crashing_target.h
+++ b/tests/dataplane/crashing_target.h
@@ -15,13 +15,14 @@
 
 namespace ibisvalve::dataplane {
 
-/// HTTP server that ends whenever it gets a request with the path /poison: all
-/// its connections break and new ones are refused until it has restarted on the
-/// same port. Requests whose path starts with /slow get their response late,
-/// all others at once.
+/// HTTP server that ends whenever it gets a request that crashes it, by default
+/// one for /poison: all its connections break and new ones are refused until it
+/// has restarted on the same port. Requests whose path starts with /slow get
+/// their response late, all others at once.
 class CrashingTarget {
  public:
   static constexpr Duration kServiceTime = std::chrono::milliseconds(100);
+  using Predicate = std::function<bool(evhttp_request*)>;
 
   /// Starts the server. It is down for `downtime` after each crash.
   CrashingTarget(net::EventLoop& loop, Duration downtime)
@@ -49,6 +50,10 @@
   void SetOnCrash(std::function<void()> on_crash) {
     on_crash_ = std::move(on_crash);
   }
+  /// Sets which requests crash the server.
+  void SetCrashesAt(Predicate crashes_at) {
+    crashes_at_ = std::move(crashes_at);
+  }
   /// Keeps the connections of later crashes open without a response, as if the
   /// host dropped all their packets.
   void FallSilentWhenCrashing() { silent_ = true; }
@@ -76,7 +81,7 @@
       return;  // a server that has fallen silent
     }
     const std::string uri = evhttp_request_get_uri(request);
-    if (uri == "/poison") {
+    if (crashes_at_(request)) {
       Crash();
     } else if (uri.rfind("/slow", 0) == 0) {
       auto& timer = waiting_[request];
@@ -132,6 +137,9 @@
   world::Endpoint local_;
   std::map<evhttp_request*, std::unique_ptr<net::Timer>> waiting_;
   std::function<void()> on_crash_;
+  Predicate crashes_at_ = [](evhttp_request* request) {
+    return std::string(evhttp_request_get_uri(request)) == "/poison";
+  };
   int crashes_ = 0;
   bool silent_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -145,6 +145,8 @@
       settings.service = service_.name;
       settings.slots = slots_;
       settings.health_path = health_path_;
+    } else {
+      settings.service = caller_service_;
     }
     auto& node = *nodes_.emplace_back(std::make_unique<Node>());
     Node* raw = &node;
@@ -274,7 +276,8 @@
   bool same_incarnation_ = false;  // all nodes get the same incarnation
   uint64_t body_memory_ = 24 << 20;
   uint32_t slots_ = 4;
-  std::string health_path_;  // empty: targets are checked by connecting
+  ServiceName caller_service_;  // of the hosts of nodes without a target
+  std::string health_path_;     // empty: targets are checked by connecting
   std::vector<std::unique_ptr<Node>> nodes_;
   std::map<NodeId, std::unique_ptr<TargetClient>> clients_;
   std::vector<std::unique_ptr<TargetCall>> calls_;
