Quarantine all forms of a request after the third crash

What callers saw: requests that were in flight beside one that crashes targets failed again and again, since that request went on to crash targets each time it came with another query or method: 21 crashes with 12 queries, 12 with six methods.

Cause: a request was known by one digest of host, method, URI and body, and evidence was kept for each digest alone. Whatever changes in the request made a new one, with two crashes of its own. Class: evidence filed under a key that the other side can vary.

Change: evidence is kept by resource (path and body), with the request in it. The very same request is quarantined at its second crash, as before. All requests for the resource are quarantined at the third crash, unless one request was in flight at all of them (it is quarantined itself, the others have nothing against them) or a request for the resource has been answered since. A response clears its own request, and the resource, but no other request for it. Records merge as before: nothing in them is taken back. Operators see the scope and can lift both.

Ruled out: one key of path and body (a path would be lost for one query, and any answer would clear it); a share of crashes among responses (needs a count for each path before its first crash).

--- a/src/ctl/node_commands.cc
+++ b/src/ctl/node_commands.cc
@@ -69,7 +69,7 @@
   const std::vector<world::Endpoint> nodes = NodeAdminEndpoints(session);
   nlohmann::json all = {{"quarantined", nlohmann::json::array()},
                         {"unreachable", nlohmann::json::array()}};
-  Table table({"AT", "FINGERPRINT", "CRASHES", "SECONDS LEFT"});
+  Table table({"AT", "FINGERPRINT", "SCOPE", "CRASHES", "SECONDS LEFT"});
   for (const PageAnswer& answer :
        session.FetchEach(nodes, "GET", "/quarantine")) {
     if (!answer.ok()) {
@@ -78,7 +78,8 @@
     }
     for (nlohmann::json entry : ListAt(answer.json, "quarantined")) {
       table.Add({world::ToString(answer.from), CellAt(entry, "fingerprint"),
-                 CellAt(entry, "crashes"), CellAt(entry, "seconds_left")});
+                 CellAt(entry, "scope"), CellAt(entry, "crashes"),
+                 CellAt(entry, "seconds_left")});
       entry["at"] = world::ToString(answer.from);
       all["quarantined"].push_back(entry);
     }
--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -1,7 +1,7 @@
 #include "dataplane/crash_tracker.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <utility>
 
 namespace ibisvalve::dataplane {
@@ -10,9 +10,29 @@
 // A connection that breaks within this time of the previous one is attributed
 // to the same crash.
 constexpr Duration kSameCrashInterval = std::chrono::milliseconds(100);
-// Records in one exchange with a peer, about 60 bytes each.
+// Records in one exchange with a peer, about 150 bytes each.
 constexpr size_t kMaxSyncRecords = 256;
 
+// Logs what a report of `crashes` crashes changed, the last of which is `last`.
+void LogEffect(const policy::CrashEffect& effect,
+               const world::CrashId& last,
+               size_t crashes) {
+  const auto log = [&](const EventCode& event,
+                       const std::vector<Digest>& fingerprints) {
+    for (const Digest& fingerprint : fingerprints) {
+      LogEvent(event, {{"fingerprint", ToHex(fingerprint)},
+                       {"gate", last.gate.value},
+                       {"crash", last.number},
+                       {"crashes", uint64_t{crashes}}});
+    }
+  };
+  log(policy::kRequestSuspected, effect.suspected);
+  log(policy::kRequestQuarantined, effect.quarantined);
+  log(policy::kResourceQuarantined, effect.quarantined_resources);
+  log(policy::kQuarantineLifted, effect.released);
+  log(policy::kQuarantineLifted, effect.released_resources);
+}
+
 }  // namespace
 
 CrashTracker::CrashTracker(net::EventLoop& loop,
@@ -20,7 +40,7 @@
                            SendNotice send_notice)
     : loop_(loop), settings_(settings), send_notice_(std::move(send_notice)) {}
 
-void CrashTracker::OnCrashDuringRun(Digest request) {
+void CrashTracker::OnCrashDuringRun(const world::RequestIdentity& request) {
   const Time now = loop_.Now();
   if (crash_number_ == 0 || now - last_crash_ > kSameCrashInterval) {
     ++crash_number_;
@@ -30,52 +50,58 @@
                              crash_number_};
   const policy::CrashEffect effect = quarantine_.OnCrash(crash, {request}, now);
   if (effect.already_known) {
-    LogEvent(policy::kCrashAlreadyKnown, {{"fingerprint", ToHex(request)},
-                                          {"gate", crash.gate.value},
-                                          {"crash", crash.number}});
+    LogEvent(policy::kCrashAlreadyKnown,
+             {{"fingerprint", ToHex(request.request)},
+              {"gate", crash.gate.value},
+              {"crash", crash.number}});
   }
-  Log(effect, {request, {{crash, 0, false}}});
-  send_notice_(settings_.service, {{Find(request)}});
+  LogEffect(effect, crash, 1);
+  send_notice_(settings_.service, {{Find(request.resource)}});
 }
 
 void CrashTracker::OnGateEnded(const GateRun& gate_run,
                                const ServiceName& service,
-                               Digest request) {
+                               const world::RequestIdentity& request) {
   const world::CrashId crash{gate_run.gate, gate_run.incarnation, 0};
   const policy::CrashEffect effect =
       quarantine_.OnCrash(crash, {request}, loop_.Now());
   if (!effect.already_known) {
-    Log(effect, {request, {{crash, 0, false}}});
-    send_notice_(service, {{Find(request)}});
+    LogEffect(effect, crash, 1);
+    send_notice_(service, {{Find(request.resource)}});
   }
 }
 
-void CrashTracker::OnResponse(Digest request, uint16_t status) {
+void CrashTracker::OnResponse(const world::RequestIdentity& request,
+                              uint16_t status) {
   if (Clear(request, status)) {
-    send_notice_(settings_.service, {{Find(request)}});
+    send_notice_(settings_.service, {{Find(request.resource)}});
   }
 }
 
-void CrashTracker::OnRemoteResponse(Digest request, uint16_t status) {
+void CrashTracker::OnRemoteResponse(const world::RequestIdentity& request,
+                                    uint16_t status) {
   Clear(request, status);
 }
 
-// Clears the request of its crashes if the response shows that it is harmless.
-// Returns whether that changed anything.
-bool CrashTracker::Clear(Digest request, uint16_t status) {
+// Clears the request and its resource of crashes if the response shows that it
+// is harmless. Returns whether that changed anything.
+bool CrashTracker::Clear(const world::RequestIdentity& request,
+                         uint16_t status) {
   constexpr uint16_t kFirstServerError = 500;
   if (status >= kFirstServerError ||
       !quarantine_.OnAnswer(request, loop_.Now())) {
     return false;
   }
-  LogEvent(policy::kSuspectCleared,
-           {{"fingerprint", ToHex(request)}, {"status", uint64_t{status}}});
+  LogEvent(policy::kSuspectCleared, {{"fingerprint", ToHex(request.request)},
+                                     {"resource", ToHex(request.resource)},
+                                     {"status", uint64_t{status}}});
   return true;
 }
 
 void CrashTracker::Learn(const world::CrashRecord& record) {
   if (!record.crashes.empty()) {
-    Log(quarantine_.Merge(record, loop_.Now()), record);
+    LogEffect(quarantine_.Merge(record, loop_.Now()), record.crashes.back().id,
+              record.crashes.size());
   }
 }
 
@@ -85,19 +111,19 @@
   }
 }
 
-world::CrashRecord CrashTracker::Find(Digest request) const {
-  return quarantine_.Find(request, loop_.Now());
+world::CrashRecord CrashTracker::Find(Digest resource) const {
+  return quarantine_.Find(resource, loop_.Now());
 }
 
-bool CrashTracker::IsQuarantined(Digest request) const {
+bool CrashTracker::IsQuarantined(const world::RequestIdentity& request) const {
   return quarantine_.Check(request, loop_.Now()) ==
          policy::Verdict::kQuarantined;
 }
 
-bool CrashTracker::Lift(Digest request) {
-  const bool lifted = quarantine_.Lift(request, loop_.Now());
+bool CrashTracker::Lift(Digest fingerprint) {
+  const bool lifted = quarantine_.Lift(fingerprint, loop_.Now());
   if (lifted) {
-    LogEvent(policy::kQuarantineLifted, {{"fingerprint", ToHex(request)}});
+    LogEvent(policy::kQuarantineLifted, {{"fingerprint", ToHex(fingerprint)}});
   }
   return lifted;
 }
@@ -115,18 +141,20 @@
   std::sort(records.begin(), records.end());
   std::string text;
   for (const world::CrashRecord& record : records) {
-    text += ToHex(record.request);
+    text += ToHex(record.resource);
     for (const world::KnownCrash& crash : record.crashes) {
       text += ' ' + crash.id.gate.value + '/' +
               std::to_string(crash.id.incarnation.value) + '/' +
-              std::to_string(crash.id.number) + (crash.cleared ? "-" : "+");
+              std::to_string(crash.id.number) + '/' + ToHex(crash.request) +
+              (crash.cleared ? "-" : "+") +
+              (crash.resource_cleared ? "-" : "+");
     }
   }
   return DigestOf(text);
 }
 
 wire::CrashNotice CrashTracker::SyncRecords() const {
-  return {quarantine_.QuarantineRecords(kMaxSyncRecords, loop_.Now())};
+  return {quarantine_.RepeatedCrashRecords(kMaxSyncRecords, loop_.Now())};
 }
 
 wire::CrashSyncReply CrashTracker::ReplyTo(const wire::CrashSync& sync) const {
@@ -140,20 +168,24 @@
   if (SyncDigest() == reply.digest) {
     return {};
   }
-  std::map<std::pair<Digest, world::CrashId>, bool> known;
+  // Crashes without their age, which differs from node to node.
+  std::set<std::pair<Digest, world::KnownCrash>> known;
+  const auto key = [](Digest resource, world::KnownCrash crash) {
+    crash.age_us = 0;
+    return std::pair(resource, crash);
+  };
   for (const world::CrashRecord& record : reply.records) {
     for (const world::KnownCrash& crash : record.crashes) {
-      known[{record.request, crash.id}] = crash.cleared;
+      known.insert(key(record.resource, crash));
     }
   }
   wire::CrashNotice missing;
   for (const world::CrashRecord& record : SyncRecords().records) {
-    const bool complete = std::all_of(
-        record.crashes.begin(), record.crashes.end(),
-        [&](const world::KnownCrash& crash) {
-          const auto found = known.find({record.request, crash.id});
-          return found != known.end() && found->second == crash.cleared;
-        });
+    const bool complete =
+        std::all_of(record.crashes.begin(), record.crashes.end(),
+                    [&](const world::KnownCrash& crash) {
+                      return known.contains(key(record.resource, crash));
+                    });
     if (!complete) {
       missing.records.push_back(record);
     }
@@ -161,25 +193,4 @@
   return missing;
 }
 
-// Logs what a report changed; `cause` holds the crashes that it named.
-void CrashTracker::Log(const policy::CrashEffect& effect,
-                       const world::CrashRecord& cause) const {
-  const world::CrashId& crash = cause.crashes.back().id;
-  const auto log = [&](const EventCode& event, const Digest& request) {
-    LogEvent(event, {{"fingerprint", ToHex(request)},
-                     {"gate", crash.gate.value},
-                     {"crash", crash.number},
-                     {"crashes", uint64_t{cause.crashes.size()}}});
-  };
-  for (const Digest& request : effect.suspected) {
-    log(policy::kRequestSuspected, request);
-  }
-  for (const Digest& request : effect.quarantined) {
-    log(policy::kRequestQuarantined, request);
-  }
-  for (const Digest& request : effect.released) {
-    log(policy::kQuarantineLifted, request);
-  }
-}
-
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -36,31 +36,32 @@
   /// Records that the local target broke the connection while it ran the
   /// request `request`. Notifies the other gates first, so that the notice
   /// precedes any retry that the ingress sends to one of them.
-  void OnCrashDuringRun(Digest request);
+  void OnCrashDuringRun(const world::RequestIdentity& request);
   /// Records that a gate of `service` has ended while it had the request.
   /// `gate_run` names the gate and its incarnation; all reports of its end
   /// count as one crash.
   void OnGateEnded(const GateRun& gate_run,
                    const ServiceName& service,
-                   Digest request);
+                   const world::RequestIdentity& request);
   /// Records that the local target has answered the request completely, and
   /// tells the other gates if that clears it. An error of the target (5xx) does
   /// not, as a run that failed may have done so because of a crash.
-  void OnResponse(Digest request, uint16_t status);
+  void OnResponse(const world::RequestIdentity& request, uint16_t status);
   /// Records that the target of another node has answered a request of this
   /// node's ingress completely.
-  void OnRemoteResponse(Digest request, uint16_t status);
-  /// Adds what another node knows of a request.
+  void OnRemoteResponse(const world::RequestIdentity& request, uint16_t status);
+  /// Adds what another node knows of a resource.
   void Learn(const world::CrashRecord& record);
-  /// Adds what another node knows of several requests.
+  /// Adds what another node knows of several resources.
   void OnNotice(const wire::CrashNotice& notice);
-  /// Returns the crashes at which the request was in flight.
-  world::CrashRecord Find(Digest request) const;
+  /// Returns the crashes at which requests for `resource` were in flight.
+  world::CrashRecord Find(Digest resource) const;
   /// Returns whether the request must be refused.
-  bool IsQuarantined(Digest request) const;
-  /// Lifts the quarantine of a request; returns false if it has none.
-  bool Lift(Digest request);
-  /// Returns the quarantined requests, for the operators' page.
+  bool IsQuarantined(const world::RequestIdentity& request) const;
+  /// Lifts the quarantine of a request or resource; returns false if it has
+  /// none.
+  bool Lift(Digest fingerprint);
+  /// Returns the quarantined requests and resources, for the operators' page.
   std::vector<policy::QuarantineEntry> List() const;
 
   /// Returns the number of suspects, without the quarantined requests.
@@ -75,9 +76,7 @@
   wire::CrashNotice OnSyncReply(const wire::CrashSyncReply& reply);
 
  private:
-  bool Clear(Digest request, uint16_t status);
-  void Log(const policy::CrashEffect& effect,
-           const world::CrashRecord& cause) const;
+  bool Clear(const world::RequestIdentity& request, uint16_t status);
 
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -124,8 +124,8 @@
     Refuse(open, port, *reason);
     return;
   }
-  crashes_.Learn(open.crashes);
-  if (crashes_.IsQuarantined(open.crashes.request)) {
+  crashes_.Learn({open.identity.resource, open.crashes});
+  if (crashes_.IsQuarantined(open.identity)) {
     Refuse(open, port, Reason::kQuarantined);
     return;
   }
@@ -187,7 +187,7 @@
   attempt_table_.Finish(open.id, finished, false);
   Count(finished);
   LogAdmissionDecision(kAttemptRefused, open, reason, LogContext());
-  Send(finished, open.id, port, crashes_.Find(open.crashes.request));
+  Send(finished, open.id, port, crashes_.Find(open.identity.resource));
 }
 
 void Gate::AddBody(const wire::BodyPart& part) {
@@ -357,15 +357,15 @@
 }
 
 void Gate::OnTargetEnded() {
-  std::vector<Digest> requests = unanswered_.Take(loop_.Now());
+  std::vector<world::RequestIdentity> requests = unanswered_.Take(loop_.Now());
   for (const auto& [id, attempt] : in_flight_) {
     if (attempt->stage == AttemptStage::kRunning &&
         attempt->response == nullptr && !attempt->declined &&
         !std::exchange(attempt->crash_counted, true)) {
-      requests.push_back(attempt->open.crashes.request);
+      requests.push_back(attempt->open.identity);
     }
   }
-  for (const Digest& request : requests) {
+  for (const world::RequestIdentity& request : requests) {
     crashes_.OnCrashDuringRun(request);
   }
 }
@@ -508,7 +508,7 @@
     return;
   }
   // It may have been quarantined while it waited for a slot.
-  if (crashes_.IsQuarantined(attempt.open.crashes.request)) {
+  if (crashes_.IsQuarantined(attempt.open.identity)) {
     Fail(attempt, Outcome::kNotRun, Reason::kQuarantined);
     return;
   }
@@ -677,7 +677,7 @@
   }
   const uint16_t status = attempt->response->status();
   attempt->response->OnEnd(Hint());
-  crashes_.OnResponse(attempt->open.crashes.request, status);
+  crashes_.OnResponse(attempt->open.identity, status);
   ReleaseSlot(*attempt, status,
               status >= kFirstServerError ? policy::RunResult::kFailed
                                           : policy::RunResult::kSucceeded);
@@ -721,7 +721,7 @@
     return;
   }
   if (reached && !attempt->crash_counted) {
-    crashes_.OnCrashDuringRun(attempt->open.crashes.request);
+    crashes_.OnCrashDuringRun(attempt->open.identity);
   }
   Fail(*attempt, reached ? Outcome::kUnknown : Outcome::kNotRun,
        reached ? Reason::kTargetBroke : Reason::kTargetDown);
@@ -747,13 +747,12 @@
       reason == Reason::kDeadline || reason == Reason::kCancelled;
   if (given_up && attempt.stage == AttemptStage::kRunning &&
       attempt.response == nullptr && !attempt.crash_counted) {
-    unanswered_.Add(attempt.open.crashes.request, attempt.dispatched,
-                    loop_.Now());
+    unanswered_.Add(attempt.open.identity, attempt.dispatched, loop_.Now());
   }
   const FinishedAttempt finished{outcome, reason, 0, nullptr};
   if (attempt.port.send) {
     Send(finished, attempt.open.id, attempt.port,
-         crashes_.Find(attempt.open.crashes.request));
+         crashes_.Find(attempt.open.identity.resource));
   }
   for (const ResponseFollower& follower : attempt.followers) {
     Send(finished, follower.reply_as, follower.port);
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -128,9 +128,9 @@
         exchange,
         {Reason::kDraining, "this node stops before its deadline", true},
         terms->service->name);
-  } else if (crashes_.IsQuarantined(terms->identity.request)) {
+  } else if (crashes_.IsQuarantined(terms->identity)) {
     LogCrashing(exchange->request(), terms->identity,
-                crashes_.Find(terms->identity.request), settings_);
+                crashes_.Find(terms->identity.resource), settings_);
     RejectRequest(exchange,
                   {Reason::kQuarantined, "the request has crashed targets"},
                   terms->service->name);
@@ -294,7 +294,8 @@
   request->tried.insert(choice->gate);
   wire::OpenAttempt open = MakeOpenAttempt(*request, attempt, settings_,
                                            view_.revision(), loop_.Now());
-  open.crashes = crashes_.Find(request->terms.identity.request);
+  open.identity = request->terms.identity;
+  open.crashes = crashes_.Find(open.identity.resource).crashes;
   open.may_redirect = choice->has_alternative &&
                       request->attempts_made <= kMaxAttemptsWithRedirect;
   LogSent(*request, attempt, settings_.names, view_.revision(),
@@ -437,7 +438,7 @@
   const IngressAttempt& attempt = *found.attempt;
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
   OnNewerRevision(attempt.gate, failed.revision);
-  crashes_.Learn({found.request->terms.identity.request, failed.crashes});
+  crashes_.Learn({found.request->terms.identity.resource, failed.crashes});
   if (failed.outcome == Outcome::kUnknown &&
       failed.reason == Reason::kGateRestarted) {
     OnGateEnded(found);
@@ -459,7 +460,7 @@
   if (!found.attempt->awaited) {
     crashes_.OnGateEnded({found.attempt->gate, found.attempt->gate_incarnation},
                          found.request->terms.service->name,
-                         found.request->terms.identity.request);
+                         found.request->terms.identity);
   }
 }
 
@@ -482,7 +483,7 @@
   record.gate = winner.gate;
   record.outcome = Outcome::kAnswered;
   record.status = winner.relay->status();
-  crashes_.OnRemoteResponse(request->terms.identity.request, record.status);
+  crashes_.OnRemoteResponse(request->terms.identity, record.status);
   ServicePolicy& policy = PolicyOf(*request);
   policy.retries.Deposit(now);
   const bool failed = record.status >= kFirstServerError;
@@ -515,7 +516,7 @@
   if (reason == Reason::kTargetBroke) {
     ++request->broken_targets;
     LogCrashing(request->exchange->request(), request->terms.identity,
-                crashes_.Find(request->terms.identity.request), settings_);
+                crashes_.Find(request->terms.identity.resource), settings_);
   }
   if (outcome == Outcome::kUnknown && reason != Reason::kDeadline &&
       PolicyOf(*request).ejection.OnResult(gate, true, loop_.Now())) {
@@ -540,7 +541,7 @@
        request->terms.max_attempts});
   if (now >= request->deadline ||
       request->broken_targets >= kMaxBrokenTargets ||
-      crashes_.IsQuarantined(request->terms.identity.request) ||
+      crashes_.IsQuarantined(request->terms.identity) ||
       (rule == RetryRule::kBudgeted &&
        !PolicyOf(*request).retries.TryTake(now))) {
     rule = RetryRule::kNever;
--- a/src/dataplane/plane_pages.cc
+++ b/src/dataplane/plane_pages.cc
@@ -39,8 +39,10 @@
                            Time now) {
   json list = json::array();
   for (const policy::QuarantineEntry& entry : entries) {
+    const bool resource = entry.scope == policy::QuarantineScope::kResource;
     list.push_back(
         {{"fingerprint", ToHex(entry.fingerprint)},
+         {"scope", resource ? "resource" : "request"},
          {"crashes", entry.crashes},
          {"seconds_left",
           std::chrono::duration_cast<std::chrono::seconds>(entry.until - now)
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -16,6 +16,8 @@
                                               "crash-already-known"};
 inline constexpr EventCode kSuspectCleared{1709, Severity::kInfo,
                                            "suspect-cleared"};
+inline constexpr EventCode kResourceQuarantined{1710, Severity::kError,
+                                                "resource-quarantined"};
 inline constexpr EventCode kLimitLowered{1705, Severity::kWarning,
                                          "limit-lowered"};
 inline constexpr EventCode kLimitRestored{1706, Severity::kInfo,
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -3,6 +3,8 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "base/base.h"
@@ -13,35 +15,46 @@
 /// Settings of the request quarantine of a node.
 struct QuarantineSettings {
   uint32_t crash_threshold = 2;  // with a request in flight, to quarantine it
+  // Crashes with requests for a resource in flight, to quarantine all of them.
+  uint32_t resource_threshold = 3;
   // Both periods start at the last crash with the request in flight.
   Duration suspicion_period = std::chrono::minutes(10);
   Duration quarantine_period = std::chrono::minutes(10);
-  uint32_t max_fingerprints = 4096;  // suspects and quarantined requests kept
-  uint32_t max_crashes = 16;         // kept for each, the latest ones
+  uint32_t max_resources = 2048;  // with suspects or quarantined requests
+  uint32_t max_crashes = 32;  // kept for each, counted once for each request
 
   auto operator<=>(const QuarantineSettings&) const = default;
 };
 
-/// Classification of a request by its fingerprint.
+/// Classification of a request.
 enum class Verdict : uint8_t {
   kClear,
   kSuspect,      // in flight at a crash: may run
   kQuarantined,  // refused without a run
 };
 
+/// What is quarantined.
+enum class QuarantineScope : uint8_t {
+  kRequest,   // the very same request
+  kResource,  // all requests with this path and body
+};
+
 /// What a reported crash changed.
 struct CrashEffect {
   bool already_known = false;       // the report repeats an earlier one
   std::vector<Digest> suspected;    // requests that became suspects
   std::vector<Digest> quarantined;  // requests that were quarantined
   std::vector<Digest> released;     // requests that are quarantined no longer
+  std::vector<Digest> quarantined_resources;
+  std::vector<Digest> released_resources;
 
   auto operator<=>(const CrashEffect&) const = default;
 };
 
-/// A quarantined request, as listed for operators.
+/// An entry of the quarantine, as listed for operators.
 struct QuarantineEntry {
-  Digest fingerprint;
+  QuarantineScope scope = QuarantineScope::kRequest;
+  Digest fingerprint;  // of the request or the resource
   uint32_t crashes = 0;
   Time until{};
 
@@ -51,9 +64,16 @@
 /// Detects requests that crash targets. Each request in flight at a crash
 /// becomes a suspect and is quarantined after `crash_threshold` of them. A
 /// complete response clears it, so that a frequent but harmless request is not
-/// quarantined for the crashes of another. Records of several nodes can be
-/// merged in any order and any number of times: a crash, and that a request is
-/// cleared of it, is never taken back.
+/// quarantined for the crashes of another.
+///
+/// A request that crashes targets may come again in another form. Therefore all
+/// requests for a resource are quarantined after `resource_threshold` crashes,
+/// if no single request was in flight at all of them and no request for the
+/// resource has been answered since.
+///
+/// Records of several nodes can be merged in any order and any number of times:
+/// a crash, and that a request or its resource is cleared of it, is never taken
+/// back.
 class Quarantine {
  public:
   explicit Quarantine(const QuarantineSettings& settings = {});
@@ -62,28 +82,33 @@
   /// One crash may be reported several times, with other requests each time;
   /// it counts once for each request. Returns what it changed.
   CrashEffect OnCrash(const world::CrashId& crash,
-                      const std::vector<Digest>& in_flight,
+                      const std::vector<world::RequestIdentity>& in_flight,
                       Time now);
-  /// Adds what another node knows of a request. Returns what it changed.
+  /// Adds what another node knows of a resource. Returns what it changed.
   CrashEffect Merge(const world::CrashRecord& record, Time now);
-  /// Returns the crashes at which the request was in flight.
-  world::CrashRecord Find(Digest fingerprint, Time now) const;
-  /// Returns the records of requests that are or were quarantined, at most
+  /// Returns the crashes at which requests for `resource` were in flight.
+  world::CrashRecord Find(Digest resource, Time now) const;
+  /// Returns the records of resources with repeated crashes, at most
   /// `max_records`, those that expire last first.
-  std::vector<world::CrashRecord> QuarantineRecords(size_t max_records,
-                                                    Time now) const;
-  /// Records that a target has answered the request, which clears it of all
-  /// crashes: a request that crashes each target that runs it is never
-  /// answered. Returns whether it was suspected or quarantined.
-  bool OnAnswer(Digest fingerprint, Time now);
+  std::vector<world::CrashRecord> RepeatedCrashRecords(size_t max_records,
+                                                       Time now) const;
+  /// Records that a target has answered the request. This clears the request of
+  /// its crashes, as one that crashes each target is never answered, and its
+  /// resource of those of all its requests. Returns whether that changed
+  /// anything.
+  bool OnAnswer(const world::RequestIdentity& request, Time now);
   /// Returns the classification of the request.
-  Verdict Check(Digest fingerprint, Time now) const;
-  /// Ends the quarantine of the request and clears its record. Returns false if
-  /// it is not quarantined.
+  Verdict Check(const world::RequestIdentity& request, Time now) const;
+  /// Returns whether the request was in flight at `crash` and has been cleared
+  /// of it.
+  bool IsCleared(const world::RequestIdentity& request,
+                 const world::CrashId& crash) const;
+  /// Ends the quarantine of the request or resource with this fingerprint and
+  /// clears it of its crashes. Returns false if it is not quarantined.
   bool Lift(Digest fingerprint, Time now);
   /// Returns the number of suspects, without the quarantined requests.
   size_t CountSuspects(Time now) const;
-  /// Returns the quarantined requests, sorted by fingerprint.
+  /// Returns the quarantined requests and resources, sorted by resource.
   std::vector<QuarantineEntry> List(Time now) const;
 
  private:
@@ -93,24 +118,35 @@
     // Whether a later response or an operator has cleared the request of this
     // crash. Kept, so that a repeated report does not count again.
     bool cleared = false;
+    // The same for the resource.
+    bool resource_cleared = false;
+  };
+  using Key = std::pair<world::CrashId, Digest>;  // the crash and the request
+  using Record = std::map<Key, Crash>;            // of one resource
+
+  // The crashes that count against a request or a resource.
+  struct Evidence {
+    uint32_t crashes = 0;
+    Time last{};
+    bool quarantined = false;
   };
-  using Record = std::map<world::CrashId, Crash>;
 
-  CrashEffect Add(Digest fingerprint,
-                  const world::CrashId& id,
-                  const Crash& crash);
-  uint32_t CountCrashes(const Record& record) const;
-  bool IsQuarantined(const Record& record) const;
+  CrashEffect Add(Digest resource, const Key& key, const Crash& crash);
+  Evidence EvidenceOfRequest(const Record& record, Digest request) const;
+  Evidence EvidenceOfResource(const Record& record) const;
+  bool IsInForce(const Evidence& evidence, Time now) const;
   Time ExpiryOf(const Record& record) const;
-  static void ClearOfAllCrashes(Record& record);
-  static void DropOldestCrash(Record& record);
-  static world::CrashRecord ToRecord(Digest fingerprint,
+  bool HasQuarantine(const Record& record) const;
+  bool HasRepeatedCrashes(const Record& record) const;
+  void DropWeakestCrash(Record& record) const;
+  static std::set<Digest> RequestsOf(const Record& record);
+  static world::CrashRecord ToRecord(Digest resource,
                                      const Record& record,
                                      Time now);
   void EvictExpired(Time now);
 
   QuarantineSettings settings_;
-  std::map<Digest, Record> records_;
+  std::map<Digest, Record> records_;  // by resource
 };
 
 }  // namespace ibisvalve::policy
--- a/src/policy/unanswered_runs.cc
+++ b/src/policy/unanswered_runs.cc
@@ -10,7 +10,9 @@
 
 }  // namespace
 
-void UnansweredRuns::Add(Digest request, Time dispatched, Time now) {
+void UnansweredRuns::Add(const world::RequestIdentity& request,
+                         Time dispatched,
+                         Time now) {
   if (runs_.size() == kMaxRuns) {
     runs_.pop_front();
   }
@@ -22,8 +24,8 @@
                 [&](const Run& run) { return run.dispatched < dispatched; });
 }
 
-std::vector<Digest> UnansweredRuns::Take(Time now) {
-  std::vector<Digest> requests;
+std::vector<world::RequestIdentity> UnansweredRuns::Take(Time now) {
+  std::vector<world::RequestIdentity> requests;
   for (const Run& run : runs_) {
     if (now - run.given_up < kMaxAge) {
       requests.push_back(run.request);
--- a/src/policy/unanswered_runs.h
+++ b/src/policy/unanswered_runs.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "world/world.h"
 
 namespace ibisvalve::policy {
 
@@ -14,16 +15,16 @@
  public:
   /// Records that the run of `request` that started at `dispatched` is given
   /// up.
-  void Add(Digest request, Time dispatched, Time now);
+  void Add(const world::RequestIdentity& request, Time dispatched, Time now);
   /// Records a response to a run that started at `dispatched`: the target was
   /// alive after the earlier runs had started.
   void OnResponse(Time dispatched);
   /// Returns the requests of the recent runs, and forgets them.
-  std::vector<Digest> Take(Time now);
+  std::vector<world::RequestIdentity> Take(Time now);
 
  private:
   struct Run {
-    Digest request;
+    world::RequestIdentity request;
     Time dispatched;
     Time given_up;
   };
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -75,16 +75,17 @@
   uint32_t priority = 0;      // 0 is the highest priority
   bool may_redirect = false;  // another target is nearly as good
   uint64_t sent_us = 0;       // by the sender's BootMicros
-  // Identifies the request in reports of crashes, with those that the ingress
-  // knows.
-  world::CrashRecord crashes;
+  world::RequestIdentity identity;  // in reports of crashes
+  // Crashes of targets at which requests for the resource were in flight, known
+  // at the ingress.
+  std::vector<world::KnownCrash> crashes;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
             body_complete, caller, objective_us, expected_us, priority,
-            may_redirect, sent_us, crashes);
+            may_redirect, sent_us, identity, crashes);
   }
 };
 
@@ -158,7 +159,8 @@
   std::optional<ClaimHolder> holder;  // set with kKeyClaimed
   // With kKeyClaimed, the HTTP status of the holder's run; 0: unknown.
   uint16_t claimed_status = 0;
-  // Crashes of targets at which the request was in flight, known at the gate.
+  // Crashes of targets at which requests for the resource were in flight, known
+  // at the gate.
   std::vector<world::KnownCrash> crashes;
 
   template <typename Archive>
--- a/src/world/crash.h
+++ b/src/world/crash.h
@@ -37,31 +37,34 @@
   }
 };
 
-/// A crash at which some request was in flight, as nodes tell it each other.
+/// A crash at which a request was in flight, as nodes tell it each other.
 struct KnownCrash {
   CrashId id;
+  Digest request;
   uint64_t age_us = 0;  // time since the crash
   // Whether a later response or an operator has cleared the request of it.
   bool cleared = false;
+  // The same for the resource.
+  bool resource_cleared = false;
 
   auto operator<=>(const KnownCrash&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(id, age_us, cleared);
+    archive(id, request, age_us, cleared, resource_cleared);
   }
 };
 
-/// The crashes at which one request was in flight.
+/// The crashes at which requests for one resource were in flight.
 struct CrashRecord {
-  Digest request;
+  Digest resource;
   std::vector<KnownCrash> crashes;
 
   auto operator<=>(const CrashRecord&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(request, crashes);
+    archive(resource, crashes);
   }
 };
 
--- a/tests/dataplane/crash_identity_test.cc
+++ b/tests/dataplane/crash_identity_test.cc
@@ -204,7 +204,7 @@
   settings.id = NodeId("suva-1");
   CrashTracker crashes(loop_, settings,
                        [](const ServiceName&, const wire::CrashNotice&) {});
-  const Digest request(1);
+  const world::RequestIdentity request{Digest(1), Digest(2)};
   crashes.OnCrashDuringRun(request);
   EXPECT_EQ(crashes.CountSuspects(), 1U);
   crashes.OnResponse(request, 200);
--- a/tests/policy/faults_test.cc
+++ b/tests/policy/faults_test.cc
@@ -10,6 +10,8 @@
 namespace ibisvalve::policy {
 namespace {
 
+using world::RequestIdentity;
+
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
@@ -107,26 +109,33 @@
   return {MakeNodeId(static_cast<int>(number)), Incarnation(1), number};
 }
 
+// Returns a request that agrees with no other one in path and body.
+RequestIdentity Alone(uint64_t number) {
+  return {Digest(number), Digest(1000 + number)};
+}
+
 TEST(QuarantineTest, QuarantinesAtTheSecondCrash) {
   Quarantine quarantine;
-  const Digest poison(1);
-  const Digest harmless(2);
+  const RequestIdentity poison = Alone(1);
+  const RequestIdentity harmless = Alone(2);
   EXPECT_TRUE(quarantine.OnCrash(MakeCrashId(1), {poison, harmless}, kStart)
                   .quarantined.empty());
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kSuspect);
-  EXPECT_EQ(quarantine.OnCrash(MakeCrashId(2), {poison, Digest(3)}, kStart),
-            (CrashEffect{false, {Digest(3)}, {poison}, {}}));
+  EXPECT_EQ(quarantine.OnCrash(MakeCrashId(2), {poison, Alone(3)}, kStart),
+            (CrashEffect{false, {Digest(3)}, {poison.request}, {}, {}, {}}));
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
   EXPECT_EQ(quarantine.Check(harmless, kStart), Verdict::kSuspect);
-  EXPECT_EQ(quarantine.Check(Digest(4), kStart), Verdict::kClear);
-  EXPECT_EQ(quarantine.List(kStart),
-            (std::vector<QuarantineEntry>{{poison, 2, kStart + minutes(10)}}));
+  EXPECT_EQ(quarantine.Check(Alone(4), kStart), Verdict::kClear);
+  EXPECT_EQ(
+      quarantine.List(kStart),
+      (std::vector<QuarantineEntry>{{QuarantineScope::kRequest, poison.request,
+                                     2, kStart + minutes(10)}}));
   EXPECT_EQ(quarantine.Check(poison, kStart + minutes(10)), Verdict::kClear);
 }
 
 TEST(QuarantineTest, CountsARepeatedReportOnce) {
   Quarantine quarantine;
-  const Digest harmless(1);
+  const RequestIdentity harmless = Alone(1);
   for (int i = 0; i < 3; ++i) {
     quarantine.OnCrash(MakeCrashId(1), {harmless, harmless}, kStart);
   }
@@ -137,50 +146,52 @@
 // first for the same crash.
 TEST(QuarantineTest, EachRequestReportedForACrashBecomesASuspect) {
   Quarantine quarantine;
-  const Digest poison(1);
+  const RequestIdentity poison = Alone(1);
   for (uint64_t crash = 1; crash <= 2; ++crash) {
-    quarantine.OnCrash(MakeCrashId(crash), {Digest(100 + crash)}, kStart);
+    quarantine.OnCrash(MakeCrashId(crash), {Alone(100 + crash)}, kStart);
     const CrashEffect effect =
         quarantine.OnCrash(MakeCrashId(crash), {poison}, kStart);
     EXPECT_FALSE(effect.already_known);
   }
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
-  EXPECT_EQ(quarantine.Check(Digest(101), kStart), Verdict::kSuspect);
+  EXPECT_EQ(quarantine.Check(Alone(101), kStart), Verdict::kSuspect);
 }
 
 // Guards against nodes that do not agree after they have told each other what
 // they know, in whichever order.
 TEST(QuarantineTest, MergedRecordsAgree) {
-  const Digest poison(1);
-  const Digest lifted(2);
+  const RequestIdentity poison = Alone(1);
+  const RequestIdentity lifted = Alone(2);
   Quarantine first;
   Quarantine second;
   first.OnCrash(MakeCrashId(1), {poison, lifted}, kStart);
   first.OnCrash(MakeCrashId(2), {lifted}, kStart);
-  second.Merge(first.Find(lifted, kStart), kStart);
-  EXPECT_TRUE(first.Lift(lifted, kStart));
+  second.Merge(first.Find(lifted.resource, kStart), kStart);
+  EXPECT_TRUE(first.Lift(lifted.request, kStart));
   second.OnCrash(MakeCrashId(3), {poison}, kStart);
   const Time later = kStart + std::chrono::seconds(5);
-  EXPECT_EQ(first.Merge(second.Find(poison, later), later).quarantined,
-            (std::vector<Digest>{poison}));
-  EXPECT_EQ(second.Merge(first.Find(lifted, later), later).released,
-            (std::vector<Digest>{lifted}));
-  second.Merge(first.Find(poison, later), later);
-  EXPECT_TRUE(first.Merge(second.Find(lifted, later), later).already_known);
-  for (const Digest& request : {poison, lifted}) {
-    EXPECT_EQ(first.Find(request, later), second.Find(request, later));
+  EXPECT_EQ(first.Merge(second.Find(poison.resource, later), later).quarantined,
+            (std::vector<Digest>{poison.request}));
+  EXPECT_EQ(second.Merge(first.Find(lifted.resource, later), later).released,
+            (std::vector<Digest>{lifted.request}));
+  second.Merge(first.Find(poison.resource, later), later);
+  EXPECT_TRUE(
+      first.Merge(second.Find(lifted.resource, later), later).already_known);
+  for (const RequestIdentity& request : {poison, lifted}) {
+    EXPECT_EQ(first.Find(request.resource, later),
+              second.Find(request.resource, later));
   }
   EXPECT_EQ(second.Check(poison, later), Verdict::kQuarantined);
   EXPECT_EQ(second.Check(lifted, later), Verdict::kClear);
-  EXPECT_EQ(second.QuarantineRecords(10, later).size(), 2U);
-  EXPECT_TRUE(second.QuarantineRecords(10, kStart + minutes(10)).empty());
+  EXPECT_EQ(second.RepeatedCrashRecords(10, later).size(), 2U);
+  EXPECT_TRUE(second.RepeatedCrashRecords(10, kStart + minutes(10)).empty());
 }
 
 TEST(QuarantineTest, ClearsASuspectAfterACompleteResponse) {
   Quarantine quarantine;
-  const Digest frequent(1);
+  const RequestIdentity frequent = Alone(1);
   for (uint64_t crash = 0; crash < 5; ++crash) {
-    quarantine.OnCrash(MakeCrashId(crash), {frequent, Digest(100 + crash)},
+    quarantine.OnCrash(MakeCrashId(crash), {frequent, Alone(100 + crash)},
                        kStart);
     quarantine.OnAnswer(frequent, kStart);
     EXPECT_EQ(quarantine.Check(frequent, kStart), Verdict::kClear);
@@ -189,12 +200,12 @@
 
 TEST(QuarantineTest, StaysLiftedAfterRepeatedReports) {
   Quarantine quarantine;
-  const Digest poison(1);
+  const RequestIdentity poison = Alone(1);
   quarantine.OnCrash(MakeCrashId(1), {poison}, kStart);
-  EXPECT_FALSE(quarantine.Lift(poison, kStart));
+  EXPECT_FALSE(quarantine.Lift(poison.request, kStart));
   quarantine.OnCrash(MakeCrashId(2), {poison}, kStart);
   EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
-  EXPECT_TRUE(quarantine.Lift(poison, kStart));
+  EXPECT_TRUE(quarantine.Lift(poison.request, kStart));
   // Repeated reports of the same crashes.
   quarantine.OnCrash(MakeCrashId(1), {poison}, kStart);
   quarantine.OnCrash(MakeCrashId(2), {poison}, kStart);
@@ -205,7 +216,7 @@
 // while targets crash, also when the reports of the crashes come late.
 TEST(QuarantineTest, AResponseEndsAQuarantineForTheCrashesBeforeIt) {
   Quarantine quarantine;
-  const Digest frequent(1);
+  const RequestIdentity frequent = Alone(1);
   quarantine.OnCrash(MakeCrashId(1), {frequent}, kStart);
   quarantine.OnCrash(MakeCrashId(2), {frequent}, kStart);
   EXPECT_EQ(quarantine.Check(frequent, kStart), Verdict::kQuarantined);
@@ -222,14 +233,111 @@
 
 TEST(QuarantineTest, EvictsSuspectsBeforeQuarantinedRequests) {
   QuarantineSettings settings;
-  settings.max_fingerprints = 10;
+  settings.max_resources = 10;
   Quarantine quarantine(settings);
-  quarantine.OnCrash(MakeCrashId(1), {Digest(1)}, kStart);
-  quarantine.OnCrash(MakeCrashId(2), {Digest(1)}, kStart);
+  quarantine.OnCrash(MakeCrashId(1), {Alone(1)}, kStart);
+  quarantine.OnCrash(MakeCrashId(2), {Alone(1)}, kStart);
   for (uint64_t i = 0; i < 100; ++i) {
-    quarantine.OnCrash(MakeCrashId(10 + i), {Digest(10 + i)}, kStart);
+    quarantine.OnCrash(MakeCrashId(10 + i), {Alone(10 + i)}, kStart);
+  }
+  EXPECT_EQ(quarantine.Check(Alone(1), kStart), Verdict::kQuarantined);
+}
+
+// Guards against a request that crashes targets anew in each other form.
+TEST(QuarantineTest, QuarantinesAResourceAtTheThirdCrashOfSeveralRequests) {
+  Quarantine quarantine;
+  const Digest resource(9);
+  const auto variant = [&](uint64_t number) {
+    return RequestIdentity{Digest(number), resource};
+  };
+  quarantine.OnCrash(MakeCrashId(1), {variant(1)}, kStart);
+  quarantine.OnCrash(MakeCrashId(2), {variant(1)}, kStart);
+  EXPECT_EQ(quarantine.Check(variant(1), kStart), Verdict::kQuarantined);
+  EXPECT_EQ(quarantine.Check(variant(2), kStart), Verdict::kClear);
+  EXPECT_EQ(quarantine.OnCrash(MakeCrashId(3), {variant(2)}, kStart)
+                .quarantined_resources,
+            (std::vector<Digest>{resource}));
+  for (uint64_t number = 1; number <= 4; ++number) {
+    EXPECT_EQ(quarantine.Check(variant(number), kStart), Verdict::kQuarantined);
+  }
+  EXPECT_EQ(quarantine.Check(Alone(1), kStart), Verdict::kClear);
+  EXPECT_EQ(quarantine.List(kStart).front(),
+            (QuarantineEntry{QuarantineScope::kResource, resource, 3,
+                             kStart + std::chrono::minutes(10)}));
+  EXPECT_EQ(quarantine.Check(variant(3), kStart + std::chrono::minutes(10)),
+            Verdict::kClear);
+}
+
+// Guards against a resource that is lost for the crashes of one request, which
+// was under way at several targets before it was quarantined.
+TEST(QuarantineTest, CrashesOfOneRequestDoNotQuarantineItsResource) {
+  Quarantine quarantine;
+  const RequestIdentity poison{Digest(1), Digest(9)};
+  const RequestIdentity sibling{Digest(2), Digest(9)};
+  for (uint64_t crash = 1; crash <= 4; ++crash) {
+    quarantine.OnCrash(MakeCrashId(crash), {poison}, kStart);
+  }
+  // In flight beside it.
+  quarantine.OnCrash(MakeCrashId(4), {sibling}, kStart);
+  EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
+  EXPECT_EQ(quarantine.Check(sibling, kStart), Verdict::kSuspect);
+  EXPECT_EQ(quarantine.Check({Digest(3), Digest(9)}, kStart), Verdict::kClear);
+}
+
+// Guards against a busy resource that is refused for the crashes of some of its
+// requests, and against a response to one request that clears another.
+TEST(QuarantineTest, AResponseClearsItsRequestAndItsResourceOnly) {
+  Quarantine quarantine;
+  const RequestIdentity poison{Digest(1), Digest(9)};
+  const RequestIdentity other{Digest(2), Digest(9)};
+  const RequestIdentity answered{Digest(3), Digest(9)};
+  quarantine.OnCrash(MakeCrashId(1), {poison}, kStart);
+  EXPECT_TRUE(quarantine.OnAnswer(answered, kStart));
+  EXPECT_FALSE(quarantine.OnAnswer(answered, kStart));
+  EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kSuspect);
+  quarantine.OnCrash(MakeCrashId(2), {poison}, kStart);
+  EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
+  quarantine.OnCrash(MakeCrashId(3), {other}, kStart);
+  EXPECT_EQ(quarantine.Check(answered, kStart), Verdict::kClear);
+  quarantine.OnCrash(MakeCrashId(4), {other}, kStart);
+  EXPECT_EQ(quarantine.Check(answered, kStart), Verdict::kQuarantined);
+  // A run that was under way ends well.
+  EXPECT_TRUE(quarantine.OnAnswer(answered, kStart));
+  EXPECT_EQ(quarantine.Check(answered, kStart), Verdict::kClear);
+  EXPECT_EQ(quarantine.Check(poison, kStart), Verdict::kQuarantined);
+  EXPECT_EQ(quarantine.Check(other, kStart), Verdict::kQuarantined);
+}
+
+// Guards against an operator who cannot lift what several requests caused.
+TEST(QuarantineTest, AQuarantinedResourceCanBeLifted) {
+  Quarantine quarantine;
+  const Digest resource(9);
+  for (uint64_t number = 1; number <= 3; ++number) {
+    quarantine.OnCrash(MakeCrashId(number), {{Digest(number), resource}},
+                       kStart);
+  }
+  EXPECT_EQ(quarantine.Check({Digest(4), resource}, kStart),
+            Verdict::kQuarantined);
+  EXPECT_TRUE(quarantine.Lift(resource, kStart));
+  EXPECT_EQ(quarantine.Check({Digest(4), resource}, kStart), Verdict::kClear);
+  EXPECT_TRUE(quarantine.List(kStart).empty());
+}
+
+// Guards against the loss of the evidence against one request among many others
+// for the same resource that were in flight beside it.
+TEST(QuarantineTest, KeepsTheCrashesOfAQuarantinedRequestBesideManyOthers) {
+  Quarantine quarantine;
+  const Digest resource(9);
+  uint64_t next = 100;
+  for (uint64_t crash = 1; crash <= 4; ++crash) {
+    quarantine.OnCrash(MakeCrashId(crash), {{Digest(1), resource}}, kStart);
+    for (int i = 0; i < 30; ++i) {
+      quarantine.OnCrash(MakeCrashId(crash), {{Digest(++next), resource}},
+                         kStart);
+    }
   }
-  EXPECT_EQ(quarantine.Check(Digest(1), kStart), Verdict::kQuarantined);
+  EXPECT_EQ(quarantine.Check({Digest(1), resource}, kStart),
+            Verdict::kQuarantined);
 }
 
 // Guards against suspicion of requests after whose start the target was alive.
@@ -238,12 +346,12 @@
   const auto at = [](int value) {
     return kStart + std::chrono::seconds(value);
   };
-  runs.Add(Digest(1), at(0), at(1));
-  runs.Add(Digest(2), at(2), at(3));
+  runs.Add(Alone(1), at(0), at(1));
+  runs.Add(Alone(2), at(2), at(3));
   runs.OnResponse(at(1));
-  EXPECT_EQ(runs.Take(at(4)), (std::vector<Digest>{Digest(2)}));
+  EXPECT_EQ(runs.Take(at(4)), (std::vector<RequestIdentity>{Alone(2)}));
   EXPECT_TRUE(runs.Take(at(4)).empty());
-  runs.Add(Digest(3), at(4), at(5));
+  runs.Add(Alone(3), at(4), at(5));
   EXPECT_TRUE(runs.Take(at(60)).empty());
 }
 
