Tell requests of different callers apart in the evidence of crashes

What callers saw: a request that is harmless for one caller was refused, 6 of 6, because the same path and body from another caller had crashed targets.

Cause: the identity left out what the target is told about the caller, the service of the host where the request began. Targets get it in a header that the ingress sets, so two requests that a target can tell apart were one here. Class: two things under one key, so that evidence about one decides about the other.

Change: the service of the ingress's host is part of the identity of the very same request. Neither the header as the caller sent it (it is overwritten) nor the connection (a repeated request comes at any machine) can stand for the caller.

RepeatedCrashTest sent its request through nodes on hosts of no service and of the targets' service and expects two crashes, which holds for the very same request; all its hosts are of one service now, and its cases and bounds are the same.

--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -62,8 +62,13 @@
   TermsParser(const CallerRequest& request,
               const world::Fleet& fleet,
               const HeaderNames& names,
+              const ServiceName& caller,
               CallerRefusal& refusal)
-      : request_(request), fleet_(fleet), names_(names), refusal_(refusal) {}
+      : request_(request),
+        fleet_(fleet),
+        names_(names),
+        caller_(caller),
+        refusal_(refusal) {}
 
   std::optional<CallerTerms> Parse(const PickService& pick);
 
@@ -81,6 +86,7 @@
   const CallerRequest& request_;
   const world::Fleet& fleet_;
   const HeaderNames& names_;
+  const ServiceName& caller_;
   CallerRefusal& refusal_;
   CallerTerms parsed_;
   std::optional<uint64_t> deadline_ms_;
@@ -177,13 +183,13 @@
   return true;
 }
 
-// Returns the identity of the request: host or service, method, URI and body of
-// the very same one, path and body of the resource.
+// Returns the identity of the request: all that its target gets each time it
+// comes again, the caller's service too, and path and body of the resource.
 world::RequestIdentity TermsParser::Identify() const {
   const std::string host = fleet_.routes.empty() ? parsed_.service->name.value
                                                  : HostOf(request_.headers);
   return {
-      DigestOf(host + '\n' + ToHex(parsed_.fingerprint)),
+      DigestOf(host + '\n' + caller_.value + '\n' + ToHex(parsed_.fingerprint)),
       DigestOf(PathOf(request_.uri) + '\n' + ToHex(DigestOf(request_.body)))};
 }
 
@@ -192,9 +198,10 @@
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
                                       const HeaderNames& names,
+                                      const ServiceName& caller,
                                       const PickService& pick,
                                       CallerRefusal& refusal) {
-  return TermsParser(request, fleet, names, refusal).Parse(pick);
+  return TermsParser(request, fleet, names, caller, refusal).Parse(pick);
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -39,13 +39,15 @@
 /// Returns the service of `route` that receives the next request.
 using PickService = std::function<ServiceName(const world::Route& route)>;
 
-/// Parses the headers of `request`. Returns std::nullopt and sets `refusal` if
+/// Parses the headers of `request`, which began on a host of the service
+/// `caller`. Returns std::nullopt and sets `refusal` if
 /// the request cannot be served under `fleet`. The service is selected by the
 /// routes of `fleet` if it has any, otherwise by the Ibis-Service header or the
 /// first label of the Host header.
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
                                       const HeaderNames& names,
+                                      const ServiceName& caller,
                                       const PickService& pick,
                                       CallerRefusal& refusal);
 
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -113,7 +113,7 @@
   }
   CallerRefusal refusal;
   const std::optional<CallerTerms> terms = ParseTerms(
-      exchange->request(), *view_.fleet(), settings_.names,
+      exchange->request(), *view_.fleet(), settings_.names, settings_.service,
       [this](const world::Route& route) {
         return candidates_.share_rotation().Next(route);
       },
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -22,6 +22,9 @@
   static constexpr int kMaxCrashes = 2;
 
   RepeatedCrashTest() {
+    // All hosts are of one service, so that a request is the very same one
+    // wherever it begins.
+    caller_service_ = service_.name;
     service_.contracts.push_back({{kPoisonOnce.method},
                                   kPoisonOnce.uri,
                                   world::Repeat::kNever,
