Count a crash soon after a response as a new one

What callers saw: a target that answered a request, and crashed at it again within 100 ms of an earlier crash, was not counted: the request was no suspect and ran once more.

Cause: connections that break within 100 ms share the number of a crash, as all connections of a target break together. A request that has been cleared of that crash by a response in between was taken as cleared of the new one too.

Change: if the request has been cleared of the crash, the next break is another one.

Ruled out: a shorter interval, as a busy loop reads the ends of many connections over some milliseconds.

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -42,12 +42,13 @@
 
 void CrashTracker::OnCrashDuringRun(const world::RequestIdentity& request) {
   const Time now = loop_.Now();
-  if (crash_number_ == 0 || now - last_crash_ > kSameCrashInterval) {
-    ++crash_number_;
+  world::CrashId crash{settings_.id, settings_.incarnation, crash_number_};
+  // A request that was answered since has crashed the target anew.
+  if (crash_number_ == 0 || now - last_crash_ > kSameCrashInterval ||
+      quarantine_.IsCleared(request, crash)) {
+    crash.number = ++crash_number_;
   }
   last_crash_ = now;
-  const world::CrashId crash{settings_.id, settings_.incarnation,
-                             crash_number_};
   const policy::CrashEffect effect = quarantine_.OnCrash(crash, {request}, now);
   if (effect.already_known) {
     LogEvent(policy::kCrashAlreadyKnown,
