Refuse heartbeats with numbers out of range

A heartbeat with a `sequence` of 2^64-1 was taken, and each later one of that worker then counted as late, `draining` among them; a `born` far ahead did the same to the worker's next start; a `coldLeftS` of 1e300, -1e300, 1e12 or -5 was cast to a duration, which is undefined beyond its range.

Cause: fields were checked for their type, not for their range. Class: numbers from outside taken at face value where later decisions compare with them.

Ruled out: a limit on how far a sequence may leap ahead of the last one, as nothing says by how much it grows.

--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -136,6 +136,7 @@
 }
 
 const LocalTarget kLocalTarget{ServiceName("huvo"), {"10.1.0.8", 8301}};
+constexpr uint64_t kNowMs = 1'700'000'000'123;
 
 // A keeper sends nothing while it edits the file. If editing takes longer than
 // an election time-out, the leader is replaced, and its successor has to edit
@@ -166,7 +167,7 @@
       ParseHeartbeat("i-7f", R"({"address":"10.1.0.8:8301","born":1700000000123,
       "info":{"service":"huvo","version":"v1","zone":"suva","slots":6},
       "status":{"state":"draining","sequence":4,"coldLeftS":1.5}})",
-                     kLocalTarget);
+                     kLocalTarget, kNowMs);
   EXPECT_EQ(announcement.state, world::TargetState::kDraining);
   EXPECT_EQ(announcement.identity, "i-7f");
   EXPECT_EQ(announcement.slots, 6U);
@@ -180,7 +181,7 @@
       {"address", "10.1.0.8:8301"},
       {"info", {{"service", "huvo"}, {"slots", 6}}},
       {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftS", 0}}}};
-  EXPECT_NO_THROW(ParseHeartbeat("i-7f", good.dump(), kLocalTarget));
+  EXPECT_NO_THROW(ParseHeartbeat("i-7f", good.dump(), kLocalTarget, kNowMs));
   const auto refused = [&](const char* part, const char* key, Json value) {
     Json bad = good;
     if (std::string(key).empty()) {
@@ -188,7 +189,8 @@
     } else {
       bad[part][key] = std::move(value);
     }
-    EXPECT_THROW(ParseHeartbeat("i-7f", bad.dump(), kLocalTarget), InvalidInput)
+    EXPECT_THROW(ParseHeartbeat("i-7f", bad.dump(), kLocalTarget, kNowMs),
+                 InvalidInput)
         << bad;
   };
   refused("info", "service", "other");
@@ -198,8 +200,57 @@
   refused("status", "sequence", -1);
   refused("status", "coldLeftS", nullptr);
   refused("address", "", "10.1.0.9:8301");
-  EXPECT_THROW(ParseHeartbeat("i-7f", "\xff\x01{", kLocalTarget), InvalidInput);
-  EXPECT_THROW(ParseHeartbeat("", good.dump(), kLocalTarget), InvalidInput);
+  EXPECT_THROW(ParseHeartbeat("i-7f", "\xff\x01{", kLocalTarget, kNowMs),
+               InvalidInput);
+  EXPECT_THROW(ParseHeartbeat("", good.dump(), kLocalTarget, kNowMs),
+               InvalidInput);
+}
+
+// Guards against an entry with a number out of range that is taken, so that the
+// entries after it count as late or its duration overflows.
+TEST(HeartbeatTest, RejectsNumbersOutOfRange) {
+  constexpr uint64_t kTwoDaysMs = 2 * 24 * 3600 * 1000;
+  const Json good = {
+      {"address", "10.1.0.8:8301"},
+      {"born", kNowMs},
+      {"info", {{"service", "huvo"}, {"slots", 6}}},
+      {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftS", 0}}}};
+  EXPECT_NO_THROW(ParseHeartbeat("i-7f", good.dump(), kLocalTarget, kNowMs));
+  const auto refused = [&](const char* path, const std::string& number) {
+    Json bad = good;
+    bad[Json::json_pointer(path)] = "NUMBER";
+    std::string text = bad.dump();
+    text.replace(text.find("\"NUMBER\""), 8, number);
+    EXPECT_THROW(ParseHeartbeat("i-7f", text, kLocalTarget, kNowMs),
+                 InvalidInput)
+        << text;
+  };
+  for (const char* number : {"1e300", "-1e300", "1e400", "1e12", "-5"}) {
+    refused("/status/coldLeftS", number);
+  }
+  for (const char* number :
+       {"18446744073709551615", "9223372036854775807", "1e30", "-1"}) {
+    refused("/status/sequence", number);
+    refused("/born", number);
+  }
+  refused("/born", std::to_string(kNowMs + kTwoDaysMs));
+  for (const char* number : {"18446744073709551616", "4294967296", "1e9"}) {
+    refused("/info/slots", number);
+  }
+}
+
+// Guards against an entry nested so deeply that reading it ends the process.
+TEST(HeartbeatTest, RejectsDeeplyNestedEntries) {
+  constexpr size_t kDepth = 1'000'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  EXPECT_THROW(ParseHeartbeat("i-7f", nested, kLocalTarget, kNowMs),
+               InvalidInput);
+  const std::string member =
+      R"({"address":"10.1.0.8:8301","info":{"service":"huvo","slots":6},)"
+      R"("status":{"state":"ready","sequence":4,"coldLeftS":0},"x":)" +
+      nested + "}";
+  EXPECT_NO_THROW(ParseHeartbeat("i-7f", member, kLocalTarget, kNowMs));
 }
 
 TEST(HeadersTest, ParsesLoadWithAndWithoutSlowdown) {
