Follow a target that drains whatever the number of its announcement

An announcement with a far too high number, within the range that is taken, made each later one of that run late. A target that left then went on getting work until it ended (DRAIN, LOST).

Cause: the order of announcements decides about a fact that needs no order. A run that drains does not become ready again.

Change: a late announcement of the current run that says draining still drains it; later ones that say ready and are late still change nothing.

TargetRegistryTest.ADrainingTargetIsFollowedWhateverItsNumber failed before. What remains: a well-formed entry of another writer with the id of a new run takes the place of the real one, as a restart does.

--- a/src/dataplane/target_registry.cc
+++ b/src/dataplane/target_registry.cc
@@ -60,6 +60,12 @@
   }
   const bool late =
       announcement.number != 0 && announcement.number <= current_->number;
+  if (late && announcement.state == world::TargetState::kDraining &&
+      current_->state != world::TargetState::kDraining) {
+    // A run that drains does not get ready again, so this holds in any order.
+    current_->state = world::TargetState::kDraining;
+    return true;
+  }
   if (late || current_->stopping) {
     return false;
   }
--- a/src/dataplane/target_registry.h
+++ b/src/dataplane/target_registry.h
@@ -26,7 +26,7 @@
 
 /// Tracks the current run of the local target. Announcements may arrive out of
 /// order: those of earlier runs, and outdated ones of the current run, are
-/// ignored. Does no I/O and reads no clock.
+/// ignored, except that the current run drains. Does no I/O and reads no clock.
 class TargetRegistry {
  public:
   /// Applies an announcement. Returns false, and ignores it, if it is outdated
--- a/tests/dataplane/target_registry_test.cc
+++ b/tests/dataplane/target_registry_test.cc
@@ -34,6 +34,20 @@
   EXPECT_EQ(registry.current()->state, TargetState::kDraining);
 }
 
+// Guards against a target that leaves and is not let go, because an odd
+// announcement had a number that its own never reach.
+TEST(TargetRegistryTest, ADrainingTargetIsFollowedWhateverItsNumber) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  registry.Apply(Announcement("i-1", uint64_t{1} << 50, 1000));
+  EXPECT_FALSE(registry.Apply(Announcement("i-1", 5, 1000)));
+  EXPECT_TRUE(
+      registry.Apply(Announcement("i-1", 6, 1000, TargetState::kDraining)));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  EXPECT_FALSE(registry.Apply(Announcement("i-1", 7, 1000)));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+}
+
 TEST(TargetRegistryTest, ALateAnnouncementOfAPreviousRunIsIgnored) {
   TargetRegistry registry;
   registry.Apply(Announcement("i-1", 7));
