Refuse changes that are nested too deeply instead of ending

Report of other operators: an odd entry, very deeply nested, after which machines ended again and again. Here heartbeats are read without recursion, but a change with 100,000 nested arrays or objects in an unknown member (200 kB of the 4 MiB that are taken) ended the keeper: segmentation fault. Orders are sent again to the next keeper, so one body can end one after the other.

Cause: parsing is iterative and sets no limit, while copying and writing JSON recurses, so a body that was read without fault overflowed the stack when it was stored. Class: a limit that each user of a parsed value relies on, checked by none.

A state in force that is nested deeper, which older builds may have stored, can still be replaced as a whole; only its version is read.

DesiredStateTest.RefusesDeeplyNestedChanges and ADeeplyNestedStateCanBeReplaced ended the test process before. YAML files and settings have a limit of their own (ConfigFuzzTest.DeepAndRecursiveDocuments); gossip, mesh and control frames and the keeper's log hold flat structures, with lengths checked against the bytes that are there. Ruled out: keeping the body as it came (a PATCH has to write the merged state).

--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -162,6 +162,54 @@
             2 * kRoutes + 1U);
 }
 
+// Guards against a change nested so deeply that storing it ends the keeper, and
+// the next one to which it is sent.
+TEST(DesiredStateTest, RefusesDeeplyNestedChanges) {
+  constexpr size_t kDepth = 100'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string objects = [] {
+    std::string text;
+    for (size_t i = 0; i < kDepth; ++i) {
+      text += R"({"a":)";
+    }
+    return text + "1" + std::string(kDepth, '}');
+  }();
+  const std::string versions =
+      R"({"version":"00000002","baseVersion":"00000000",)";
+  for (const std::string& body :
+       {nested, versions + R"("resources":[],"x":)" + nested + "}",
+        versions + R"("resources":[],"x":)" + objects + "}"}) {
+    EXPECT_EQ(EditDesiredState("", kReplace, body).result,
+              control::EditedFile::Result::kInvalid);
+  }
+  EXPECT_EQ(
+      EditDesiredState("", kPatch,
+                       versions + R"("upsert":{"resources":[)" + nested + "]}}")
+          .result,
+      control::EditedFile::Result::kInvalid);
+  // Brackets in a text do not nest.
+  EXPECT_EQ(EditDesiredState("", kReplace,
+                             versions + R"("resources":[],"x":"\"[)" +
+                                 std::string(kDepth, '[') + "\"}")
+                .result,
+            control::EditedFile::Result::kEdited);
+}
+
+// Guards against a stored state with deep nesting that no change can replace.
+TEST(DesiredStateTest, ADeeplyNestedStateCanBeReplaced) {
+  constexpr size_t kDepth = 100'000;
+  const std::string present = R"({"version":"00000001","resources":[],"x":)" +
+                              std::string(kDepth, '[') +
+                              std::string(kDepth, ']') + "}";
+  const std::string change =
+      R"({"version":"00000002","baseVersion":"00000001","resources":[]})";
+  EXPECT_EQ(EditDesiredState(present, kReplace, change).result,
+            control::EditedFile::Result::kEdited);
+  EXPECT_EQ(EditDesiredState(present, kPatch, change).result,
+            control::EditedFile::Result::kInvalid);
+}
+
 TEST(HeartbeatTest, DecodesAllFields) {
   const auto announcement =
       ParseHeartbeat("i-7f", R"({"address":"10.1.0.8:8301","born":1700000000123,
