Do not copy deeply nested pages in ibisctl and the fleet page

A million nested arrays in a page ended ibisctl (segmentation fault). Both now treat a page or status nested deeper than 100 like one that is no JSON.

CommandsTest.ADeeplyNestedPageIsNotShown ended the test process before. The status of a node is guarded without a test of its own: it comes from processes of this project only.

--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -82,7 +82,10 @@
 }
 
 Json StatusJson(const std::string& text) {
-  Json parsed = Json::parse(text.empty() ? "{}" : text, nullptr, false);
+  if (text.empty() || JsonDepth(text) > kMaxJsonDepth) {
+    return Json::object();
+  }
+  Json parsed = Json::parse(text, nullptr, false);
   return parsed.is_discarded() ? Json::object() : parsed;
 }
 
--- a/src/ctl/session.cc
+++ b/src/ctl/session.cc
@@ -9,8 +9,11 @@
 
 PageAnswer ToAnswer(const world::Endpoint& from,
                     const net::HttpResult& result) {
+  using Json = nlohmann::json;
+  const bool readable = JsonDepth(result.body) <= kMaxJsonDepth;
   return PageAnswer{from, result.status, result.body, result.error,
-                    nlohmann::json::parse(result.body, nullptr, false)};
+                    readable ? Json::parse(result.body, nullptr, false)
+                             : Json(Json::value_t::discarded)};
 }
 
 }  // namespace
--- a/tests/ctl/commands_test.cc
+++ b/tests/ctl/commands_test.cc
@@ -111,6 +111,17 @@
   EXPECT_EQ(Run("quarantine", {"lift", "a&b"}).code, ExitCode::kUsage);
 }
 
+// Guards against a page nested so deeply that showing it ends the tool.
+TEST_F(CommandsTest, ADeeplyNestedPageIsNotShown) {
+  constexpr size_t kDepth = 1'000'000;
+  ServeMembers();
+  daemon_.On("GET", "/quarantine",
+             R"({"quarantined":[{"fingerprint":)" + std::string(kDepth, '[') +
+                 std::string(kDepth, ']') + "}]}");
+  const CommandResult shown = Run("quarantine");
+  EXPECT_EQ(shown.code, ExitCode::kOk) << shown.err;
+}
+
 TEST_F(CommandsTest, DiffComparesRevisionsWithTheActiveOne) {
   daemon_.On("GET", "/fleet", R"({"active":2})");
   daemon_.On("GET", "/show", [](const net::AdminRequest& request) {
