Keep the numbers of a desired state within their types

A `targetLatencyS` of -1e300 was cast to a duration, which is undefined.

Server-Load, Server-Limit and the numeric headers of callers are parsed with a range check already (`from_chars` into their type), as are the YAML units.

--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -162,6 +162,35 @@
             2 * kRoutes + 1U);
 }
 
+// Guards against numbers of a state that overflow a duration, or lose their
+// upper half and become a limit of zero.
+TEST(DesiredStateTest, NumbersOutOfRangeAreRefusedOrCapped) {
+  const auto state = [](const std::string& objective,
+                        const std::string& bytes) {
+    return R"({"version":"00000001","resources":[
+      {"type":"services","metadata":{"name":"huvo"},
+       "spec":{"healthPath":"/h","maxConnections":)" +
+           bytes + R"(}},
+      {"type":"routes","metadata":{"name":"r"},"spec":{"host":"a.example",
+       "pathPrefix":"/a/","kind":"idempotent","timeoutS":1,"targetLatencyS":)" +
+           objective + R"(,"priority":)" + bytes + R"(,"service":"huvo",
+       "maxAttempts":)" +
+           bytes + R"(}},
+      {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":)" +
+           bytes +
+           R"(,"maxBodyBytes":1024,"headerTimeoutS":3,"idleTimeoutS":15}}]})";
+  };
+  EXPECT_THROW(ParseDesiredState(state("-1e300", "8"), "state"), InvalidInput);
+  EXPECT_THROW(ParseDesiredState(state("1e300", "8"), "state"), InvalidInput);
+  const world::Fleet fleet =
+      ParseDesiredState(state("0.5", "4294967296"), "state");
+  EXPECT_EQ(fleet.callers.header_bytes, uint32_t{INT32_MAX});
+  EXPECT_EQ(fleet.services.front().limits.connections_per_target,
+            uint32_t{INT32_MAX});
+  EXPECT_EQ(fleet.routes.front().priority, uint32_t{INT32_MAX});
+  EXPECT_EQ(fleet.routes.front().max_attempts, uint32_t{INT32_MAX});
+}
+
 // Guards against a change nested so deeply that storing it ends the keeper, and
 // the next one to which it is sent.
 TEST(DesiredStateTest, RefusesDeeplyNestedChanges) {
