Pause a keeper whose disk is full instead of ending it

Report of other operators: disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered.

Cause: every failed write was taken for a disk in an unknown state. A write without room leaves what was synced, and the file can be cut back to it. Class: one answer to errors that differ in what they leave behind.

Change: LogStore reports a lack of room as DiskFullError; the write has no effect then and may be repeated. The replica pauses, as one does whose disk stalls: it keeps the actions that were not written, tries again every 100 ms, and until then receives, sends, proposes and reads nothing. Pending proposals end as unknown, nodes are sent to other keepers and pages answer 503 at once. A first start waits for room. Any other error still ends the process.

Ruled out: to go on as a follower without writing (it may neither vote nor acknowledge); to step down only (a follower has to write as well).

--- a/src/control/control_port.cc
+++ b/src/control/control_port.cc
@@ -48,6 +48,15 @@
   peers_.insert(std::move(peer));
 }
 
+void ControlPort::CloseNodes() {
+  for (const Peer& peer : std::vector<Peer>(peers_.begin(), peers_.end())) {
+    if (peer->node) {
+      peer->link->Close();
+      Remove(peer);
+    }
+  }
+}
+
 void ControlPort::Remove(const Peer& peer) {
   if (peers_.erase(peer) > 0) {
     handlers_.on_closed(peer);
--- a/src/control/control_port.h
+++ b/src/control/control_port.h
@@ -42,6 +42,8 @@
               const world::Endpoint& local,
               Handlers handlers);
 
+  /// Closes the connections of all nodes, so that they follow other keepers.
+  void CloseNodes();
   /// Returns all open connections.
   const std::set<Peer>& peers() const { return peers_; }
   world::Endpoint local() const { return listener_.local(); }
--- a/src/control/events.h
+++ b/src/control/events.h
@@ -40,6 +40,8 @@
 inline constexpr EventCode kFileSent{1427, Severity::kInfo, "file-sent"};
 inline constexpr EventCode kConfigPropagated{1428, Severity::kInfo,
                                              "config-propagated"};
+inline constexpr EventCode kDiskFull{1429, Severity::kError, "disk-full"};
+inline constexpr EventCode kDiskHasRoom{1430, Severity::kInfo, "disk-has-room"};
 inline constexpr EventCode kDiskFailed{1425, Severity::kError, "disk-failed"};
 inline constexpr EventCode kChangeRefused{1424, Severity::kInfo,
                                           "change-refused"};
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -93,7 +93,7 @@
           settings.election_timeout,
           {[this](const ReplicaMessage& message) { SendToReplica(message); },
            [this](const wire::LogEntry*) { OnApplied(); },
-           [this] { OnRoleChange(); }}),
+           [this] { OnRoleChange(); }, [this] { port_.CloseNodes(); }}),
       links_(
           loop,
           {[this] { return Hello(); },
--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -156,6 +156,10 @@
 
 void KeeperPages::Route(const net::AdminRequest& request,
                         const net::AdminServer::Reply& reply) {
+  if (parts_.driver.paused()) {
+    reply(ErrorResponse(kUnavailable, "this keeper has no room on its disk"));
+    return;
+  }
   LeaderRelay::Call call;
   call.local = [this, request, reply](uint64_t number) {
     HandleLocal(request, [this, number, reply](
--- a/src/control/log_store.cc
+++ b/src/control/log_store.cc
@@ -50,13 +50,20 @@
   }
 };
 
+[[noreturn]] void ThrowWriteError(const std::string& what, int error) {
+  if (error == ENOSPC || error == EDQUOT || error == EFBIG) {
+    throw DiskFullError(what, error);
+  }
+  throw SystemError(what, error);
+}
+
 void WriteAll(int fd, const std::string& bytes, const std::string& path) {
   size_t written = 0;
   while (written < bytes.size()) {
     const ssize_t count =
         write(fd, bytes.data() + written, bytes.size() - written);
     if (count < 0 && errno != EINTR) {
-      throw SystemError("cannot write " + path, errno);
+      ThrowWriteError("cannot write " + path, errno);
     }
     written += static_cast<size_t>(std::max<ssize_t>(count, 0));
   }
@@ -172,7 +179,13 @@
     return;
   }
   const std::string path = PathOf(NumberedName(kLogPrefix, log_number_));
-  WriteAll(log_fd_, bytes, path);
+  DropPartialAppend(path);
+  try {
+    WriteAll(log_fd_, bytes, path);
+  } catch (const DiskFullError&) {
+    has_partial_append_ = true;
+    throw;
+  }
   if (fdatasync(log_fd_) != 0) {
     throw SystemError("cannot sync " + path, errno);
   }
@@ -188,6 +201,8 @@
   AppendRecord(snapshot, RecordType::kSnapshot,
                wire::Encode(SnapshotRecord{meta, state}));
   WriteFileAtomically(NumberedName(kSnapshotPrefix, meta.index), snapshot);
+  // First, since the new log file may need their room.
+  RemoveOlderFiles(kSnapshotPrefix, meta.index);
   // The new log file appears under its name only when it is complete; until
   // then, recovery uses the old one.
   std::string log;
@@ -196,15 +211,25 @@
   ++log_number_;
   close(log_fd_);
   OpenLog();
+  has_partial_append_ = false;
   RemoveOlderFiles(kLogPrefix, log_number_);
-  RemoveOlderFiles(kSnapshotPrefix, meta.index);
+}
+
+void LogStore::DropPartialAppend(const std::string& path) {
+  if (!has_partial_append_) {
+    return;
+  }
+  if (ftruncate(log_fd_, static_cast<off_t>(log_bytes_)) != 0) {
+    ThrowWriteError("cannot truncate " + path, errno);
+  }
+  has_partial_append_ = false;
 }
 
 void LogStore::LockDirectory() {
   const std::string path = PathOf(kLockFile);
   lock_fd_ = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
   if (lock_fd_ < 0) {
-    throw SystemError("cannot open " + path, errno);
+    ThrowWriteError("cannot open " + path, errno);
   }
   if (flock(lock_fd_, LOCK_EX | LOCK_NB) != 0) {
     const int error = errno;
@@ -352,22 +377,21 @@
   const int fd = open(temporary_path.c_str(),
                       O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   if (fd < 0) {
-    throw SystemError("cannot write " + temporary_path, errno);
+    ThrowWriteError("cannot write " + temporary_path, errno);
   }
   try {
     WriteAll(fd, bytes, temporary_path);
+    if (fsync(fd) != 0) {
+      ThrowWriteError("cannot sync " + temporary_path, errno);
+    }
   } catch (...) {
     close(fd);
+    unlink(temporary_path.c_str());
     throw;
   }
-  const int result = fsync(fd);
-  const int error = errno;
   close(fd);
-  if (result != 0) {
-    throw SystemError("cannot sync " + temporary_path, error);
-  }
   if (std::rename(temporary_path.c_str(), path.c_str()) != 0) {
-    throw SystemError("cannot rename " + temporary_path, errno);
+    ThrowWriteError("cannot rename " + temporary_path, errno);
   }
   SyncDirectory(directory_);
   ++syncs_;
--- a/src/control/log_store.h
+++ b/src/control/log_store.h
@@ -10,10 +10,17 @@
 
 namespace ibisvalve::control {
 
+/// Thrown when the disk has no room for a write.
+class DiskFullError : public SystemError {
+ public:
+  using SystemError::SystemError;
+};
+
 /// Persistent storage of one keeper in its data directory: the identity, the
 /// newest snapshot, and the log after that snapshot. Every write returns after
-/// it has been synced. A failed write throws SystemError, after which the store
-/// must not be used.
+/// it has been synced. A write for which the disk has no room throws
+/// DiskFullError: it has no effect and may be repeated. After any other
+/// SystemError the store must not be used.
 class LogStore {
  public:
   /// Opens `directory`, creating it if it does not exist, and recovers its
@@ -60,6 +67,7 @@
   void RecoverLog();
   void DropEntriesReplacedBySnapshot();
   void OpenLog();
+  void DropPartialAppend(const std::string& path);
   void RemoveOlderFiles(const std::string& prefix, uint64_t number);
   void WriteFileAtomically(const std::string& name, const std::string& bytes);
   std::string PathOf(const std::string& name) const;
@@ -70,6 +78,8 @@
   int log_fd_ = -1;
   uint64_t log_number_ = 1;
   uint64_t log_bytes_ = 0;
+  // Whether the log file may end with a part of an append that had no room.
+  bool has_partial_append_ = false;
   uint64_t syncs_ = 0;
   wire::ReplicaId replica_;
   bool may_found_;
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -80,6 +80,9 @@
 
 void NodeSessions::Follow(const ControlPort::Peer& peer,
                           const wire::FollowKeeper& follow) {
+  if (driver_.paused()) {
+    throw wire::WireError("this keeper waits for room on its disk");
+  }
   const wire::GroupId group = driver_.replica().members().group;
   if (follow.group.value != 0 && group.value != 0 && follow.group != group) {
     LogEvent(kForeignGroup, {{"node", follow.node.value}});
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <random>
+#include <thread>
 #include <utility>
 
 #include "control/events.h"
@@ -16,10 +17,27 @@
 // snapshot is larger.
 constexpr uint64_t kMinCompactionBytes = 4 << 20;
 constexpr int kExitDiskFailed = 3;
+constexpr Duration kDiskFullRetryInterval = std::chrono::milliseconds(100);
+constexpr Duration kCompactionRetryInterval = std::chrono::seconds(1);
 // Applied entries that stay in memory after a compaction, so that replicas a
 // little behind need no snapshot.
 constexpr uint64_t kRetainedEntries = 2000;
 
+// Opens the store, and waits until the disk has room for what it needs to
+// start.
+LogStore OpenStore(const ReplicaDriver::DataDirectory& directory) {
+  for (bool logged = false;; logged = true) {
+    try {
+      return LogStore(directory.path, directory.may_found);
+    } catch (const DiskFullError& error) {
+      if (!logged) {
+        LogEvent(kDiskFull, {{"why", error.what()}});
+      }
+      std::this_thread::sleep_for(kDiskFullRetryInterval);
+    }
+  }
+}
+
 uint64_t RandomSeed() {
   std::random_device device;
   return static_cast<uint64_t>(device()) << 32 | device();
@@ -34,9 +52,11 @@
                              Handlers handlers)
     : loop_(loop),
       handlers_(std::move(handlers)),
-      store_(directory.path, directory.may_found),
+      store_(OpenStore(directory)),
       tick_timer_(loop, [this] {
-        replica_->Tick(loop_.Now());
+        if (!paused()) {
+          replica_->Tick(loop_.Now());
+        }
         Flush();
       }) {
   const RecoveredLog recovered = store_.TakeRecoveredLog();
@@ -58,12 +78,15 @@
 }
 
 void ReplicaDriver::Receive(const ReplicaMessage& message) {
+  if (paused()) {
+    return;
+  }
   replica_->Receive(message, loop_.Now());
   ScheduleFlush();
 }
 
 void ReplicaDriver::FoundNewGroup(const wire::KeeperMembers& members) {
-  if (replica_->log().last_index() != 0) {
+  if (paused() || replica_->log().last_index() != 0) {
     return;
   }
   LogEvent(kGroupFounded, {{"group", ToHex(Digest(members.group.value))},
@@ -74,7 +97,7 @@
 
 void ReplicaDriver::Propose(const Command& command, ProposalCallback done) {
   const std::optional<uint64_t> index =
-      replica_->Propose(wire::Encode(command));
+      paused() ? std::nullopt : replica_->Propose(wire::Encode(command));
   if (!index) {
     loop_.Post([done = std::move(done)] { done(std::nullopt); });
     return;
@@ -84,13 +107,15 @@
 }
 
 bool ReplicaDriver::ProposeMembers(const wire::KeeperMembers& members) {
-  const bool proposed = replica_->ProposeMembers(members).has_value();
+  const bool proposed =
+      !paused() && replica_->ProposeMembers(members).has_value();
   ScheduleFlush();
   return proposed;
 }
 
 void ReplicaDriver::Read(std::function<void(bool)> done) {
-  const std::optional<uint64_t> token = replica_->RequestRead();
+  const std::optional<uint64_t> token =
+      paused() ? std::nullopt : replica_->RequestRead();
   if (!token) {
     loop_.Post([done = std::move(done)] { done(false); });
     return;
@@ -119,18 +144,18 @@
 void ReplicaDriver::Flush() {
   const std::shared_ptr<bool> alive = alive_;
   try {
-    for (;;) {
+    TryResume();
+    while (*alive && !paused()) {
       ReplicaActions actions = replica_->TakeActions(loop_.Now());
       DetectRoleChange();
       if (actions.empty()) {
         break;
       }
       PerformActions(std::move(actions));
-      if (!*alive) {
-        return;
-      }
     }
-    CompactIfLarge();
+    if (*alive && !paused()) {
+      CompactIfLarge();
+    }
   } catch (const SystemError& error) {
     // After a failed write or sync the contents of the disk are unknown; only
     // recovery after a restart can determine them.
@@ -146,11 +171,31 @@
   if (actions.hard_state) {
     hard_state_ = *actions.hard_state;
   }
-  if (actions.install) {
-    InstallReceivedSnapshot(actions);
+  if (TryWrite(actions)) {
+    CompleteActions(actions);
   } else {
-    store_.Append(actions.hard_state, actions.entries);
+    Pause(std::move(actions));
   }
+}
+
+// Writes what the actions ask for. Returns false if the disk has no room.
+bool ReplicaDriver::TryWrite(const ReplicaActions& actions) {
+  try {
+    if (actions.install) {
+      InstallReceivedSnapshot(actions);
+    } else {
+      store_.Append(actions.hard_state, actions.entries);
+    }
+    return true;
+  } catch (const DiskFullError& error) {
+    if (!paused()) {
+      LogEvent(kDiskFull, {{"why", error.what()}});
+    }
+    return false;
+  }
+}
+
+void ReplicaDriver::CompleteActions(const ReplicaActions& actions) {
   replica_->OnSynced();
   for (const ReplicaMessage& message : actions.messages_after_sync) {
     handlers_.send(message);
@@ -164,6 +209,34 @@
   }
 }
 
+// What is pending here may be committed by other replicas, so its outcome is
+// unknown.
+void ReplicaDriver::Pause(ReplicaActions actions) {
+  unwritten_ = std::move(actions);
+  paused_at_ = loop_.Now();
+  next_try_ = paused_at_ + kDiskFullRetryInterval;
+  FailProposals();
+  FailReads();
+  handlers_.on_paused();
+}
+
+void ReplicaDriver::TryResume() {
+  const Time now = loop_.Now();
+  if (!paused() || now < next_try_) {
+    return;
+  }
+  next_try_ = now + kDiskFullRetryInterval;
+  if (TryWrite(*unwritten_)) {
+    const ReplicaActions actions = std::move(*unwritten_);
+    unwritten_.reset();
+    const auto paused_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - paused_at_);
+    LogEvent(kDiskHasRoom,
+             {{"paused_ms", static_cast<uint64_t>(paused_ms.count())}});
+    CompleteActions(actions);
+  }
+}
+
 void ReplicaDriver::Apply(const wire::LogEntry& entry) {
   const CommandResult result = state_.Apply(entry);
   if (entry.kind == wire::EntryKind::kNoop && entry.term == replica_->term()) {
@@ -189,9 +262,11 @@
 
 void ReplicaDriver::InstallReceivedSnapshot(const ReplicaActions& actions) {
   const SnapshotToInstall& snapshot = *actions.install;
-  state_.Load(snapshot.data);
-  CHECK_EQ(state_.applied(), snapshot.meta.index);
+  StateMachine loaded;
+  loaded.Load(snapshot.data);
+  CHECK_EQ(loaded.applied(), snapshot.meta.index);
   store_.Compact(snapshot.meta, snapshot.data, hard_state_, actions.entries);
+  state_ = std::move(loaded);
   snapshot_bytes_ = snapshot.data.size();
   LogEvent(kSnapshotInstalled,
            {{"index", snapshot.meta.index}, {"bytes", snapshot.data.size()}});
@@ -250,17 +325,34 @@
   }
 }
 
+void ReplicaDriver::FailReads() {
+  for (auto& [token, done] : std::exchange(reads_, {})) {
+    done(false);
+  }
+}
+
 void ReplicaDriver::CompactIfLarge() {
   const uint64_t limit = std::max(kMinCompactionBytes, 2 * snapshot_bytes_);
   const uint64_t applied = state_.applied();
   const ReplicaLog& log = replica_->log();
-  if (store_.log_bytes() < limit || applied <= log.base_index()) {
+  if (store_.log_bytes() < limit || applied <= log.base_index() ||
+      loop_.Now() < next_compaction_) {
     return;
   }
   const std::string state = state_.Save();
   const SnapshotMeta meta{applied, log.TermAt(applied), log.MembersAt(applied)};
-  store_.Compact(meta, state, hard_state_,
-                 log.EntriesFrom(applied + 1, SIZE_MAX));
+  try {
+    store_.Compact(meta, state, hard_state_,
+                   log.EntriesFrom(applied + 1, SIZE_MAX));
+  } catch (const DiskFullError& error) {
+    // The log goes on to grow as long as there is room for it.
+    next_compaction_ = loop_.Now() + kCompactionRetryInterval;
+    if (!std::exchange(compaction_failed_, true)) {
+      LogEvent(kDiskFull, {{"why", error.what()}});
+    }
+    return;
+  }
+  compaction_failed_ = false;
   snapshot_bytes_ = state.size();
   LogEvent(kSnapshotWritten, {{"index", applied}, {"bytes", state.size()}});
   replica_->Compact(applied > kRetainedEntries ? applied - kRetainedEntries
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -15,8 +15,10 @@
 
 /// Runs a Replica on an event loop: writes and syncs its log, sends its
 /// messages, applies committed entries, and completes proposals and reads. All
-/// proposals and messages of one loop iteration share one sync. All methods
-/// must be called on the loop's thread.
+/// proposals and messages of one loop iteration share one sync. While the disk
+/// has no room for the log, the replica pauses like one whose disk stalls: it
+/// receives and sends nothing, and neither proposes nor reads. All methods must
+/// be called on the loop's thread.
 class ReplicaDriver {
  public:
   struct Handlers {
@@ -27,6 +29,8 @@
     std::function<void(const wire::LogEntry* entry)> on_applied;
     /// Called after the role, the term or the leader has changed.
     std::function<void()> on_role_change;
+    /// Called when the replica pauses because the disk is full.
+    std::function<void()> on_paused;
   };
   /// Called with the result of a command. Called with nothing if this replica
   /// is not the leader or lost leadership, in which case the command may or may
@@ -70,6 +74,8 @@
   const Replica& replica() const { return *replica_; }
   const StateMachine& state() const { return state_; }
   const LogStore& store() const { return store_; }
+  /// Returns whether the replica waits until the disk has room again.
+  bool paused() const { return unwritten_.has_value(); }
   /// Returns the log clock in microseconds. It continues from the last applied
   /// command with the monotonic clock of the leader and stops while there is no
   /// leader, so a wall clock that jumps cannot expire a claim early.
@@ -84,12 +90,17 @@
   void ScheduleFlush();
   void Flush();
   void PerformActions(ReplicaActions actions);
+  bool TryWrite(const ReplicaActions& actions);
+  void CompleteActions(const ReplicaActions& actions);
+  void Pause(ReplicaActions actions);
+  void TryResume();
   void Apply(const wire::LogEntry& entry);
   void InstallReceivedSnapshot(const ReplicaActions& actions);
   void CompleteReads(const ReplicaActions& actions);
   void DetectRoleChange();
   void StartLogClock();
   void FailProposals();
+  void FailReads();
   void CompactIfLarge();
 
   net::EventLoop& loop_;
@@ -104,6 +115,12 @@
   uint64_t clock_base_us_ = 0;   // log clock at clock_started_at_
   Time clock_started_at_{};
   bool flush_scheduled_ = false;
+  // Actions for whose writes the disk has no room; they are tried again.
+  std::optional<ReplicaActions> unwritten_;
+  Time paused_at_{};
+  Time next_try_{};
+  Time next_compaction_{};
+  bool compaction_failed_ = false;  // for lack of room
   ReplicaRole last_role_ = ReplicaRole::kFollower;
   uint64_t last_term_ = 0;
   wire::ReplicaId last_leader_;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -39,6 +39,8 @@
   // Writing to a connection that the peer closed must return EPIPE instead of
   // terminating the process.
   std::signal(SIGPIPE, SIG_IGN);  // NOLINT: single-threaded
+  // A write beyond a limit on file sizes fails with an error.
+  std::signal(SIGXFSZ, SIG_IGN);  // NOLINT: single-threaded
 }
 
 EventLoop::~EventLoop() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -15,8 +15,8 @@
 /// this library are called. Satisfies Clock.
 class EventLoop {
  public:
-  /// Ignores SIGPIPE in the whole process. Throws std::runtime_error if
-  /// libevent cannot be initialized.
+  /// Ignores SIGPIPE and SIGXFSZ in the whole process. Throws
+  /// std::runtime_error if libevent cannot be initialized.
   EventLoop();
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
--- a/tests/control/log_store_test.cc
+++ b/tests/control/log_store_test.cc
@@ -1,9 +1,12 @@
 #include "control/log_store.h"
 
 #include <fstream>
+#include <thread>
 
 #include "control/keeper_fixture.h"
 #include "control/record_file.h"
+#include "control/replica_driver.h"
+#include "support/file_size_limit.h"
 
 namespace ibisvalve::control {
 namespace {
@@ -167,5 +170,80 @@
   EXPECT_TRUE(Recover().entries.empty());
 }
 
+// Guards against a full disk that costs what was written before, or what is
+// written after it has room again.
+TEST_F(LogStoreTest, AnAppendWithoutRoomCanBeRepeated) {
+  net::EventLoop loop;  // ignores SIGXFSZ
+  {
+    LogStore store(data());
+    store.Append(HardState{1, wire::ReplicaId(9)}, {EntryAt(1)});
+    {
+      // Room for a part of the next record.
+      const test::FileSizeLimit full(store.log_bytes() + 10);
+      for (int i = 0; i < 2; ++i) {
+        EXPECT_THROW(store.Append(std::nullopt, {EntryAt(2)}), DiskFullError);
+      }
+    }
+    store.Append(std::nullopt, {EntryAt(2)});
+    store.Append(std::nullopt, {EntryAt(3)});
+  }
+  EXPECT_EQ(Recover().entries,
+            (std::vector{EntryAt(1), EntryAt(2), EntryAt(3)}));
+}
+
+// Guards against an append that had no room, and of which a part is found after
+// a restart.
+TEST_F(LogStoreTest, APartOfAnAppendWithoutRoomIsDroppedAtRecovery) {
+  net::EventLoop loop;  // ignores SIGXFSZ
+  {
+    LogStore store(data());
+    store.Append(HardState{1, wire::ReplicaId(9)}, {EntryAt(1)});
+    const test::FileSizeLimit full(store.log_bytes() + 10);
+    EXPECT_THROW(store.Append(std::nullopt, {EntryAt(2)}), DiskFullError);
+  }
+  EXPECT_EQ(Recover().entries, (std::vector{EntryAt(1)}));
+}
+
+// Guards against a snapshot that has no room and takes the log with it.
+TEST_F(LogStoreTest, ACompactionWithoutRoomLeavesTheLogInUse) {
+  net::EventLoop loop;  // ignores SIGXFSZ
+  const SnapshotMeta meta{1, 1, {}};
+  const HardState hard_state{1, wire::ReplicaId(9)};
+  {
+    LogStore store(data());
+    store.Append(hard_state, {EntryAt(1), EntryAt(2)});
+    {
+      const test::FileSizeLimit full(store.log_bytes() + 500);
+      EXPECT_THROW(store.Compact(meta, std::string(10'000, 's'), hard_state,
+                                 {EntryAt(2)}),
+                   DiskFullError);
+      store.Append(std::nullopt, {EntryAt(3)});
+    }
+  }
+  EXPECT_EQ(Recover().entries,
+            (std::vector{EntryAt(1), EntryAt(2), EntryAt(3)}));
+  LogStore store(data());
+  store.Compact(meta, "state", hard_state, {EntryAt(2), EntryAt(3)});
+  EXPECT_EQ(store.log_bytes(), std::filesystem::file_size(log(2)));
+}
+
+// Guards against a keeper that ends, and whose platform gives it up, because
+// its disk is full at its first start.
+TEST_F(LogStoreTest, AReplicaWaitsForRoomToStart) {
+  net::EventLoop loop;  // ignores SIGXFSZ
+  std::filesystem::create_directories(data());
+  auto full = std::make_unique<test::FileSizeLimit>(0);
+  std::thread room([&full] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    full.reset();
+  });
+  const ReplicaDriver driver(loop, {data()}, std::chrono::milliseconds(100),
+                             std::chrono::milliseconds(800),
+                             {[](const ReplicaMessage&) {},
+                              [](const wire::LogEntry*) {}, [] {}, [] {}});
+  room.join();
+  EXPECT_NE(driver.self(), wire::ReplicaId());
+}
+
 }  // namespace
 }  // namespace ibisvalve::control
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -28,6 +28,7 @@
   /// Waits up to `limit` for the process to exit. Returns its exit status, 128
   /// + the signal number if a signal ended it, or nullopt if it still runs.
   std::optional<int> Wait(Duration limit);
+  pid_t pid() const { return pid_; }
   /// Sends SIGKILL and waits for the process to exit.
   void Kill();
 
