Send a crashing request in other forms in the test with real processes

CrashingRequestTest sent one form of its request while nodes are killed, stopped, paused and added. A second test sends it with other queries and methods, and allows three ends of targets, the users' bound. The first one is unchanged but for the loop that both use.

--- a/tests/system/crashing_request_test.cc
+++ b/tests/system/crashing_request_test.cc
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <future>
 #include <random>
 #include <thread>
@@ -21,7 +22,9 @@
 // IBIS_SEED, or 1.
 class CrashingRequestTest : public testing::Test {
  protected:
+  // By one and the same request, and by requests that agree in path and body.
   static constexpr int kMaxCrashes = 2;
+  static constexpr int kMaxCrashesOfVariants = 3;
   static constexpr size_t kMaxNodes = 5;
   static constexpr size_t kHarmlessRequests = 4;
 
@@ -69,8 +72,8 @@
     }));
   }
 
-  // Sends the request through any node, beside harmless ones.
-  void SendBesideOthers() {
+  // Sends `crashing` through any node, beside harmless ones.
+  void SendBesideOthers(HttpRequest crashing) {
     std::vector<std::future<HttpResponse>> others;
     for (size_t i = 0; i < kHarmlessRequests; ++i) {
       others.push_back(std::async(
@@ -80,13 +83,29 @@
                 callers, {"GET", path, {{"Ibis-Service", "roomfinder"}}, ""});
           }));
     }
-    SendRequest(AnyNode().callers,
-                {"GET", kCrashPath, {{"Ibis-Service", "roomfinder"}}, ""});
+    crashing.headers = {{"Ibis-Service", "roomfinder"}};
+    SendRequest(AnyNode().callers, crashing);
     for (auto& other : others) {
       other.get();
     }
   }
 
+  // Sends requests that end their targets, beside others and while nodes come
+  // and go. `next` returns the request to send.
+  void Play(const std::function<HttpRequest()>& next) {
+    constexpr int kRounds = 20;
+    constexpr int kSendsPerRound = 6;
+    Start();
+    for (int round = 0; round < kRounds && !HasFatalFailure(); ++round) {
+      for (int i = 0; i < kSendsPerRound; ++i) {
+        SendBesideOthers(next());
+        RestartTargets();
+      }
+      Disturb();
+    }
+    EXPECT_GT(crashes_, 0);
+  }
+
   std::string Path(const std::string& prefix) {
     return prefix + std::to_string(++paths_);
   }
@@ -115,19 +134,20 @@
 
 // Guards against targets that a request ends after it has ended two.
 TEST_F(CrashingRequestTest, EndsAtMostTwoTargetsWhileNodesComeAndGo) {
-  constexpr int kRounds = 20;
-  constexpr int kSendsPerRound = 6;
-  Start();
-  for (int round = 0; round < kRounds && !HasFatalFailure(); ++round) {
-    for (int i = 0; i < kSendsPerRound; ++i) {
-      SendBesideOthers();
-      RestartTargets();
-    }
-    Disturb();
-  }
-  EXPECT_GT(crashes_, 0);
+  Play([] { return HttpRequest{"GET", kCrashPath, {}, ""}; });
   EXPECT_LE(crashes_, kMaxCrashes) << "seed " << seed_;
 }
 
+// Guards against targets that a request ends in other forms after it has ended
+// three.
+TEST_F(CrashingRequestTest, EndsAtMostThreeTargetsInOtherForms) {
+  Play([this] {
+    const char* method = Random(3) == 0 ? "POST" : "GET";
+    const std::string query = Random(3) == 0 ? "" : Path("?page=");
+    return HttpRequest{method, kCrashPath + query, {}, ""};
+  });
+  EXPECT_LE(crashes_, kMaxCrashesOfVariants) << "seed " << seed_;
+}
+
 }  // namespace
 }  // namespace ibisvalve::test
