Tell the crashes of a target apart that is back within milliseconds

What callers saw: a target that crashed, was back after some milliseconds and crashed again was counted once, so a request ended more targets than promised: 6 in a row at one target, 4 or 5 in other forms.

Cause: connections that break within 100 ms of each other were taken for one crash. That is a guess at how fast a target can start; nothing in it says that the target had not come back in between. Class: a time bound in place of the order of events that is known.

Change: a break on a connection that was opened after the last crash is another crash, as only a target that runs can accept it. Breaks of older connections within 100 ms stay one.

Ruled out: a shorter interval, as the ends of many connections are read over some milliseconds; the time of the dispatch, as a request may be sent on a connection whose end has not been read yet.

--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -40,11 +40,14 @@
                            SendNotice send_notice)
     : loop_(loop), settings_(settings), send_notice_(std::move(send_notice)) {}
 
-void CrashTracker::OnCrashDuringRun(const world::RequestIdentity& request) {
+void CrashTracker::OnCrashDuringRun(const world::RequestIdentity& request,
+                                    std::optional<Time> connection_opened) {
   const Time now = loop_.Now();
   world::CrashId crash{settings_.id, settings_.incarnation, crash_number_};
-  // A request that was answered since has crashed the target anew.
+  // A target that accepted the connection, or answered the request, after the
+  // last crash has crashed anew.
   if (crash_number_ == 0 || now - last_crash_ > kSameCrashInterval ||
+      connection_opened > last_crash_ ||
       quarantine_.IsCleared(request, crash)) {
     crash.number = ++crash_number_;
   }
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,10 +34,12 @@
                const PlaneSettings& settings,
                SendNotice send_notice);
 
-  /// Records that the local target broke the connection while it ran the
-  /// request `request`. Notifies the other gates first, so that the notice
-  /// precedes any retry that the ingress sends to one of them.
-  void OnCrashDuringRun(const world::RequestIdentity& request);
+  /// Records that the local target broke the connection, which was opened at
+  /// `connection_opened` if that is known, while it ran `request`. Notifies the
+  /// other gates first, so that the notice precedes any retry that the ingress
+  /// sends to one of them.
+  void OnCrashDuringRun(const world::RequestIdentity& request,
+                        std::optional<Time> connection_opened);
   /// Records that a gate of `service` has ended while it had the request.
   /// `gate_run` names the gate and its incarnation; all reports of its end
   /// count as one crash.
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -357,16 +357,17 @@
 }
 
 void Gate::OnTargetEnded() {
-  std::vector<world::RequestIdentity> requests = unanswered_.Take(loop_.Now());
   for (const auto& [id, attempt] : in_flight_) {
     if (attempt->stage == AttemptStage::kRunning &&
         attempt->response == nullptr && !attempt->declined &&
         !std::exchange(attempt->crash_counted, true)) {
-      requests.push_back(attempt->open.identity);
+      crashes_.OnCrashDuringRun(attempt->open.identity,
+                                attempt->connection_opened);
     }
   }
-  for (const world::RequestIdentity& request : requests) {
-    crashes_.OnCrashDuringRun(request);
+  // Runs that were given up; their connections are closed.
+  for (const world::RequestIdentity& request : unanswered_.Take(loop_.Now())) {
+    crashes_.OnCrashDuringRun(request, std::nullopt);
   }
 }
 
@@ -530,6 +531,7 @@
          OnTargetFault(id, fault, why);
        }},
       attempt.open.may_repeat ? Reuse::kAny : Reuse::kRecentlyUsed);
+  attempt.connection_opened = attempt.call->connection_opened_at();
 }
 
 void Gate::ProbeLoad(Time since) {
@@ -721,7 +723,8 @@
     return;
   }
   if (reached && !attempt->crash_counted) {
-    crashes_.OnCrashDuringRun(attempt->open.identity);
+    crashes_.OnCrashDuringRun(attempt->open.identity,
+                              attempt->connection_opened);
   }
   Fail(*attempt, reached ? Outcome::kUnknown : Outcome::kNotRun,
        reached ? Reason::kTargetBroke : Reason::kTargetDown);
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -42,6 +42,7 @@
   // Time that another gate would need for the body again; 0 for small bodies.
   Duration redirect_cost{0};
   Time dispatched;              // when the request was sent to the target
+  Time connection_opened;       // that it was sent on
   std::string target_identity;  // of the target that it was sent to
   double slowdown = 1;  // last reported by the target before the dispatch
   MemoryReservation memory;
--- a/src/dataplane/target_client.cc
+++ b/src/dataplane/target_client.cc
@@ -20,6 +20,7 @@
 struct TargetCall::State {
   TargetClient* client = nullptr;
   std::shared_ptr<TargetConnection> connection;
+  Time connection_opened_at{};
   uint64_t epoch = 0;
   Handlers handlers;
   bool finished = false;  // also if cancelled
@@ -41,6 +42,10 @@
   }
 }
 
+Time TargetCall::connection_opened_at() const {
+  return state_->connection_opened_at;
+}
+
 TargetClient::TargetClient(net::EventLoop& loop,
                            const world::Endpoint& target,
                            const std::string& id_header)
@@ -59,6 +64,7 @@
   auto state = std::make_shared<TargetCall::State>();
   state->client = this;
   state->connection = TakeConnection(request, reuse);
+  state->connection_opened_at = state->connection->opened_at();
   state->epoch = epoch_;
   state->handlers = std::move(handlers);
   ++in_use_;
--- a/src/dataplane/target_client.h
+++ b/src/dataplane/target_client.h
@@ -34,6 +34,8 @@
   /// Pauses or resumes reading the response, to apply back pressure to the
   /// target.
   void SetReading(bool reading);
+  /// Returns the time at which the connection of the call was opened.
+  Time connection_opened_at() const;
 
  private:
   std::shared_ptr<State> state_;
--- a/src/dataplane/target_connection.cc
+++ b/src/dataplane/target_connection.cc
@@ -35,6 +35,7 @@
       bufferevent_(
           bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
       reader_(net::HttpReader::Kind::kResponses, kResponseLimits),
+      opened_at_(loop.Now()),
       connect_timer_(loop, [this] {
         FailCall(TargetFault::kNotReached,
                  "connecting to the target failed or timed out");
--- a/src/dataplane/target_connection.h
+++ b/src/dataplane/target_connection.h
@@ -75,6 +75,8 @@
   /// Pauses or resumes reading the response, to apply back pressure to the
   /// target.
   void SetReading(bool reading);
+  /// Returns the time at which the connection was opened.
+  Time opened_at() const { return opened_at_; }
   /// Returns the time at which the last response ended.
   Time idle_since() const { return idle_since_; }
 
@@ -104,6 +106,7 @@
   bool skipping_response_ = false;
   bool connected_ = false;
   bool not_reusable_ = false;  // the connection must not be reused
+  Time opened_at_{};
   Time idle_since_{};
   net::Timer connect_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/dataplane/crash_identity_test.cc
+++ b/tests/dataplane/crash_identity_test.cc
@@ -205,11 +205,11 @@
   CrashTracker crashes(loop_, settings,
                        [](const ServiceName&, const wire::CrashNotice&) {});
   const world::RequestIdentity request{Digest(1), Digest(2)};
-  crashes.OnCrashDuringRun(request);
+  crashes.OnCrashDuringRun(request, loop_.Now());
   EXPECT_EQ(crashes.CountSuspects(), 1U);
   crashes.OnResponse(request, 200);
   EXPECT_EQ(crashes.CountSuspects(), 0U);
-  crashes.OnCrashDuringRun(request);
+  crashes.OnCrashDuringRun(request, std::nullopt);
   EXPECT_EQ(crashes.CountSuspects(), 1U);
 }
 
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -47,7 +47,7 @@
 
   Host& AddHost() {
     const auto host = std::make_unique<Host>();
-    host->target = std::make_unique<CrashingTarget>(loop_, kDowntime);
+    host->target = std::make_unique<CrashingTarget>(loop_, downtime_);
     host->node =
         &AddNode("suva-" + std::to_string(++next_host_), host->target->local());
     WaitReady(*host->node);
@@ -111,6 +111,7 @@
     return last;
   }
 
+  Duration downtime_ = kDowntime;  // of a target after a crash
   Node* ingress_ = nullptr;
   std::list<Host> hosts_;
   int next_host_ = 0;
@@ -195,6 +196,18 @@
   EXPECT_EQ(last->Get("Ibis-Reason"), "quarantined");
 }
 
+// Guards against a second crash that is taken for the first one, because the
+// target was back within milliseconds.
+TEST_F(RepeatedCrashTest, ATargetThatIsBackAtOnceCountsEachCrash) {
+  downtime_ = milliseconds(2);
+  Start(1);
+  for (int i = 0; i < 6; ++i) {
+    RunUntil([this] { return AllRunning(); });
+    Fetch(*ingress_, kPoisonOnce);
+  }
+  EXPECT_EQ(Crashes(), kMaxCrashes);
+}
+
 // Guards against targets that join after a quarantine and run its request.
 TEST_F(RepeatedCrashTest, GatesThatJoinLaterRefuseAQuarantinedRequest) {
   Start(5);
