Do not take a link for silent while its backlog drains

Cause: heartbeats wait behind the body on the same link, and only bytes from the peer counted as a sign of life. Class: silence in one direction taken for a dead link.

Change: if 64 KiB or more were on their way at the last check, the delivery of a part of them counts as well. What the peer's host has confirmed is asked of the system (SIOCOUTQ), since bytes that the system has only taken prove nothing. Less than 64 KiB do not count: the host of a stopped process confirms heartbeats and small requests too.

Ruled out: bytes that leave the buffer of this process (a system buffer of megabytes takes them without a peer); a longer bound (cuts would be found later); heartbeats on a connection of their own (they would not tell that this one is cut).

--- a/src/dataplane/mesh_link.cc
+++ b/src/dataplane/mesh_link.cc
@@ -8,6 +8,10 @@
 
 // Number of heartbeats within the duration that counts as silence.
 constexpr int kPingsPerSilence = 4;
+// Bytes on their way from which there is a backlog. Less than that, such as
+// heartbeats and small requests, the host of a stopped process receives as
+// well.
+constexpr uint64_t kMinBacklogBytes = 64 << 10;
 
 }  // namespace
 
@@ -118,6 +122,10 @@
     arrived_bytes_ = link_->arrived_bytes();
     last_received_ = now;
   }
+  // So does a backlog that is being received. Heartbeats wait behind it.
+  if (BacklogMoves()) {
+    last_received_ = now;
+  }
   const Duration bound = silence_.bound();
   if (now - last_received_ >= bound) {
     silence_.OnSilent();
@@ -132,6 +140,19 @@
   }
 }
 
+// Returns whether a part of a backlog has been delivered since the last check.
+bool MeshLink::BacklogMoves() {
+  const uint64_t sent = link_->sent_bytes();
+  if (sent - delivered_bytes_ < kMinBacklogBytes) {
+    return false;
+  }
+  const uint64_t before =
+      std::exchange(delivered_bytes_, link_->delivered_bytes());
+  const bool had_backlog =
+      std::exchange(has_backlog_, sent - delivered_bytes_ >= kMinBacklogBytes);
+  return had_backlog && delivered_bytes_ != before;
+}
+
 void MeshLink::SendPing(Time now) {
   ++pings_;
   last_ping_ = now;
--- a/src/dataplane/mesh_link.h
+++ b/src/dataplane/mesh_link.h
@@ -38,9 +38,10 @@
   };
 
   /// Starts connecting to `remote` and sends `hello` as the first frame. The
-  /// link fails if no byte is received for `silence.bound()` while attempts are
-  /// in flight. `silence` must outlive the link; it learns the round-trip times
-  /// of this link and of later ones to the same peer.
+  /// link fails if no byte is received, and none of a backlog is delivered, for
+  /// `silence.bound()` while attempts are in flight. `silence` must outlive the
+  /// link; it learns the round-trip times of this link and of later ones to the
+  /// same peer.
   MeshLink(net::EventLoop& loop,
            const world::Endpoint& remote,
            const wire::MeshHello& hello,
@@ -67,6 +68,7 @@
   void OnFrame(wire::FrameType type, std::string_view payload);
   void OnPong(const wire::Pong& pong);
   void CheckSilence();
+  bool BacklogMoves();
   void SendPing(Time now);
 
   net::EventLoop& loop_;
@@ -76,8 +78,12 @@
   size_t in_flight_ = 0;
   Time idle_since_;
   Time opened_at_;
-  Time last_received_;  // last byte, or start of the silence measurement
-  uint64_t arrived_bytes_ = 0;  // at the last check
+  // Last sign of life, or start of the silence measurement.
+  Time last_received_;
+  // At the last check.
+  uint64_t arrived_bytes_ = 0;
+  uint64_t delivered_bytes_ = 0;
+  bool has_backlog_ = false;
   Time last_check_;
   uint64_t pings_ = 0;
   Time last_ping_;
--- a/src/net/frame_link.cc
+++ b/src/net/frame_link.cc
@@ -4,9 +4,12 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <glog/logging.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -118,6 +121,17 @@
              : evbuffer_get_length(bufferevent_get_output(bufferevent_));
 }
 
+uint64_t FrameLink::delivered_bytes() const {
+  int in_system = 0;  // neither sent nor confirmed
+  if (bufferevent_ == nullptr ||
+      ioctl(bufferevent_getfd(bufferevent_), SIOCOUTQ, &in_system) != 0) {
+    in_system = 0;
+  }
+  const uint64_t undelivered =
+      pending_bytes() + static_cast<uint64_t>(std::max(in_system, 0));
+  return sent_bytes_ - std::min(sent_bytes_, undelivered);
+}
+
 uint64_t FrameLink::arrived_bytes() const {
   return received_bytes_ +
          (bufferevent_ == nullptr
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -65,6 +65,10 @@
   void SetReading(bool reading);
   /// Returns the number of bytes in the send buffer.
   size_t pending_bytes() const;
+  /// Returns the number of bytes passed to Send and SendRaw of which the peer's
+  /// host has confirmed the receipt. Where the system does not tell, of those
+  /// that the system has taken.
+  uint64_t delivered_bytes() const;
   /// Returns whether the link is connected and not closed.
   bool connected() const { return connected_; }
   /// Returns whether the connection attempt failed with ECONNREFUSED, which
