--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -286,7 +286,7 @@
 // Guards against an entry with a number out of range that is taken, so that the
 // entries after it count as late or its duration overflows.
 TEST(HeartbeatTest, RejectsNumbersOutOfRange) {
-  constexpr uint64_t kTwoDaysMs = 2 * 24 * 3600 * 1000;
+  constexpr uint64_t kTwoDaysMs = 2ULL * 24 * 3600 * 1000;
   const Json good = {
       {"address", "10.1.0.8:8301"},
       {"born", kNowMs},
