--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -206,9 +206,13 @@
   }();
   const std::string versions =
       R"({"version":"00000002","baseVersion":"00000000",)";
-  for (const std::string& body :
-       {nested, versions + R"("resources":[],"x":)" + nested + "}",
-        versions + R"("resources":[],"x":)" + objects + "}"}) {
+  const std::string member = R"("resources":[],"x":)";
+  std::vector<std::string> bodies = {nested};
+  for (const std::string& value : {nested, objects}) {
+    bodies.push_back(versions);
+    bodies.back().append(member).append(value).append("}");
+  }
+  for (const std::string& body : bodies) {
     EXPECT_EQ(EditDesiredState("", kReplace, body).result,
               control::EditedFile::Result::kInvalid);
   }
