--- a/review/support/actors.py
+++ b/review/support/actors.py
@@ -64,6 +64,13 @@
         for writer in list(self._writers):
             writer.close()
 
+    def crash(self):
+        """The process ends: its sockets are closed and it says nothing."""
+        self.stop_heartbeats()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _heartbeats(self):
         while True:
             await self.heartbeat()
