Take a keeper that stops out of the voters before it ends

Cause: the successor is a sixth voter, and the keeper that was stopped kept its vote until it had been silent for 2 s, counted again from each election. Two disks lost in that time leave three of six voters. Their replacement is itself a membership change, so the group never recovers.

Change: the keeper asks the leader before its process ends; the leader removes its vote if 2n + 1 voters remain. Otherwise the keeper ends at once, so restarts of one of five are as before. Without a majority it ends after 3 s. A departure that gossip reports counts as death at once, for a SIGTERM before the successor is up and for an election in between.

Ruled out: to take successors as learners only until a voter is gone; the window then lies between the end of the process and the removal as well.

--- a/src/control/events.h
+++ b/src/control/events.h
@@ -43,6 +43,8 @@
 inline constexpr EventCode kDiskFull{1429, Severity::kError, "disk-full"};
 inline constexpr EventCode kDiskHasRoom{1430, Severity::kInfo, "disk-has-room"};
 inline constexpr EventCode kDiskFailed{1425, Severity::kError, "disk-failed"};
+inline constexpr EventCode kKeeperLeaves{1431, Severity::kInfo,
+                                         "keeper-leaves"};
 inline constexpr EventCode kChangeRefused{1424, Severity::kInfo,
                                           "change-refused"};
 
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -6,6 +6,7 @@
 
 #include "control/claim_relay.h"
 #include "control/control_port.h"
+#include "control/departure.h"
 #include "control/events.h"
 #include "control/keeper_links.h"
 #include "control/keeper_pages.h"
@@ -34,7 +35,9 @@
                      const net::AdminServer::Reply& reply) {
     pages_.HandleRequest(request, reply);
   }
-  void SetDiscoveredKeepers(const std::set<world::Endpoint>& endpoints);
+  void SetDiscoveredKeepers(const std::set<world::Endpoint>& running,
+                            const std::set<world::Endpoint>& departed);
+  void Leave(std::function<void()> done) { departure_.Start(std::move(done)); }
   void Serve(net::AdminServer& admin) { pages_.Serve(admin); }
   world::Endpoint control() const { return port_.local(); }
   void Collect(std::vector<MetricSample>& out) const;
@@ -55,23 +58,26 @@
   void OnLinkFrame(wire::FrameType type, std::string_view payload);
   void OnHello(const world::Endpoint& endpoint, const wire::KeeperHello& hello);
   void OnFoundGroup(const wire::FoundGroup& found);
-  void OnApplied();
+  void OnApplied(const wire::LogEntry* entry);
   void OnRoleChange();
   void Report(const wire::SessionReports& reports);
   void Maintain();
   void UpdateMembers();
+  GroupView View() const;
   std::set<world::Endpoint> LinkEndpoints() const;
 
   net::EventLoop& loop_;
   KeeperSettings settings_;
   std::set<world::Endpoint> requested_;   // to be added by an operator
   std::set<world::Endpoint> discovered_;  // endpoints of discovered keepers
+  std::set<world::Endpoint> departed_;    // of keepers that announced it
   Revision logged_staged_;
   Revision logged_active_;
   Revision logged_withdrawn_;
   ReplicaDriver driver_;
   KeeperLinks links_;
   LeaderRelay relay_;
+  Departure departure_;
   ClaimRelay claims_;
   NodeSessions sessions_;
   NodeCoordinator coordinator_;
@@ -92,7 +98,7 @@
           settings.heartbeat,
           settings.election_timeout,
           {[this](const ReplicaMessage& message) { SendToReplica(message); },
-           [this](const wire::LogEntry*) { OnApplied(); },
+           [this](const wire::LogEntry* entry) { OnApplied(entry); },
            [this] { OnRoleChange(); }, [this] { port_.CloseNodes(); }}),
       links_(
           loop,
@@ -103,6 +109,7 @@
              OnLinkFrame(type, payload);
            }}),
       relay_(loop, driver_, links_),
+      departure_(driver_, links_, relay_, [this] { return View(); }),
       claims_(driver_, links_, relay_),
       sessions_(
           loop,
@@ -132,8 +139,12 @@
 }
 
 wire::KeeperHello Keeper::Impl::Hello() const {
-  return {driver_.replica().members().group, driver_.self(), settings_.id,
-          settings_.control, driver_.store().may_found()};
+  return {driver_.replica().members().group,
+          driver_.self(),
+          settings_.id,
+          settings_.control,
+          driver_.store().may_found(),
+          departure_.started()};
 }
 
 void Keeper::Impl::SendToReplica(const ReplicaMessage& message) {
@@ -228,6 +239,10 @@
           wire::Decode<wire::ForwardRequest>(payload),
           [weak](const wire::ForwardReply& reply) { SendTo(weak, reply); });
       return;
+    case wire::LeaveRequest::kType:
+      SendTo(weak,
+             departure_.OnRequest(wire::Decode<wire::LeaveRequest>(payload)));
+      return;
     case wire::SessionReports::kType:
       coordinator_.OnReports(
           wire::Decode<wire::SessionReports>(payload),
@@ -254,6 +269,9 @@
     case wire::ForwardReply::kType:
       pages_.OnForwardReply(wire::Decode<wire::ForwardReply>(payload));
       return;
+    case wire::LeaveReply::kType:
+      departure_.OnReply(wire::Decode<wire::LeaveReply>(payload));
+      return;
     case wire::SessionGrants::kType:
       sessions_.SendGrants(wire::Decode<wire::SessionGrants>(payload));
       return;
@@ -298,7 +316,11 @@
   }
 }
 
-void Keeper::Impl::OnApplied() {
+// `entry` is null after a snapshot has been installed.
+void Keeper::Impl::OnApplied(const wire::LogEntry* entry) {
+  if (entry == nullptr || entry->kind == wire::EntryKind::kMembers) {
+    departure_.OnMembersApplied();
+  }
   const ConfigHistory& config = driver_.state().config();
   const ConfigRecord* staged = config.staged();
   const ConfigRecord* active = config.active();
@@ -369,7 +391,14 @@
       replica.log().members_index() > replica.commit()) {
     return;
   }
-  const GroupView view{
+  if (const auto next = NextMembers(View(), loop_.Now())) {
+    driver_.ProposeMembers(*next);
+  }
+}
+
+GroupView Keeper::Impl::View() const {
+  const Replica& replica = driver_.replica();
+  GroupView view{
       replica.members(),
       links_.Hellos(),
       replica.peers(),
@@ -377,10 +406,18 @@
       settings_.election_timeout,
       settings_.manages_membership ? discovered_ : std::set<world::Endpoint>(),
       settings_.manages_membership,
-      settings_.tolerated_disk_losses};
-  if (const auto next = NextMembers(view, loop_.Now())) {
-    driver_.ProposeMembers(*next);
+      settings_.tolerated_disk_losses,
+      {},
+      departed_};
+  for (const auto& [endpoint, hello] : view.hellos) {
+    if (hello.leaving) {
+      view.leaving.insert(hello.replica);
+    }
   }
+  if (departure_.started()) {
+    view.leaving.insert(driver_.self());
+  }
+  return view;
 }
 
 std::set<world::Endpoint> Keeper::Impl::LinkEndpoints() const {
@@ -395,8 +432,10 @@
 }
 
 void Keeper::Impl::SetDiscoveredKeepers(
-    const std::set<world::Endpoint>& endpoints) {
-  discovered_ = endpoints;
+    const std::set<world::Endpoint>& running,
+    const std::set<world::Endpoint>& departed) {
+  discovered_ = running;
+  departed_ = departed;
   links_.SetEndpoints(LinkEndpoints());
 }
 
@@ -438,8 +477,13 @@
   impl_->HandleRequest(request, reply);
 }
 
-void Keeper::SetDiscoveredKeepers(const std::set<world::Endpoint>& endpoints) {
-  impl_->SetDiscoveredKeepers(endpoints);
+void Keeper::SetDiscoveredKeepers(const std::set<world::Endpoint>& running,
+                                  const std::set<world::Endpoint>& departed) {
+  impl_->SetDiscoveredKeepers(running, departed);
+}
+
+void Keeper::Leave(std::function<void()> done) {
+  impl_->Leave(std::move(done));
 }
 
 void Keeper::Serve(net::AdminServer& admin) {
--- a/src/control/keeper.h
+++ b/src/control/keeper.h
@@ -87,8 +87,14 @@
   /// active file. A repeated body gets the answer of the first request.
   void HandleRequest(const net::AdminRequest& request,
                      const net::AdminServer::Reply& reply);
-  /// Sets the control endpoints of the discovered keepers.
-  void SetDiscoveredKeepers(const std::set<world::Endpoint>& endpoints);
+  /// Sets the control endpoints of the keepers that run, as far as is known,
+  /// and of those that announced their departure.
+  void SetDiscoveredKeepers(const std::set<world::Endpoint>& running,
+                            const std::set<world::Endpoint>& departed = {});
+  /// Gives up the vote of this keeper before its process ends, as far as the
+  /// group can spare it. Calls `done` when the process may end, after 3 s at
+  /// the latest. Must be called once. The keeper serves on meanwhile.
+  void Leave(std::function<void()> done);
   /// Returns the endpoint that the keeper listens on.
   world::Endpoint control() const;
   /// Appends the metrics of this keeper to `out`.
--- a/src/control/member_plan.cc
+++ b/src/control/member_plan.cc
@@ -22,6 +22,14 @@
          now < peer->second.last_reply + view.election_timeout;
 }
 
+// Returns whether a keeper may become a learner. It may already have the id of
+// this group, from an addition that reached it but was never committed.
+bool MayJoin(const GroupView& view, const wire::KeeperHello& hello) {
+  const wire::GroupId group = hello.group;
+  return (group.value == 0 || group == view.members.group) &&
+         !view.leaving.contains(hello.replica);
+}
+
 // Adds a discovered keeper that belongs to no group, or to this one.
 std::optional<wire::KeeperMembers> AddDiscoveredKeeper(const GroupView& view) {
   for (const world::Endpoint& endpoint : view.discovered) {
@@ -29,8 +37,7 @@
     if (hello == view.hellos.end()) {
       continue;
     }
-    const wire::GroupId group = hello->second.group;
-    if (group.value != 0 && group != view.members.group) {
+    if (!MayJoin(view, hello->second)) {
       continue;
     }
     const bool is_member =
@@ -55,11 +62,44 @@
       [](const wire::KeeperMember& member) { return member.voter; }));
 }
 
+// Number of voters with which the loss of as many disks as are tolerated leaves
+// a majority.
+size_t MinVoters(const GroupView& view) {
+  return 2 * size_t{view.tolerated_disk_losses} + 1;
+}
+
+// Removes a voter that is leaving while its process still runs, if enough
+// voters remain. Otherwise it would count towards the majority until it is
+// found to be dead, and disks lost in that time could cost the group its
+// majority for good.
+std::optional<wire::KeeperMembers> RemoveLeavingVoter(const GroupView& view) {
+  if (VoterCount(view.members) <= MinVoters(view)) {
+    return std::nullopt;
+  }
+  for (const wire::KeeperMember& member : view.members.members) {
+    if (member.voter && view.leaving.contains(member.replica)) {
+      wire::KeeperMembers next = view.members;
+      std::erase(next.members, member);
+      return next;
+    }
+  }
+  return std::nullopt;
+}
+
 // A member that has been silent for this long, and to which no connection is
 // open, is considered dead. A dead voter is removed only if another keeper can
 // replace it or enough voters remain.
 constexpr Duration kDeadMemberTimeout = std::chrono::seconds(2);
 
+// Returns whether a member has announced its departure or has been silent for
+// kDeadMemberTimeout, and no link to it is up.
+bool IsDead(const GroupView& view, const wire::KeeperMember& member, Time now) {
+  const auto peer = view.peers.find(member.replica);
+  return peer != view.peers.end() && !view.hellos.contains(member.control) &&
+         (view.departed.contains(member.control) ||
+          now >= peer->second.last_reply + kDeadMemberTimeout);
+}
+
 // Removes a member that appears to be permanently gone. A voter is removed only
 // if a caught-up learner can replace it or if enough voters remain without it.
 std::optional<wire::KeeperMembers> RemoveDeadMember(const GroupView& view,
@@ -67,17 +107,15 @@
   const bool has_successor = std::any_of(
       view.members.members.begin(), view.members.members.end(),
       [&](const wire::KeeperMember& member) {
-        return !member.voter && IsCaughtUp(view, member.replica, now);
+        return !member.voter && !view.leaving.contains(member.replica) &&
+               IsCaughtUp(view, member.replica, now);
       });
-  const size_t min_voters = 2 * size_t{view.tolerated_disk_losses} + 1;
+  const size_t min_voters = MinVoters(view);
   const bool has_spare_voter = VoterCount(view.members) > min_voters;
   for (const wire::KeeperMember& member : view.members.members) {
-    const auto peer = view.peers.find(member.replica);
-    const bool dead = peer != view.peers.end() &&
-                      now >= peer->second.last_reply + kDeadMemberTimeout &&
-                      !view.hellos.contains(member.control);
-    if (dead && (!member.voter || has_spare_voter ||
-                 (has_successor && VoterCount(view.members) >= min_voters))) {
+    if (IsDead(view, member, now) &&
+        (!member.voter || has_spare_voter ||
+         (has_successor && VoterCount(view.members) >= min_voters))) {
       wire::KeeperMembers next = view.members;
       std::erase_if(next.members, [&](const wire::KeeperMember& candidate) {
         return candidate.replica == member.replica;
@@ -102,10 +140,7 @@
         Contains(view.members, hello->second.replica)) {
       continue;
     }
-    // The keeper may already have the group id, from an addition that reached
-    // it but was never committed.
-    const wire::GroupId group = hello->second.group;
-    if (group.value != 0 && group != view.members.group) {
+    if (!MayJoin(view, hello->second)) {
       continue;
     }
     wire::KeeperMembers next = view.members;
@@ -120,6 +155,11 @@
 
 std::optional<wire::KeeperMembers> NextMembers(const GroupView& view,
                                                Time now) {
+  if (view.replaces_dead_members) {
+    if (auto remaining = RemoveLeavingVoter(view)) {
+      return remaining;
+    }
+  }
   if (auto added = AddReturnedKeeper(view)) {
     return added;
   }
@@ -132,7 +172,8 @@
     }
   }
   for (const wire::KeeperMember& learner : view.members.members) {
-    if (learner.voter || !IsCaughtUp(view, learner.replica, now)) {
+    if (learner.voter || view.leaving.contains(learner.replica) ||
+        !IsCaughtUp(view, learner.replica, now)) {
       continue;
     }
     wire::KeeperMembers next = view.members;
@@ -159,6 +200,29 @@
   return std::nullopt;
 }
 
+wire::LeaveResult ResultOfLeaving(const GroupView& view,
+                                  wire::ReplicaId replica) {
+  const auto& members = view.members.members;
+  const bool is_voter = std::any_of(
+      members.begin(), members.end(), [&](const wire::KeeperMember& member) {
+        return member.replica == replica && member.voter;
+      });
+  if (!is_voter) {
+    return wire::LeaveResult::kLeft;
+  }
+  const bool has_future_voter = std::any_of(
+      members.begin(), members.end(), [&](const wire::KeeperMember& member) {
+        const auto hello = view.hellos.find(member.control);
+        return !member.voter && hello != view.hellos.end() &&
+               hello->second.replica == member.replica &&
+               !view.leaving.contains(member.replica);
+      });
+  const bool can_be_removed =
+      view.replaces_dead_members &&
+      (has_future_voter || VoterCount(view.members) > MinVoters(view));
+  return can_be_removed ? wire::LeaveResult::kRetry : wire::LeaveResult::kStays;
+}
+
 std::optional<wire::KeeperMembers> FoundingMembers(
     const wire::KeeperHello& self,
     const std::set<world::Endpoint>& first_set,
--- a/src/control/member_plan.h
+++ b/src/control/member_plan.h
@@ -23,15 +23,27 @@
   // 2 * tolerated_disk_losses + 1 voters remain, counting a learner that can
   // replace it.
   uint32_t tolerated_disk_losses = 1;
+  std::set<wire::ReplicaId>
+      leaving{};  // keepers whose process is being stopped
+  // Endpoints of keepers that announced their departure and have not started
+  // again.
+  std::set<world::Endpoint> departed{};
 };
 
 /// Returns the members after the next single change that the group needs, or
 /// nothing if it needs none. A keeper that returned without its data is added
 /// as a learner; so is a discovered keeper. A learner that has caught up first
 /// replaces the former member at its endpoint and then becomes a voter. With
-/// `replaces_dead_members`, dead members are removed. Pure.
+/// `replaces_dead_members`, dead members and voters that are leaving are
+/// removed, as far as enough voters remain. Pure.
 std::optional<wire::KeeperMembers> NextMembers(const GroupView& view, Time now);
 
+/// Returns whether the process of `replica`, which is leaving, may end:
+/// kRetry if NextMembers is going to remove it from the voters. `view` must
+/// have no uncommitted membership change. Pure.
+wire::LeaveResult ResultOfLeaving(const GroupView& view,
+                                  wire::ReplicaId replica);
+
 /// Returns the members of a new group if this keeper may found it now: its
 /// endpoint is the first of `first_set`, all the others answer and may found a
 /// group, and none belongs to a group yet.
--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -67,11 +67,16 @@
 }
 
 void KeeperProcess::Stop(std::function<void()> done) {
-  if (membership_ == nullptr) {
-    done();
+  if (std::exchange(stopping_, true)) {
     return;
   }
-  membership_->Leave(std::move(done));
+  keeper_.Leave([this, done = std::move(done)] {
+    if (membership_ == nullptr) {
+      done();
+    } else {
+      membership_->Leave(done);
+    }
+  });
 }
 
 void KeeperProcess::StartMembership(const config::Settings& settings) {
@@ -93,13 +98,21 @@
 }
 
 void KeeperProcess::UpdateKeepers() {
-  std::set<world::Endpoint> found;
+  std::set<world::Endpoint> running;
+  std::set<world::Endpoint> departed;
   for (const auto& [id, member] : membership_->members()) {
     if (world::IsLiveKeeper(member) && member.control != keeper_.control()) {
-      found.insert(member.control);
+      running.insert(member.control);
+    } else if (member.state == world::MemberState::kLeft &&
+               !member.control.ip.empty()) {
+      departed.insert(member.control);
     }
   }
-  keeper_.SetDiscoveredKeepers(found);
+  // A keeper with another id may run at the endpoint of one that left.
+  std::erase_if(departed, [&](const world::Endpoint& endpoint) {
+    return running.contains(endpoint);
+  });
+  keeper_.SetDiscoveredKeepers(running, departed);
 }
 
 void KeeperProcess::ServePages() {
--- a/src/node/keeper_process.h
+++ b/src/node/keeper_process.h
@@ -36,8 +36,9 @@
 
   /// Applies a changed settings file. Only the gossip seeds take effect.
   void Reload(const config::Settings& settings);
-  /// Starts a planned stop: announces the departure to the gossip peers, then
-  /// calls `done`.
+  /// Starts a planned stop: gives up the keeper's vote as far as the group can
+  /// spare it, announces the departure to the gossip peers, then calls `done`.
+  /// A second call has no effect.
   void Stop(std::function<void()> done);
   control::Keeper& keeper() { return keeper_; }
 
@@ -47,6 +48,7 @@
   void UpdateKeepers();
 
   net::EventLoop& loop_;
+  bool stopping_ = false;
   net::AdminServer admin_;
   control::Keeper keeper_;
   // Null if the settings contain no gossip endpoint.
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -163,10 +163,12 @@
   world::Endpoint control;
   // Whether the data directory was empty at the fleet's first start.
   bool may_found = false;
+  // Whether the keeper's process is being stopped.
+  bool leaving = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(group, replica, id, control, may_found);
+    archive(group, replica, id, control, may_found, leaving);
   }
 };
 
@@ -181,6 +183,37 @@
   }
 };
 
+/// Asks the leader whether a keeper that stops may end its process.
+struct LeaveRequest {
+  static constexpr FrameType kType = 84;
+  uint64_t call = 0;  // echoed in the reply
+  ReplicaId replica;  // the keeper that stops
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, replica);
+  }
+};
+
+/// Result of LeaveRequest.
+enum class LeaveResult : uint8_t {
+  kRetry,  // the receiver does not lead, or the keeper still counts as a voter
+  kLeft,   // the group does not count on the keeper
+  kStays,  // the keeper stays a voter: the group cannot spare it
+};
+
+/// Reply to LeaveRequest.
+struct LeaveReply {
+  static constexpr FrameType kType = 85;
+  uint64_t call = 0;
+  LeaveResult result = LeaveResult::kRetry;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, result);
+  }
+};
+
 /// Operator request forwarded to the leader.
 struct ForwardRequest {
   static constexpr FrameType kType = 71;
--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -63,6 +63,8 @@
     if (knows_others) {
       settings.keepers = endpoints_;
     }
+    settings.manages_membership = manages_membership_;
+    settings.tolerated_disk_losses = 2;
     KeeperInstance& instance = keepers_[number];
     instance.admin = std::make_unique<net::AdminServer>(
         loop_, world::Endpoint{"127.0.0.1", 0});
@@ -164,6 +166,7 @@
     return name.empty() ? -1 : std::stoi(name.substr(name.find('-') + 1)) - 1;
   }
 
+  bool manages_membership_ = false;
   // Whether files are active without acknowledgements of nodes.
   bool activates_immediately_ = false;
   net::EventLoop loop_;
--- a/tests/control/member_plan_test.cc
+++ b/tests/control/member_plan_test.cc
@@ -109,6 +109,85 @@
   EXPECT_EQ(Voters(*NextMembers(view, kNow)), 5U);
 }
 
+// A keeper that is being stopped must not count towards the majority after its
+// process has ended: two disks lost in that time left a group of six without a
+// majority for good.
+TEST(MemberPlanTest, ALeavingVoterIsRemovedWhileItStillAnswers) {
+  GroupView view = Group(6);
+  const wire::ReplicaId leaving(6);
+  view.leaving.insert(leaving);
+  EXPECT_EQ(ResultOfLeaving(view, leaving), wire::LeaveResult::kRetry);
+  const auto remaining = NextMembers(view, kNow);
+  ASSERT_TRUE(remaining);
+  EXPECT_EQ(Voters(*remaining), 5U);
+  view.members = *remaining;
+  EXPECT_EQ(ResultOfLeaving(view, leaving), wire::LeaveResult::kLeft);
+}
+
+// The removal of leaving keepers must not take the group below the number of
+// voters that bears the loss of two disks, also when all are being stopped.
+TEST(MemberPlanTest, ALeavingVoterStaysIfTooFewVotersWouldRemain) {
+  GroupView view = Group(6);
+  for (uint64_t replica = 1; replica <= 6; ++replica) {
+    view.leaving.insert(wire::ReplicaId(replica));
+  }
+  view.members = *NextMembers(view, kNow);
+  EXPECT_EQ(Voters(view.members), 5U);
+  EXPECT_FALSE(NextMembers(view, kNow));
+  EXPECT_EQ(ResultOfLeaving(view, view.members.members.front().replica),
+            wire::LeaveResult::kStays);
+}
+
+TEST(MemberPlanTest, ALeavingKeeperIsNeitherAddedNorPromoted) {
+  GroupView view = Group(5);
+  Discover(view, 6, 66);
+  view.leaving.insert(wire::ReplicaId(66));
+  EXPECT_FALSE(NextMembers(view, kNow));
+  view.leaving.clear();
+  view.members = *NextMembers(view, kNow);
+  view.peers[wire::ReplicaId(66)].match = 50;
+  view.peers[wire::ReplicaId(66)].last_reply = kNow;
+  view.leaving.insert(wire::ReplicaId(66));
+  EXPECT_FALSE(NextMembers(view, kNow));
+}
+
+// A voter waits for the learner that is about to replace it.
+TEST(MemberPlanTest, ALeavingVoterIsReplacedByALearnerThatCatchesUp) {
+  GroupView view = Group(5);
+  Discover(view, 6, 66);
+  view.members = *NextMembers(view, kNow);
+  view.leaving.insert(wire::ReplicaId(5));
+  EXPECT_EQ(ResultOfLeaving(view, wire::ReplicaId(5)),
+            wire::LeaveResult::kRetry);
+  EXPECT_FALSE(NextMembers(view, kNow)) << "the learner has not caught up";
+  view.peers[wire::ReplicaId(66)].match = 50;
+  view.peers[wire::ReplicaId(66)].last_reply = kNow;
+  view.members = *NextMembers(view, kNow);
+  EXPECT_EQ(Voters(view.members), 6U);
+  view.members = *NextMembers(view, kNow);
+  EXPECT_EQ(Voters(view.members), 5U);
+  EXPECT_EQ(ResultOfLeaving(view, wire::ReplicaId(5)),
+            wire::LeaveResult::kLeft);
+}
+
+// A leader that has just been elected counts the silence of a member from its
+// own election. A member that announced its departure must not keep its vote
+// for that long.
+TEST(MemberPlanTest, AVoterThatAnnouncedItsDepartureIsReplacedAtOnce) {
+  GroupView view = Group(5);
+  view.hellos.erase(At(5));
+  view.departed.insert(At(5));
+  EXPECT_FALSE(NextMembers(view, kNow)) << "nothing replaces it yet";
+  Discover(view, 6, 66);
+  view.members = *NextMembers(view, kNow);
+  view.peers[wire::ReplicaId(66)].match = 50;
+  view.peers[wire::ReplicaId(66)].last_reply = kNow;
+  view.members = *NextMembers(view, kNow);
+  EXPECT_EQ(Voters(view.members), 4U);
+  view.members = *NextMembers(view, kNow);
+  EXPECT_EQ(Voters(view.members), 5U);
+}
+
 TEST(MemberPlanTest, OnlyKeepersOfTheFirstStartMayFoundAGroup) {
   wire::KeeperHello self{wire::GroupId(), wire::ReplicaId(1), NodeId("k1"),
                          At(1), true};
