Remember the departure of a target beyond the process of its node

Cause: only the node's memory held what the target had said.

Change: the gossip record of a node names the run of its target that departed last; members keep the latest one over restarts of the node and return it when the node joins. The acknowledgement waits for two of them. Announcements wait for the first answer of a member after a start, for 1 s at most.

Ruled out: asking the worker's health path at the start (it may lie, and is a hint only); a second heartbeat before a target is used (two may be late, and each restart would cost 1.5 s); the keepers' log (needs a majority for each departure, and at each start).

--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -39,6 +39,12 @@
     settings_.incarnation = incarnation;
   }
   void Announce(const TargetAnnouncement& announcement);
+  void RecordDeparture(const world::TargetRun& run) {
+    monitor_.RecordDeparture(run);
+  }
+  std::optional<world::TargetRun> departing_run() const {
+    return monitor_.departing_run();
+  }
   void SetDraining(bool draining);
   void Stop(Duration limit, std::function<void()> done);
   void Serve(net::AdminServer& admin);
@@ -353,6 +359,14 @@
   impl_->Announce(announcement);
 }
 
+void NodePlane::RecordDeparture(const world::TargetRun& run) {
+  impl_->RecordDeparture(run);
+}
+
+std::optional<world::TargetRun> NodePlane::departing_run() const {
+  return impl_->departing_run();
+}
+
 void NodePlane::SetIncarnation(Incarnation incarnation) {
   impl_->SetIncarnation(incarnation);
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -108,6 +108,12 @@
 
   /// Handles an announcement of this node's target.
   void Announce(const TargetAnnouncement& announcement);
+  /// Records that `run` of this node's target has departed, as the fleet
+  /// remembers it from an earlier process of this node.
+  void RecordDeparture(const world::TargetRun& run);
+  /// Returns the current run of this node's target if it departs and has
+  /// announced its identity.
+  std::optional<world::TargetRun> departing_run() const;
   /// Requests the active configuration file of `peer`. PlaneHandlers::on_file
   /// receives it.
   void FetchFile(const NodeId& peer);
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -62,6 +62,22 @@
   UpdateState();
 }
 
+void TargetMonitor::RecordDeparture(const world::TargetRun& run) {
+  if (registry_.RecordDeparture(run)) {
+    UpdateState();
+  }
+}
+
+std::optional<world::TargetRun> TargetMonitor::departing_run() const {
+  const std::optional<TargetAnnouncement>& announced = registry_.current();
+  if (!announced || announced->identity.empty()) {
+    return std::nullopt;
+  }
+  const bool departs =
+      leaves_ || announced->state == world::TargetState::kDraining;
+  return departs ? std::optional(RunOf(*announced)) : std::nullopt;
+}
+
 void TargetMonitor::OnTargetReplaced() {
   if (!replaced_) {
     replaced_ = true;
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -46,6 +46,12 @@
   /// Handles a response with which the target says that it leaves. It drains
   /// until another run of a target announces itself.
   void OnTargetLeaves();
+  /// Records that `run` of the target has departed, as an earlier process of
+  /// this node has learned.
+  void RecordDeparture(const world::TargetRun& run);
+  /// Returns the current run of the target if it departs and has announced its
+  /// identity.
+  std::optional<world::TargetRun> departing_run() const;
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
   /// Returns whether the target answered the latest check, healthy or not.
--- a/src/dataplane/target_registry.cc
+++ b/src/dataplane/target_registry.cc
@@ -12,7 +12,42 @@
 
 }  // namespace
 
+world::TargetRun RunOf(const TargetAnnouncement& announcement) {
+  return {announcement.started_ms, announcement.identity.empty()
+                                       ? Digest()
+                                       : DigestOf(announcement.identity)};
+}
+
+bool TargetRegistry::RecordDeparture(const world::TargetRun& run) {
+  departed_ = std::max(departed_, run);
+  if (!current_ || !HasDeparted(*current_) || current_->stopping) {
+    return false;
+  }
+  const bool known = current_->state == world::TargetState::kDraining;
+  current_->state = world::TargetState::kDraining;
+  current_->stopping = true;
+  return !known;
+}
+
+bool TargetRegistry::HasDeparted(const TargetAnnouncement& announcement) const {
+  return departed_ != world::TargetRun() && RunOf(announcement) == departed_;
+}
+
+bool TargetRegistry::IsOlderThanDeparted(
+    const TargetAnnouncement& announcement) const {
+  return announcement.started_ms != 0 &&
+         announcement.started_ms < departed_.started_ms;
+}
+
 bool TargetRegistry::Apply(const TargetAnnouncement& announcement) {
+  if (HasDeparted(announcement) && !announcement.stopping) {
+    TargetAnnouncement departing = announcement;
+    departing.stopping = true;
+    return Apply(departing);
+  }
+  if (IsOlderThanDeparted(announcement)) {
+    return false;
+  }
   if (!current_) {
     ++run_;
     current_ = announcement;
@@ -66,7 +101,10 @@
     current_->state = world::TargetState::kDraining;
     return true;
   }
-  if (late || current_->stopping) {
+  const bool returns = !announcement.identity.empty() &&
+                       current_->state == world::TargetState::kDraining &&
+                       announcement.state != world::TargetState::kDraining;
+  if (late || current_->stopping || returns) {
     return false;
   }
   current_ = announcement;
--- a/src/dataplane/target_registry.h
+++ b/src/dataplane/target_registry.h
@@ -24,6 +24,9 @@
   auto operator<=>(const TargetAnnouncement&) const = default;
 };
 
+/// Returns the run that an announcement belongs to.
+world::TargetRun RunOf(const TargetAnnouncement& announcement);
+
 /// Tracks the current run of the local target. Announcements may arrive out of
 /// order: those of earlier runs, and outdated ones of the current run, are
 /// ignored, except that the current run drains. Does no I/O and reads no clock.
@@ -32,6 +35,11 @@
   /// Applies an announcement. Returns false, and ignores it, if it is outdated
   /// or belongs to an earlier run.
   bool Apply(const TargetAnnouncement& announcement);
+  /// Records that `run` has departed, as an earlier process of this node has
+  /// learned. No announcement makes it ready again, and those of runs that
+  /// started earlier are ignored. Returns whether it is the current run and was
+  /// not known to depart.
+  bool RecordDeparture(const world::TargetRun& run);
   /// Returns the number of the current run, counted from 1; 0 before the first.
   uint64_t run() const { return run_; }
   /// Returns the latest announcement of the current run; nothing before the
@@ -42,7 +50,11 @@
   bool ApplyToCurrentRun(const TargetAnnouncement& announcement);
   bool IsPreviousRun(const std::string& identity) const;
 
+  bool HasDeparted(const TargetAnnouncement& announcement) const;
+  bool IsOlderThanDeparted(const TargetAnnouncement& announcement) const;
+
   std::optional<TargetAnnouncement> current_;
+  world::TargetRun departed_;  // as recorded by an earlier process
   uint64_t run_ = 0;
   std::deque<std::string> previous_identities_;  // identities of earlier runs
 };
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -31,6 +31,8 @@
 constexpr size_t kLeavePings = 8;
 // Number of those peers that must answer before the process may exit.
 constexpr size_t kMinLeaveAcks = 3;
+// Number of members that remember a departure where no keeper takes part.
+constexpr size_t kDepartureHolders = 8;
 // Constant part of the number of times that each change is sent.
 constexpr uint32_t kMinTransmissions = 2;
 // Time after which a leaving process may exit without acknowledgements.
@@ -76,6 +78,7 @@
     CheckProbes();
     SendUpdates();
     CheckLeaving();
+    SendDeparture();
   }
   return TakeActions();
 }
@@ -126,6 +129,29 @@
   return TakeActions();
 }
 
+GossipActions Gossip::RecordDeparture(const world::TargetRun& run, Time now) {
+  now_ = now;
+  if (run > self_.departed) {
+    self_.departed = run;
+    ++self_.version;
+    Announce();
+    departure_copies_ = {};
+  }
+  const std::set<NodeId>& asked = departure_copies_.unconfirmed();
+  const bool waits =
+      departure_copies_.pending() &&
+      std::any_of(asked.begin(), asked.end(), [this](const NodeId& id) {
+        const Member* holder = table_.Find(id);
+        return holder != nullptr && IsLive(*holder);
+      });
+  if (!waits && !departure_copies_.confirmed()) {
+    departure_copies_.Start(DepartureHolders());
+    SendDeparture();
+  }
+  actions_.departure_recorded = departure_copies_.confirmed();
+  return TakeActions();
+}
+
 GossipActions Gossip::Leave(Time now) {
   now_ = now;
   if (replaced_) {
@@ -262,6 +288,34 @@
   }
 }
 
+// Returns the members that are to remember the departure of this node's target:
+// the keepers, which a node that restarts asks first, or some other members.
+std::set<NodeId> Gossip::DepartureHolders() {
+  std::set<NodeId> holders;
+  for (const auto& [id, member] : table_.members()) {
+    if (IsLive(member) && !member.control.ip.empty() && id != self_.id) {
+      holders.insert(id);
+    }
+  }
+  if (holders.empty()) {
+    for (const Member* peer :
+         peers_.Sample(table_, kDepartureHolders, self_.id)) {
+      holders.insert(peer->id);
+    }
+  }
+  return holders;
+}
+
+// Sends the departure of the target to the holders that have not confirmed it.
+void Gossip::SendDeparture() {
+  for (const NodeId& id : departure_copies_.unconfirmed()) {
+    const Member* holder = table_.Find(id);
+    if (holder != nullptr && IsLive(*holder)) {
+      PingWithDeparture(*holder);
+    }
+  }
+}
+
 // Returns whether a message from `sender` is to be processed. Reports a clash
 // if another process uses this node's id.
 bool Gossip::Accept(const Endpoint& from, const wire::GossipSender& sender) {
@@ -285,7 +339,7 @@
   }
   MergeBatch(ping.updates);
   if (ping.sender.members <= 1) {
-    SendFirstMembers(from);
+    SendFirstMembers(from, ping.sender.id);
     return;
   }
   wire::GossipAck ack;
@@ -298,20 +352,28 @@
 
 // Answers a node that knows no other member with one datagram of members, from
 // which it fetches the rest of the table. A seed that many nodes join at once
-// could not send its whole table to each of them.
-void Gossip::SendFirstMembers(const Endpoint& joiner) {
-  SendBuckets(joiner, DifferingBuckets(table_, {}, RandomBucket()), 1);
+// could not send its whole table to each of them. The joiner's own bucket comes
+// first, because the joiner may have been restarted and needs its own record.
+void Gossip::SendFirstMembers(const Endpoint& endpoint, const NodeId& joiner) {
+  const auto first = static_cast<uint16_t>(MemberTable::BucketOf(joiner));
+  SendBuckets(endpoint, DifferingBuckets(table_, {}, first), 1);
 }
 
 void Gossip::OnAck(const Endpoint& from, const wire::GossipAck& ack) {
   if (!Accept(from, ack.sender)) {
     return;
   }
+  joined_ = true;
   MergeBatch(ack.updates);
   const auto probe = probes_.TakeAnswered(ack.number, ack.subject);
   if (probe && probe->announces_leave) {
     ++leave_acks_;
   }
+  if (probe && probe->announces_departure != world::TargetRun() &&
+      probe->announces_departure == self_.departed &&
+      departure_copies_.Confirm(ack.subject)) {
+    actions_.departure_recorded = true;
+  }
   if (const auto relay = probes_.TakeAnsweredRelay(ack.number)) {
     wire::GossipAck answer;
     answer.number = relay->number;
@@ -359,6 +421,7 @@
   if (!Accept(from, members.sender)) {
     return;
   }
+  joined_ = true;
   MergeBatch(members.members);
   if (outbox_.affordable_datagrams() == 0) {
     return;
@@ -394,6 +457,12 @@
   if (replaced_) {
     return;
   }
+  if (announced.departed > self_.departed) {
+    // Recorded by an earlier process of this node.
+    self_.departed = announced.departed;
+    ++self_.version;
+    Announce();
+  }
   if (announced.incarnation > self_.incarnation &&
       announced.gossip == self_.gossip) {
     // No other process can be bound to this endpoint, so the announcement comes
@@ -477,6 +546,17 @@
                   std::move(ping));
 }
 
+// The record of this node comes first, so that it is sent whatever else waits.
+void Gossip::PingWithDeparture(const Member& member) {
+  wire::GossipPing ping;
+  ping.sender = Sender();
+  ping.number = probes_.Add({member.id, member.incarnation, member.gossip, now_,
+                             false, self_.departed});
+  const size_t room = outbox_.max_message_bytes() - wire::Encode(ping).size();
+  ping.updates.Add(self_, ping.updates.bytes() + room);
+  outbox_.Send(member.gossip, ping);
+}
+
 void Gossip::PingEndpoint(const Endpoint& endpoint) {
   wire::GossipPing ping;
   ping.number = probes_.NewNumber();
@@ -500,8 +580,9 @@
 // Returns the updates to piggyback on a message to `peer`, in at most `room`
 // bytes. The first is this node's own record if `peer` is unknown here and thus
 // may not know this node, or the record of `peer` if it is not alive or has
-// another incarnation, so that `peer` can refute it. Queued updates follow as
-// long as the batch stays within `update_bytes`.
+// another incarnation, so that `peer` can refute it, or if a departure of its
+// target is known, of which `peer` may not know after a restart. Queued updates
+// follow as long as the batch stays within `update_bytes`.
 MemberBatch Gossip::UpdatesFor(const NodeId& peer,
                                Incarnation incarnation,
                                size_t room,
@@ -512,7 +593,8 @@
   if (known == nullptr) {
     batch.Add(self_, empty + room);
   } else if (known->state != MemberState::kAlive ||
-             known->incarnation != incarnation) {
+             known->incarnation != incarnation ||
+             known->departed != world::TargetRun()) {
     batch.Add(ToAnnouncement(*known), empty + room);
   }
   updates_.FillBatch(table_, empty + update_bytes, batch);
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "membership/departure_copies.h"
 #include "membership/member_table.h"
 #include "membership/membership_settings.h"
 #include "membership/outbox.h"
@@ -36,6 +38,9 @@
   /// Whether leaving is complete: enough peers have acknowledged it, a time-out
   /// has passed, or this node has been replaced.
   bool left = false;
+  /// Whether enough peers have acknowledged the departure of the target's run
+  /// that RecordDeparture was called with last.
+  bool departure_recorded = false;
 };
 
 /// The SWIM-style membership protocol of one node, without sockets or timers.
@@ -64,6 +69,11 @@
                           world::TargetState state,
                           uint32_t slots,
                           Time now);
+  /// Announces that `run` of the target departs, and asks the keepers, or some
+  /// other members if no keeper takes part, to remember it. The actions of this
+  /// or a later call report `departure_recorded` once enough of them have
+  /// confirmed it.
+  GossipActions RecordDeparture(const world::TargetRun& run, Time now);
   /// Replaces the seeds through which this node finds the fleet.
   void SetSeeds(std::vector<world::Endpoint> seeds) {
     seeds_.SetSeeds(std::move(seeds));
@@ -77,6 +87,9 @@
   const world::Member& self() const { return self_; }
   /// Returns this node's view of the fleet.
   const MemberTable& table() const { return table_; }
+  /// Returns whether another member has answered since the start, and with it
+  /// what the fleet remembers of this node.
+  bool joined() const { return joined_; }
   /// Returns whether a newer process with the same id has replaced this one.
   bool replaced() const { return replaced_; }
   /// Returns how long a member stays suspect before it is marked dead; this
@@ -96,9 +109,11 @@
   void SendPingRequests(const Probe& probe, uint64_t number);
   void Suspect(const Probe& probe);
   void CheckLeaving();
+  std::set<NodeId> DepartureHolders();
+  void SendDeparture();
 
   void OnPing(const world::Endpoint& from, const wire::GossipPing& ping);
-  void SendFirstMembers(const world::Endpoint& joiner);
+  void SendFirstMembers(const world::Endpoint& endpoint, const NodeId& joiner);
   void OnAck(const world::Endpoint& from, const wire::GossipAck& ack);
   void OnPingRequest(const world::Endpoint& from,
                      const wire::GossipPingRequest& request);
@@ -121,6 +136,7 @@
                    size_t max_datagrams);
   uint16_t RandomBucket();
   void PingMember(const world::Member& member, bool announces_leave = false);
+  void PingWithDeparture(const world::Member& member);
   void PingEndpoint(const world::Endpoint& endpoint);
   template <typename Message>
   void SendWithUpdates(const world::Endpoint& to,
@@ -150,6 +166,8 @@
   uint64_t round_ = 0;
   Probes probes_;
   size_t leave_acks_ = 0;
+  DepartureCopies departure_copies_;
+  bool joined_ = false;
   bool leaving_ = false;
   bool replaced_ = false;
   GossipActions actions_;
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -26,10 +26,6 @@
   return 0;
 }
 
-size_t BucketOf(const NodeId& id) {
-  return DigestOf(id.value).value % MemberTable::kBuckets;
-}
-
 uint64_t HashOf(const Member& member) {
   std::string bytes = member.id.value;
   bytes += '\0';
@@ -37,6 +33,11 @@
   bytes += ':';
   bytes += std::to_string(member.version);
   bytes += member.state == MemberState::kSuspect ? 's' : 'a';
+  if (member.departed != world::TargetRun()) {
+    bytes += std::to_string(member.departed.started_ms);
+    bytes += ':';
+    bytes += std::to_string(member.departed.identity.value);
+  }
   return DigestOf(bytes).value;
 }
 
@@ -52,7 +53,12 @@
          member.state == MemberState::kSuspect;
 }
 
+size_t MemberTable::BucketOf(const NodeId& id) {
+  return DigestOf(id.value).value % kBuckets;
+}
+
 bool MemberTable::Merge(const Member& announced, Time now) {
+  world::TargetRun departed = announced.departed;
   const auto found = members_.find(announced.id);
   if (found == members_.end()) {
     if (!IsLive(announced)) {
@@ -64,13 +70,15 @@
     }
     buckets_[BucketOf(announced.id)].push_back(announced.id);
   } else {
+    departed = std::max(departed, found->second.departed);
     if (!Overrides(announced, found->second)) {
-      return false;
+      return MergeDeparture(found->second, departed);
     }
     RemoveFromLive(found->second);
   }
   Member& member = members_[announced.id];
   member = announced;
+  member.departed = departed;
   AddToLive(member);
   const bool dead = announced.state == MemberState::kDead ||
                     announced.state == MemberState::kUnreachable;
@@ -85,6 +93,18 @@
   return true;
 }
 
+// Returns whether the member's latest departure has changed.
+bool MemberTable::MergeDeparture(Member& member,
+                                 const world::TargetRun& departed) {
+  if (departed == member.departed) {
+    return false;
+  }
+  RemoveFromLive(member);
+  member.departed = departed;
+  AddToLive(member);
+  return true;
+}
+
 std::vector<Member> MemberTable::Sweep(Time now, Duration suspicion_time) {
   CountGroups();
   std::vector<Member> changed;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -42,9 +42,13 @@
 
   explicit MemberTable(const TableSettings& settings) : settings_(settings) {}
 
+  /// Returns the number of the bucket that the member `id` belongs to.
+  static size_t BucketOf(const NodeId& id);
   /// Applies an announcement and returns whether it changed the table. Ignores
   /// an announcement that does not supersede the stored one, one of an unknown
-  /// member that is not live, and a new member when the table is full.
+  /// member that is not live, and a new member when the table is full. The
+  /// latest departure of a target is kept from either announcement, so that it
+  /// outlives the process of its node.
   bool Merge(const world::Member& announced, Time now);
   /// Marks members that have been suspect for `suspicion_time` as dead. If most
   /// of a zone or region is silent, marks its suspect and dead members as
@@ -88,6 +92,7 @@
     bool IsMostlySilent() const { return silent >= 2 && 2 * silent > members; }
   };
 
+  bool MergeDeparture(world::Member& member, const world::TargetRun& departed);
   void CountGroups();
   bool IsPartitioned(const world::Location& location) const;
   void SetState(world::Member& member, world::MemberState state, Time now);
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -1,5 +1,6 @@
 #include "membership/membership_service.h"
 
+#include <deque>
 #include <utility>
 
 #include "membership/events.h"
@@ -12,6 +13,8 @@
 using world::MemberState;
 
 constexpr int kTicksPerPeriod = 4;
+// A target takes a reply that comes within a second.
+constexpr Duration kDepartureTimeout = std::chrono::milliseconds(800);
 constexpr Duration kBadDatagramLogInterval = std::chrono::seconds(10);
 
 void LogChange(const Member& member) {
@@ -46,7 +49,10 @@
                   OnDatagram(from, bytes);
                 }),
         gossip_(settings, WithBoundEndpoint(self), self.incarnation.value),
-        timer_(loop, [this] { Perform(gossip_.Tick(loop_.Now())); }) {
+        timer_(loop, [this] {
+          Perform(gossip_.Tick(loop_.Now()));
+          GiveUpDepartures();
+        }) {
     LogEvent(kStarted, {{"node", gossip_.self().id.value},
                         {"gossip", world::ToString(gossip_.self().gossip)},
                         {"incarnation", gossip_.self().incarnation.value}});
@@ -66,6 +72,12 @@
     gossip_.SetSeeds(seeds);
   }
 
+  void RecordDeparture(const world::TargetRun& run,
+                       std::function<void(bool)> done) {
+    departures_.push_back({std::move(done), loop_.Now() + kDepartureTimeout});
+    Perform(gossip_.RecordDeparture(run, loop_.Now()));
+  }
+
   void Leave(std::function<void()> done) {
     on_left_ = std::move(done);
     Perform(gossip_.Leave(loop_.Now()));
@@ -135,11 +147,30 @@
       LogChange(member);
       observer_(member);
     }
+    if (actions.departure_recorded) {
+      for (const PendingDeparture& pending : std::exchange(departures_, {})) {
+        pending.done(true);
+      }
+    }
     if (actions.left && on_left_) {
       std::exchange(on_left_, nullptr)();
     }
   }
 
+  void GiveUpDepartures() {
+    const Time now = loop_.Now();
+    while (!departures_.empty() && now >= departures_.front().deadline) {
+      const PendingDeparture pending = std::move(departures_.front());
+      departures_.pop_front();
+      pending.done(false);
+    }
+  }
+
+  struct PendingDeparture {
+    std::function<void(bool)> done;
+    Time deadline;
+  };
+
   net::EventLoop& loop_;
   Observer observer_;
   net::DatagramSocket socket_;
@@ -147,6 +178,7 @@
   net::Timer timer_;
   net::Timer start_{loop_, [this] { Perform(gossip_.Tick(loop_.Now())); }};
   std::function<void()> on_left_;
+  std::deque<PendingDeparture> departures_;  // in order of their deadlines
   uint64_t bad_datagrams_ = 0;
   Time bad_logged_;
   bool overflow_logged_ = false;
@@ -167,6 +199,15 @@
   impl_->SetTarget(service, state, slots);
 }
 
+void MembershipService::RecordDeparture(const world::TargetRun& run,
+                                        std::function<void(bool)> done) {
+  impl_->RecordDeparture(run, std::move(done));
+}
+
+bool MembershipService::joined() const {
+  return impl_->gossip().joined();
+}
+
 void MembershipService::SetSeeds(const std::vector<world::Endpoint>& seeds) {
   impl_->SetSeeds(seeds);
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -31,6 +31,11 @@
   void SetTarget(const ServiceName& service,
                  world::TargetState state,
                  uint32_t slots);
+  /// Announces that `run` of this node's target departs. Calls `done(true)`
+  /// once enough other members remember it to tell a later process of this
+  /// node, or `done(false)` after 800 ms. The announcement goes on in any case.
+  void RecordDeparture(const world::TargetRun& run,
+                       std::function<void(bool recorded)> done);
   /// Replaces the seeds through which this node finds the fleet.
   void SetSeeds(const std::vector<world::Endpoint>& seeds);
   /// Announces that this node leaves. Calls `done` once enough peers have
@@ -40,6 +45,9 @@
   const std::map<NodeId, world::Member>& members() const;
   /// Returns this node's announcement, with the gossip port that was bound.
   const world::Member& self() const;
+  /// Returns whether another member has answered since the start. self() then
+  /// includes what the fleet remembers of this node.
+  bool joined() const;
   /// Returns whether a newer process with the same id has replaced this one,
   /// which then no longer takes part in the protocol.
   bool replaced() const;
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -13,6 +13,10 @@
 // A reachable keeper answers well within this interval, so the file is fetched
 // from a peer only if no keeper is reachable.
 constexpr Duration kPeerFetchInterval = std::chrono::milliseconds(500);
+constexpr Duration kJoinCheckInterval = std::chrono::milliseconds(20);
+// A node that no other member answers for this long is on its own.
+constexpr Duration kJoinTimeout = std::chrono::seconds(1);
+constexpr size_t kMaxWaitingAnnouncements = 64;
 
 dataplane::PlaneSettings ToPlaneSettings(const config::Settings& settings,
                                          const NodeOptions& options,
@@ -59,7 +63,9 @@
       incarnation_(NewIncarnation()),
       configured_keepers_(settings.keepers),
       admin_(loop, settings.admin),
-      peer_fetch_timer_(loop, [this] { FetchFileFromPeer(); }) {
+      peer_fetch_timer_(loop, [this] { FetchFileFromPeer(); }),
+      started_(loop.Now()),
+      join_timer_(loop, [this] { ApplyWaitingAnnouncements(); }) {
   plane_ = std::make_unique<dataplane::NodePlane>(
       loop_, ToPlaneSettings(settings_, options_, incarnation_), view_,
       MakeClaimPort(), MakePlaneHandlers());
@@ -105,8 +111,46 @@
   });
 }
 
-void NodeProcess::Announce(const dataplane::TargetAnnouncement& announcement) {
+void NodeProcess::Announce(const dataplane::TargetAnnouncement& announcement,
+                           std::function<void(bool)> done) {
+  if (MayTrustAnnouncements()) {
+    ApplyAnnouncement(announcement, std::move(done));
+  } else if (waiting_announcements_.size() < kMaxWaitingAnnouncements) {
+    waiting_announcements_.push_back({announcement, std::move(done)});
+    if (!join_timer_.running()) {
+      join_timer_.StartPeriodic(kJoinCheckInterval);
+    }
+  } else {
+    done(false);
+  }
+}
+
+// Before this node has heard from the fleet, it cannot tell a late announcement
+// of a run that departed from one of a run that is ready.
+bool NodeProcess::MayTrustAnnouncements() const {
+  return membership_->joined() || loop_.Now() - started_ >= kJoinTimeout;
+}
+
+void NodeProcess::ApplyWaitingAnnouncements() {
+  if (!MayTrustAnnouncements()) {
+    return;
+  }
+  join_timer_.Stop();
+  for (WaitingAnnouncement& waiting :
+       std::exchange(waiting_announcements_, {})) {
+    ApplyAnnouncement(waiting.announcement, std::move(waiting.done));
+  }
+}
+
+void NodeProcess::ApplyAnnouncement(
+    const dataplane::TargetAnnouncement& announcement,
+    std::function<void(bool)> done) {
   plane_->Announce(announcement);
+  if (const auto run = plane_->departing_run()) {
+    membership_->RecordDeparture(*run, std::move(done));
+  } else {
+    done(true);
+  }
 }
 
 void NodeProcess::Reload(const config::Settings& settings) {
@@ -125,6 +169,9 @@
     incarnation_ = member.incarnation;
     plane_->SetIncarnation(incarnation_);
   }
+  if (member.id == settings_.id && member.departed != world::TargetRun()) {
+    plane_->RecordDeparture(member.departed);
+  }
   if (!member.control.ip.empty()) {
     UpdateKeepers();
   }
@@ -304,6 +351,10 @@
   if (membership_ != nullptr && settings_.target) {
     membership_->SetTarget(settings_.target->service, target_state_,
                            slots > 0 ? slots : settings_.target->slots);
+    // A target may also announce its departure with a response.
+    if (const auto run = plane_->departing_run()) {
+      membership_->RecordDeparture(*run, [](bool) {});
+    }
   }
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -43,13 +43,27 @@
   /// Applies a changed settings file. Only the keepers and the gossip seeds
   /// take effect.
   void Reload(const config::Settings& settings);
-  /// Processes an announcement that the local target sent about itself.
-  void Announce(const dataplane::TargetAnnouncement& announcement);
+  /// Processes an announcement that the local target sent about itself. It
+  /// waits until the fleet has told this node which run of the target departed
+  /// last, or for 1 s. Calls `done(true)` when it may be acknowledged: a
+  /// departure once other members remember it. Calls `done(false)` if they
+  /// cannot be reached; the target must announce it again.
+  void Announce(const dataplane::TargetAnnouncement& announcement,
+                std::function<void(bool recorded)> done);
   /// Returns whether this node has an active configuration, knows the requests
   /// that are quarantined and is not stopping.
   bool ready() const;
 
  private:
+  struct WaitingAnnouncement {
+    dataplane::TargetAnnouncement announcement;
+    std::function<void(bool)> done;
+  };
+
+  bool MayTrustAnnouncements() const;
+  void ApplyAnnouncement(const dataplane::TargetAnnouncement& announcement,
+                         std::function<void(bool)> done);
+  void ApplyWaitingAnnouncements();
   world::Member MakeSelf() const;
   dataplane::ClaimPort MakeClaimPort();
   dataplane::PlaneHandlers MakePlaneHandlers();
@@ -83,6 +97,10 @@
   std::unique_ptr<control::NodeAgent> agent_;
   net::Timer peer_fetch_timer_;
   size_t peer_fetches_ = 0;
+  // Announcements that arrived before this node had joined the fleet.
+  std::vector<WaitingAnnouncement> waiting_announcements_;
+  const Time started_;
+  net::Timer join_timer_;
 };
 
 }  // namespace ibisvalve::node
--- a/src/wire/gossip_messages.cc
+++ b/src/wire/gossip_messages.cc
@@ -45,6 +45,9 @@
       member.state,
       member.target,
       member.slots,
+      member.departed == world::TargetRun()
+          ? std::vector<world::TargetRun>()
+          : std::vector<world::TargetRun>{member.departed},
   };
   size_t bytes = bytes_ + Encode(packed).size();
   for (size_t i = old_names; i < names_.size(); ++i) {
@@ -77,6 +80,9 @@
     member.service = ServiceName(NameAt(packed.service_name));
     member.target = CheckedTargetState(packed.target);
     member.slots = packed.slots;
+    if (!packed.departed.empty()) {
+      member.departed = packed.departed.front();
+    }
     members.push_back(std::move(member));
   }
   return members;
--- a/tests/dataplane/target_registry_test.cc
+++ b/tests/dataplane/target_registry_test.cc
@@ -76,5 +76,39 @@
   EXPECT_EQ(registry.current()->state, TargetState::kReady);
 }
 
+// A node that was killed must not take a late announcement of the run that it
+// had acknowledged as gone for a ready target.
+TEST(TargetRegistryTest, ARunThatDepartedBeforeARestartIsNotReadyAgain) {
+  TargetRegistry registry;
+  EXPECT_FALSE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  registry.Apply(Announcement("i-1", 4, 1000));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  registry.Apply(Announcement("i-1", 6, 1000));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  EXPECT_FALSE(registry.Apply(Announcement("i-0", 9, 500)))
+      << "an earlier run is no target either";
+  EXPECT_TRUE(registry.Apply(Announcement("i-2", 1, 2000)));
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+}
+
+// The node hears of the departure after it has taken the late announcement.
+TEST(TargetRegistryTest, ADepartureThatIsLearnedLateEndsTheCurrentRun) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  EXPECT_TRUE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  registry.Apply(Announcement("i-2", 1, 2000));
+  EXPECT_FALSE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+}
+
+// The same id may start again; only its start tells the two runs apart.
+TEST(TargetRegistryTest, ADepartureDoesNotHoldForALaterRunOfTheSameIdentity) {
+  TargetRegistry registry;
+  registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000)));
+  EXPECT_TRUE(registry.Apply(Announcement("i-1", 1, 2000)));
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -116,6 +116,46 @@
   EXPECT_TRUE(fleet.clashes().empty());
 }
 
+// The departure of a target must outlive the process of its node: a node that
+// was killed right after it had recorded one learns of it when it joins again.
+RC_GTEST_PROP(GossipTest, ADepartureOutlivesTheProcessOfItsNode, ()) {
+  GossipFleet fleet(Seed(), kUnreliableNetwork);
+  fleet.StartMany(9, 3);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(60)));
+  const world::Member before = fleet.At(5).self();
+  const world::TargetRun run{1000, Digest(7)};
+  bool recorded = false;
+  RC_ASSERT(fleet.RunUntil(
+      [&] {
+        const auto actions = fleet.At(5).RecordDeparture(run, fleet.now());
+        recorded = recorded || actions.departure_recorded;
+        fleet.Perform(before.gossip, actions);
+        return recorded;
+      },
+      seconds(5)));
+  fleet.Kill(before.gossip);
+  world::Member again = before;
+  again.incarnation = Incarnation(before.incarnation.value + 1000);
+  again.departed = {};
+  MembershipSettings settings;
+  settings.seeds = {fleet.At(0).self().gossip, fleet.At(1).self().gossip};
+  fleet.Start(again, settings);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.At(5).self().departed == run; },
+                           seconds(10)));
+}
+
+TEST(GossipTest, ADepartureIsRecordedOnceTwoOthersConfirmIt) {
+  GossipFleet fleet(1, kReliableNetwork);
+  fleet.StartMany(4, 2);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  for (const int number : {1, 2, 3}) {
+    fleet.Kill(fleet.At(static_cast<size_t>(number)).self().gossip);
+  }
+  const world::TargetRun run{1000, Digest(7)};
+  EXPECT_FALSE(fleet.At(0).RecordDeparture(run, fleet.now()).departure_recorded)
+      << "no other member has confirmed it";
+}
+
 TEST(GossipTest, SuspendedProcessSuspectsNoMemberOnResume) {
   GossipFleet fleet(1, kReliableNetwork);
   fleet.StartMany(2, 1);
--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <memory>
+#include <optional>
 
 #include "support/test_fleet.h"
 
@@ -62,5 +64,119 @@
   std::filesystem::remove_all(data);
 }
 
+// A node with a target that announces itself, beside a keeper of the gossip.
+class DepartureTest : public testing::Test {
+ protected:
+  DepartureTest() {
+    settings_.id = NodeId("suva-1");
+    settings_.callers = settings_.mesh = settings_.admin =
+        world::Endpoint{"127.0.0.1", 0};
+    settings_.gossip = test::FreeEndpoint();
+    settings_.keepers = {test::FreeEndpoint()};
+    settings_.target.emplace();
+    settings_.target->service = ServiceName("bookdesk");
+    settings_.target->endpoint = test::FreeEndpoint();
+    settings_.target->slots = 4;
+    settings_.target->announces = true;
+  }
+
+  void StartKeeper() {
+    world::Member self;
+    self.id = NodeId("keeper-1");
+    self.incarnation = NewIncarnation();
+    self.gossip = {"127.0.0.1", 0};
+    self.control = settings_.keepers.front();
+    keeper_ = std::make_unique<membership::MembershipService>(
+        loop_, membership::MembershipSettings(), self,
+        [](const world::Member&) {});
+    settings_.seeds = {keeper_->self().gossip};
+  }
+
+  void StartNode() { node_ = std::make_unique<NodeProcess>(loop_, settings_); }
+
+  static dataplane::TargetAnnouncement Announcement(bool stopping) {
+    dataplane::TargetAnnouncement announcement;
+    announcement.identity = "i-1";
+    announcement.started_ms = 1000;
+    announcement.number = stopping ? 0 : 1;
+    announcement.stopping = stopping;
+    return announcement;
+  }
+
+  // Announces and returns whether it was acknowledged.
+  bool Announce(bool stopping) {
+    std::optional<bool> recorded;
+    node_->Announce(Announcement(stopping),
+                    [&](bool result) { recorded = result; });
+    RunUntil([&] { return recorded.has_value(); });
+    return recorded.value_or(false);
+  }
+
+  void RunUntil(const std::function<bool()>& condition,
+                Duration limit = std::chrono::seconds(5)) {
+    const Time end = loop_.Now() + limit;
+    net::Timer check(loop_, [&] {
+      if (condition() || loop_.Now() >= end) {
+        loop_.Stop();
+      }
+    });
+    check.StartPeriodic(std::chrono::milliseconds(2));
+    loop_.Run();
+  }
+
+  world::TargetState SeenState() const {
+    const auto found = keeper_->members().find(settings_.id);
+    return found == keeper_->members().end() ? world::TargetState::kNone
+                                             : found->second.target;
+  }
+
+  net::EventLoop loop_;
+  config::Settings settings_;
+  std::unique_ptr<membership::MembershipService> keeper_;
+  std::unique_ptr<NodeProcess> node_;
+};
+
+// After a node was killed, a late announcement of its target, which was
+// acknowledged as gone, made the target ready again until it exited under its
+// requests.
+TEST_F(DepartureTest, ATargetThatIsGoneIsNotReadyAfterARestartOfItsNode) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  RunUntil([&] { return SeenState() == world::TargetState::kReady; });
+  ASSERT_EQ(SeenState(), world::TargetState::kReady);
+  ASSERT_TRUE(Announce(true));
+  node_.reset();
+  StartNode();
+  Announce(false);
+  bool ready = false;
+  RunUntil(
+      [&] {
+        ready = ready || SeenState() == world::TargetState::kReady;
+        return ready;
+      },
+      std::chrono::seconds(3));
+  EXPECT_FALSE(ready);
+}
+
+// An acknowledged departure must outlive the node, so it is not acknowledged
+// while nobody else knows of it.
+TEST_F(DepartureTest, ADepartureThatNobodyElseKnowsIsNotAcknowledged) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  RunUntil([&] { return SeenState() == world::TargetState::kReady; });
+  keeper_.reset();
+  EXPECT_FALSE(Announce(true));
+}
+
+// A node that no other member answers still uses its own target.
+TEST_F(DepartureTest, ANodeOnItsOwnTakesAnnouncementsAfterASecond) {
+  StartNode();
+  const Time begin = loop_.Now();
+  EXPECT_TRUE(Announce(false));
+  EXPECT_LT(loop_.Now() - begin, std::chrono::milliseconds(1500));
+}
+
 }  // namespace
 }  // namespace ibisvalve::node
