Bound the unparsed part of an HTTP message

Cause: the parser consumes a head, a chunk header or trailers only as a whole. The head has a limit of its own, the others do not, so their bytes pile up in the connection's buffer, and are searched again with each read.

Change: HttpReader refuses a message of which more than header_bytes stay unparsed. A caller gets 431 and is closed; a call to a target ends as lost, so the caller gets 502, or a retry if the request may be repeated.

Ruled out: heads, status lines and empty lines without end; they were bounded before, and their cases pass without the change.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -166,6 +166,11 @@
   const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
   const size_t taken = Feed(std::string_view(bytes, length));
   evbuffer_drain(input, taken);
+  if (!parser_->done() && length - taken > limits_.header_bytes) {
+    throw HttpError(kHeaderTooLarge, "a part of the message is longer than " +
+                                         std::to_string(limits_.header_bytes) +
+                                         " bytes");
+  }
   return taken;
 }
 
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -63,6 +63,8 @@
   /// HttpError.
   size_t Feed(std::string_view bytes);
   /// Parses the content of `input` like Feed and drains the consumed bytes.
+  /// Throws HttpError also if more than HttpLimits::header_bytes of the current
+  /// message stay unparsed, which a chunk header or trailers without end do.
   size_t FeedFrom(evbuffer* input);
   /// Handles the end of input. Throws HttpError if the current message is
   /// incomplete.
--- a/tests/dataplane/raw_socket.h
+++ b/tests/dataplane/raw_socket.h
@@ -60,6 +60,7 @@
   }
   const std::string& received() const { return received_; }
   bool closed() const { return closed_; }
+  bufferevent* end() { return end_; }
 
  private:
   bufferevent* end_;
