Discard responses that are not for the current call, up to a bound

Cause: a response to an earlier call is skipped once it is complete; until then its body was collected like that of the current one. Small responses and interim responses without end were read for ever.

Change: bytes of a response that is skipped are discarded as they come. After 1 MiB of them the call ends as lost.

--- a/src/dataplane/target_connection.cc
+++ b/src/dataplane/target_connection.cc
@@ -24,6 +24,10 @@
 constexpr uint16_t kFirstRedirect = 300;
 constexpr uint16_t kFirstFailure = 400;
 constexpr size_t kMaxFailedIds = 64;
+// Limit for what a target sends before the response to a call: interim
+// responses and responses to earlier calls.
+constexpr size_t kMaxSkippedBytes = 1 << 20;
+constexpr int kBadGateway = 502;
 
 }  // namespace
 
@@ -77,6 +81,7 @@
   ++calls_;
   in_call_ = true;
   head_delivered_ = false;
+  skipped_bytes_ = 0;
   reader_.Next(kResponseLimits, method_ == "HEAD");
   const std::string head = net::RequestHeadText(
       request.method, request.uri, request.headers, request.body.size());
@@ -115,7 +120,8 @@
 
 // Processes part of the input. Returns whether there may be more to process.
 bool TargetConnection::ProcessInput() {
-  if (reader_.FeedFrom(bufferevent_get_input(bufferevent_)) == 0) {
+  const size_t consumed = reader_.FeedFrom(bufferevent_get_input(bufferevent_));
+  if (consumed == 0) {
     return false;
   }
   const std::shared_ptr<bool> alive = alive_;
@@ -128,12 +134,29 @@
       handlers_.on_data(std::move(body));
     }
   }
+  if (*alive && in_call_ && skipping_response_) {
+    SkipInput(consumed);
+  }
   if (*alive && in_call_ && reader_.done()) {
     HandleEnd();
   }
   return *alive;
 }
 
+// Discards the part of a response that is not for the current call. Throws
+// HttpError if the target sends so much of it that the response to the call is
+// not to be expected.
+void TargetConnection::SkipInput(size_t bytes) {
+  reader_.TakeBody();
+  skipped_bytes_ += bytes;
+  if (skipped_bytes_ > kMaxSkippedBytes) {
+    throw net::HttpError(kBadGateway,
+                         "the target sent more than " +
+                             std::to_string(kMaxSkippedBytes) +
+                             " bytes that are no response to the request");
+  }
+}
+
 void TargetConnection::HandleHead() {
   const net::HttpHead& head = reader_.head();
   if (head.status < kFirstFinalStatus) {
--- a/src/dataplane/target_connection.h
+++ b/src/dataplane/target_connection.h
@@ -85,6 +85,7 @@
   bool ProcessInput();
   void OnEvent(int16_t what);
   void HandleHead();
+  void SkipInput(size_t bytes);
   bool BelongsToCall(const net::HttpHead& head) const;
   void HandleEnd();
   void CompleteCall();
@@ -104,6 +105,7 @@
   // An interim response (1xx) or the response to an earlier call is being
   // skipped.
   bool skipping_response_ = false;
+  size_t skipped_bytes_ = 0;  // received before the response to the call
   bool connected_ = false;
   bool not_reusable_ = false;  // the connection must not be reused
   Time opened_at_{};
--- a/tests/dataplane/endless_bytes_test.cc
+++ b/tests/dataplane/endless_bytes_test.cc
@@ -153,6 +153,17 @@
       "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
       "Transfer-Encoding: chunked\r\n\r\n";
   return {
+      {"BodyOfAnotherRequest",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nContent-Length: 99999999999\r\n"
+       "\r\n",
+       "x"},
+      {"BodyWithoutLengthOfAnotherRequest",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\n\r\n", "x"},
+      {"BodyWithoutRequestId",
+       "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+      {"ResponsesToOtherRequests", "",
+       "HTTP/1.1 200 OK\r\nRequest-Id: r-0\r\nContent-Length: 1\r\n\r\nx"},
+      {"InterimResponses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
       {"ChunkHeader", chunked + "1;", "x"},
       {"Trailers", chunked + "0\r\n", "Trailer: x\r\n"},
       {"Head", "HTTP/1.1 200 OK\r\nLink: ", "x"},
