Leave requests unread that are pipelined to an admin server without end

Cause: evhttp goes on reading while it handles a request, and it handles one a turn of the loop, so the rest piles up in the connection's input buffer.

Change: the connections of an AdminServer stop reading at the size of the largest request (a high watermark).

What remains: a caller may open many connections, each of which holds up to one request (4 MiB at a keeper).

--- a/src/net/admin_server.cc
+++ b/src/net/admin_server.cc
@@ -1,6 +1,8 @@
 #include "net/admin_server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -14,7 +16,6 @@
 namespace {
 
 constexpr ev_ssize_t kMaxAdminHeaderBytes = 16 << 10;
-constexpr ev_ssize_t kMaxAdminBodyBytes = 4 << 20;
 
 AdminRequest Parse(evhttp_request* request) {
   AdminRequest parsed;
@@ -53,10 +54,18 @@
   evhttp_request* request;
 };
 
-AdminServer::AdminServer(EventLoop& loop, const world::Endpoint& local)
-    : http_(evhttp_new(loop.base())) {
+AdminServer::AdminServer(EventLoop& loop,
+                         const world::Endpoint& local,
+                         const AdminLimits& limits)
+    : limits_(limits), http_(evhttp_new(loop.base())) {
   evhttp_set_max_headers_size(http_, kMaxAdminHeaderBytes);
-  evhttp_set_max_body_size(http_, kMaxAdminBodyBytes);
+  evhttp_set_max_body_size(http_, limits.body_bytes);
+  evhttp_set_bevcb(
+      http_,
+      [](event_base* base, void* argument) {
+        return static_cast<AdminServer*>(argument)->MakeConnection(base);
+      },
+      this);
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_HEAD |
                                         EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
                                         EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
@@ -76,6 +85,19 @@
   local_ = LocalEndpoint(evhttp_bound_socket_get_fd(socket));
 }
 
+// evhttp reads on while it handles a request, so requests that are pipelined
+// without end would pile up in the input buffer. The buffer must have room for
+// one request, because evhttp takes a body only as a whole.
+bufferevent* AdminServer::MakeConnection(event_base* base) const {
+  bufferevent* connection =
+      bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  if (connection != nullptr) {
+    bufferevent_setwatermark(connection, EV_READ, 0,
+                             size_t{limits_.body_bytes} + kMaxAdminHeaderBytes);
+  }
+  return connection;
+}
+
 AdminServer::~AdminServer() {
   evhttp_free(http_);
 }
--- a/src/net/admin_server.h
+++ b/src/net/admin_server.h
@@ -9,6 +9,8 @@
 #include "net/event_loop.h"
 #include "world/world.h"
 
+struct bufferevent;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_request;
@@ -34,6 +36,13 @@
   auto operator<=>(const AdminResponse&) const = default;
 };
 
+/// Limits of an admin server.
+struct AdminLimits {
+  uint32_t body_bytes = 4 << 20;  // of a request
+
+  auto operator<=>(const AdminLimits&) const = default;
+};
+
 /// HTTP server for operators and metrics, on an address of its own. A handler
 /// may call its Reply later, on the loop thread and during the lifetime of the
 /// server. A response is dropped if its connection has been closed.
@@ -42,8 +51,12 @@
   using Reply = std::function<void(const AdminResponse&)>;
   using Handler = std::function<void(const AdminRequest&, Reply)>;
 
-  /// Listens at `local`; port 0 selects a free port. Throws SystemError.
-  AdminServer(EventLoop& loop, const world::Endpoint& local);
+  /// Listens at `local`; port 0 selects a free port. A connection holds at most
+  /// one request of the largest size that is not being handled; the rest stays
+  /// unread. Throws SystemError.
+  AdminServer(EventLoop& loop,
+              const world::Endpoint& local,
+              const AdminLimits& limits = {});
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
@@ -63,9 +76,11 @@
  private:
   struct Pending;
 
+  bufferevent* MakeConnection(event_base* base) const;
   void Dispatch(evhttp_request* request);
   const Handler* Find(const AdminRequest& request) const;
 
+  const AdminLimits limits_;
   evhttp* http_;
   world::Endpoint local_;
   std::map<std::pair<std::string, std::string>, Handler> handlers_;
