Bound the response to a health check in size and time

Callers would see: a faulty target that sends the head or the chunk header of a response to a health check without end makes its node run out of memory, and a body without end is kept up to 64 MiB.

Cause: evhttp's client has no limit for headers unless one is set, none for a chunk header, and its time-out restarts with each read, so a call did not end "no later than timeout" as its description says.

Change: FetchHttp limits headers, body and unparsed input, and ends the call at its time-out whatever arrives. A health check takes 64 KiB.

Evidence: AResponseWithoutEndEndsTheCall failed in all its five cases before (over 16 MiB read, or 1.2 to 2.4 s instead of 0.3 s) and passes.

--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kCheckTimeout = std::chrono::seconds(1);
+constexpr uint32_t kMaxCheckBodyBytes = 64 << 10;
 constexpr int kMinHealthyStatus = 200;
 constexpr int kHealthyStatusEnd = 300;
 
@@ -120,15 +121,16 @@
 }
 
 void TargetMonitor::CheckHttp() {
-  net::FetchHttp(loop_, *settings_.target, "GET", settings_.health_path, "",
-                 kCheckTimeout,
-                 [this, alive = alive_](const net::HttpResult& result) {
-                   if (*alive) {
-                     OnCheckResult(result.status != 0,
-                                   result.status >= kMinHealthyStatus &&
-                                       result.status < kHealthyStatusEnd);
-                   }
-                 });
+  net::FetchHttp(
+      loop_, *settings_.target, "GET", settings_.health_path, "", kCheckTimeout,
+      [this, alive = alive_](const net::HttpResult& result) {
+        if (*alive) {
+          OnCheckResult(result.status != 0,
+                        result.status >= kMinHealthyStatus &&
+                            result.status < kHealthyStatusEnd);
+        }
+      },
+      kMaxCheckBodyBytes);
 }
 
 void TargetMonitor::CheckConnect() {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,6 +1,8 @@
 #include "net/http_client.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <glog/logging.h>
 
@@ -10,12 +12,24 @@
 namespace ibisvalve::net {
 namespace {
 
-constexpr ev_ssize_t kMaxResponseBytes = 64 << 20;
+constexpr uint32_t kMaxHeaderBytes = 64 << 10;
+constexpr char kTimedOut[] = "no response before the time-out";
 
 struct Call {
-  EventLoop* loop;
+  Call(EventLoop& event_loop, std::function<void(const HttpResult&)> on_done)
+      : loop(event_loop),
+        done(std::move(on_done)),
+        limit_timer(loop, [this] { OnTimeLimit(); }) {}
+
+  // Ends a call whose response keeps arriving, which evhttp's own time-outs,
+  // for each read, do not.
+  void OnTimeLimit();
+
+  EventLoop& loop;
   std::function<void(const HttpResult&)> done;
-  evhttp_connection* connection;
+  Timer limit_timer;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;
   std::string error = "cannot connect";  // until evhttp reports another one
 };
 
@@ -32,7 +46,7 @@
 const char* ErrorText(evhttp_request_error error) {
   switch (error) {
     case EVREQ_HTTP_TIMEOUT:
-      return "no response before the time-out";
+      return kTimedOut;
     case EVREQ_HTTP_EOF:
       return "the connection was closed before the response was complete";
     case EVREQ_HTTP_INVALID_HEADER:
@@ -44,6 +58,20 @@
   }
 }
 
+// Releases the call. evhttp does not allow freeing a connection inside its own
+// callback.
+void Finish(std::unique_ptr<Call> call, const HttpResult& result) {
+  call->loop.Post(
+      [connection = call->connection] { evhttp_connection_free(connection); });
+  call->done(result);
+}
+
+void Call::OnTimeLimit() {
+  std::unique_ptr<Call> self(this);
+  evhttp_cancel_request(request);  // no callback follows
+  Finish(std::move(self), HttpResult{0, "", kTimedOut});
+}
+
 void OnDone(evhttp_request* request, void* argument) {
   std::unique_ptr<Call> call(static_cast<Call*>(argument));
   HttpResult result;
@@ -55,10 +83,7 @@
     result.body.resize(evbuffer_get_length(body));
     evbuffer_remove(body, result.body.data(), result.body.size());
   }
-  // evhttp does not allow freeing a connection inside its own callback.
-  call->loop->Post(
-      [connection = call->connection] { evhttp_connection_free(connection); });
-  call->done(result);
+  Finish(std::move(call), result);
 }
 
 }  // namespace
@@ -69,16 +94,25 @@
                const std::string& path_and_query,
                const std::string& body,
                Duration timeout,
-               std::function<void(const HttpResult&)> done) {
+               std::function<void(const HttpResult&)> done,
+               uint32_t max_body_bytes) {
   evhttp_connection* connection = evhttp_connection_base_new(
       loop.base(), nullptr, server.ip.c_str(), server.port);
   CHECK_NOTNULL(connection);
   const timeval wait{static_cast<time_t>(timeout.count() / 1'000'000),
                      static_cast<suseconds_t>(timeout.count() % 1'000'000)};
   evhttp_connection_set_timeout_tv(connection, &wait);
-  evhttp_connection_set_max_body_size(connection, kMaxResponseBytes);
-  auto* call = new Call{&loop, std::move(done), connection};
+  evhttp_connection_set_max_headers_size(connection, kMaxHeaderBytes);
+  evhttp_connection_set_max_body_size(connection, max_body_bytes);
+  // Bounds what evhttp does not, such as a chunk header without end.
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                           EV_READ, 0,
+                           size_t{max_body_bytes} + kMaxHeaderBytes);
+  auto* call = new Call(loop, std::move(done));
   evhttp_request* request = evhttp_request_new(OnDone, call);
+  call->connection = connection;
+  call->request = request;
+  call->limit_timer.StartOnce(timeout);
   evhttp_request_set_error_cb(
       request, [](evhttp_request_error error, void* argument) {
         static_cast<Call*>(argument)->error = ErrorText(error);
--- a/tests/net/endless_input_test.cc
+++ b/tests/net/endless_input_test.cc
@@ -74,5 +74,52 @@
   EXPECT_EQ(result.status, 200) << "other callers are served";
 }
 
+// Fetches a page of a server that responds with `start` and then `repeated`
+// without end. Returns the bytes that the server could send.
+size_t FetchEndless(const std::string& start, const std::string& repeated) {
+  constexpr Duration kTimeout = milliseconds(300);
+  EventLoop loop;
+  std::unique_ptr<EndlessConnection> connection;
+  Listener listener(loop, kAnyPort, [&](int fd) {
+    connection = std::make_unique<EndlessConnection>(
+        loop, bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE),
+        start, repeated);
+  });
+  HttpResult result;
+  const Time begin = loop.Now();
+  Timer give_up(loop, [&] {
+    ADD_FAILURE() << "the call did not end";
+    loop.Stop();
+  });
+  give_up.StartOnce(seconds(5));
+  FetchHttp(
+      loop, listener.local(), "GET", "/health", "", kTimeout,
+      [&](const HttpResult& got) {
+        result = got;
+        loop.Stop();
+      },
+      64 << 10);
+  loop.Run();
+  EXPECT_EQ(result.status, 0) << start;
+  EXPECT_LT(loop.Now() - begin, kTimeout + milliseconds(500)) << start;
+  RunFor(loop, milliseconds(10));  // the connection is freed by the loop
+  return connection == nullptr ? 0 : connection->accepted();
+}
+
+// Guards against a node that keeps what a faulty target sends without end in
+// the response to a health check.
+TEST(EndlessInputTest, AResponseWithoutEndEndsTheCall) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  EXPECT_LT(FetchEndless(head + "X-Long: ", "x"), kMaxAcceptedBytes);
+  EXPECT_LT(FetchEndless(head + "Content-Length: 9999999\r\n\r\n", "x"),
+            kMaxAcceptedBytes);
+  EXPECT_LT(FetchEndless(head + "\r\n", "x"), kMaxAcceptedBytes);
+  EXPECT_LT(FetchEndless(head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"),
+            kMaxAcceptedBytes);
+  EXPECT_LT(FetchEndless(head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                         "X: x\r\n"),
+            kMaxAcceptedBytes);
+}
+
 }  // namespace
 }  // namespace ibisvalve::net
