Count bodies that are being received towards the memory budget

Cause: the budget counted a body once its request was whole. What arrives was bounded for each connection only.

Change: a connection reserves the declared length when the head has come, or what has arrived of a body without a length, and hands the reservation on with the request. Without room the caller gets 503, not run, before it sends the body.

--- a/src/dataplane/caller_connection.cc
+++ b/src/dataplane/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "dataplane/http_headers.h"
@@ -25,6 +26,7 @@
 // Reading from the socket stops above this many unread bytes while the maximum
 // number of requests is being served.
 constexpr size_t kMaxUnreadBytes = 64 << 10;
+constexpr int kUnavailable = 503;
 
 void DisableNagle(int fd) {
   const int on = 1;
@@ -36,6 +38,7 @@
 CallerConnection::CallerConnection(net::EventLoop& loop,
                                    int fd,
                                    const CallerLimits& limits,
+                                   MemoryBudget& memory,
                                    Handlers handlers)
     : loop_(loop),
       limits_(limits),
@@ -43,6 +46,7 @@
       bufferevent_(
           bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
       reader_(net::HttpReader::Kind::kRequests, limits.http),
+      memory_(memory),
       timer_(loop, [this] { OnTimeout(); }) {
   CHECK_NOTNULL(bufferevent_);
   DisableNagle(fd);
@@ -148,6 +152,7 @@
     return false;
   }
   body_ += reader_.TakeBody();
+  ReserveBody();
   if (reader_.head_done() && !reader_.done()) {
     SendContinue();
   }
@@ -157,6 +162,21 @@
   return true;
 }
 
+// Reserves memory for the declared length of the body, or for what has arrived
+// of one without a length. Throws HttpError if there is not enough.
+void CallerConnection::ReserveBody() {
+  if (!reader_.head_done()) {
+    return;
+  }
+  const uint64_t declared = reader_.head().length.value_or(0);
+  const uint64_t needed = std::max<uint64_t>(declared, body_.size());
+  if (!body_memory_.GrowTo(memory_, needed)) {
+    throw net::HttpError(kUnavailable,
+                         "too many bytes are held to receive the body");
+  }
+  body_.reserve(declared);
+}
+
 void CallerConnection::DispatchRequest() {
   CallerRequest request{reader_.head().method, reader_.head().target,
                         reader_.head().headers, std::exchange(body_, {})};
@@ -164,24 +184,35 @@
   reader_.Next(limits_.http);
   continue_handled_ = false;
   closing_ = closing_ || close;
-  handlers_.on_request(AddExchange(std::move(request), close));
+  handlers_.on_request(
+      AddExchange(std::move(request), close, std::move(body_memory_)));
 }
 
 std::shared_ptr<CallerExchange> CallerConnection::AddExchange(
     CallerRequest request,
-    bool close) {
+    bool close,
+    MemoryReservation memory) {
   auto slot = std::make_shared<ResponseSlot>();
   slot->close = close;
   pipeline_.push_back(slot);
-  auto exchange = std::make_shared<CallerExchange>(*this, std::move(request),
-                                                   std::move(slot));
+  auto exchange = std::make_shared<CallerExchange>(
+      *this, std::move(request), std::move(slot), std::move(memory));
   SendInOrder();  // the new slot may be at the front
   return exchange;
 }
 
 void CallerConnection::RejectRequest(const net::HttpError& error) {
   closing_ = true;
-  handlers_.on_bad_request(*AddExchange(CallerRequest(), true), error);
+  std::string().swap(body_);
+  body_memory_.Reset();
+  // Of a request that could be read, the head is known.
+  CallerRequest request;
+  if (error.status() == kUnavailable) {
+    request.method = reader_.head().method;
+    request.uri = reader_.head().target;
+    request.headers = reader_.head().headers;
+  }
+  handlers_.on_bad_request(*AddExchange(std::move(request), true), error);
 }
 
 // Sends "100 Continue" to a caller that holds back the body of its request
--- a/src/dataplane/caller_connection.h
+++ b/src/dataplane/caller_connection.h
@@ -31,8 +31,9 @@
   struct Handlers {
     /// Called when a complete request has been received.
     std::function<void(std::shared_ptr<CallerExchange>)> on_request;
-    /// Called when the received bytes are not a valid request or the request
-    /// timed out. Must send the error response through `exchange`.
+    /// Called when the received bytes are not a valid request, the request
+    /// timed out, or there is no memory for its body (503). Must send the error
+    /// response through `exchange`.
     std::function<void(CallerExchange& exchange, const net::HttpError& error)>
         on_bad_request;
     /// Called from the event loop after the connection has closed. Must destroy
@@ -40,10 +41,13 @@
     std::function<void()> on_closed;
   };
 
-  /// Takes ownership of the socket `fd`. `limits` must outlive the connection.
+  /// Takes ownership of the socket `fd`. `limits` and `memory`, which bounds
+  /// the bodies of requests while they are received and served, must outlive
+  /// the connection.
   CallerConnection(net::EventLoop& loop,
                    int fd,
                    const CallerLimits& limits,
+                   MemoryBudget& memory,
                    Handlers handlers);
   ~CallerConnection();
   CallerConnection(const CallerConnection&) = delete;
@@ -72,9 +76,11 @@
   void OnTimeout();
   void ReadRequests();
   bool ProcessInput();
+  void ReserveBody();
   void DispatchRequest();
   std::shared_ptr<CallerExchange> AddExchange(CallerRequest request,
-                                              bool close);
+                                              bool close,
+                                              MemoryReservation memory = {});
   void RejectRequest(const net::HttpError& error);
   void SendContinue();
   void SendInOrder();
@@ -88,6 +94,8 @@
   bufferevent* bufferevent_;
   net::HttpReader reader_;
   std::string body_;  // of the request being read
+  MemoryBudget& memory_;
+  MemoryReservation body_memory_;  // for body_
   std::deque<std::shared_ptr<ResponseSlot>> pipeline_;
   bool timing_request_ = false;  // timer_ bounds the request being read
   bool sending_ = false;         // SendInOrder is on the stack
--- a/src/dataplane/caller_exchange.cc
+++ b/src/dataplane/caller_exchange.cc
@@ -31,10 +31,12 @@
 
 CallerExchange::CallerExchange(CallerConnection& connection,
                                CallerRequest request,
-                               std::shared_ptr<ResponseSlot> slot)
+                               std::shared_ptr<ResponseSlot> slot,
+                               MemoryReservation memory)
     : connection_(&connection),
       request_(std::move(request)),
-      slot_(std::move(slot)) {
+      slot_(std::move(slot)),
+      memory_(std::move(memory)) {
   slot_->exchange = this;
 }
 
@@ -43,10 +45,6 @@
   Abort();
 }
 
-void CallerExchange::FreeBody() {
-  std::string().swap(request_.body);
-}
-
 void CallerExchange::SetOnDisconnect(std::function<void()> on_disconnect) {
   on_disconnect_ = std::move(on_disconnect);
 }
--- a/src/dataplane/caller_exchange.h
+++ b/src/dataplane/caller_exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "dataplane/memory_budget.h"
 #include "net/net.h"
 #include "wire/wire.h"
 
@@ -47,16 +48,16 @@
  public:
   /// Creates the exchange for a `request` received on `connection`, whose
   /// response is sent through `slot`.
+  /// `memory` is what is reserved for the body.
   CallerExchange(CallerConnection& connection,
                  CallerRequest request,
-                 std::shared_ptr<ResponseSlot> slot);
+                 std::shared_ptr<ResponseSlot> slot,
+                 MemoryReservation memory);
   ~CallerExchange();
   CallerExchange(const CallerExchange&) = delete;
   CallerExchange& operator=(const CallerExchange&) = delete;
 
   const CallerRequest& request() const { return request_; }
-  /// Frees the memory of the request body.
-  void FreeBody();
   /// Sets a function that is called once, from the event loop, if the caller
   /// disconnects before the response is complete.
   void SetOnDisconnect(std::function<void()> on_disconnect);
@@ -90,6 +91,7 @@
   CallerConnection* connection_;  // null once complete or disconnected
   CallerRequest request_;
   std::shared_ptr<ResponseSlot> slot_;
+  MemoryReservation memory_;
   std::function<void()> on_disconnect_;
   std::function<void()> on_sent_;
   bool chunked_ = false;
--- a/src/dataplane/caller_server.cc
+++ b/src/dataplane/caller_server.cc
@@ -10,9 +10,11 @@
 CallerServer::CallerServer(net::EventLoop& loop,
                            const world::Endpoint& local,
                            uint32_t max_connections,
+                           MemoryBudget& memory,
                            Handlers handlers)
     : loop_(loop),
       max_connections_(max_connections),
+      memory_(memory),
       handlers_(std::move(handlers)) {
   listener_.emplace(loop, local, [this](int fd) { Accept(fd); });
   local_ = listener_->local();
@@ -47,7 +49,7 @@
   }
   const uint64_t number = ++next_number_;
   auto connection = std::make_unique<CallerConnection>(
-      loop_, fd, limits_,
+      loop_, fd, limits_, memory_,
       CallerConnection::Handlers{
           handlers_.on_request, handlers_.on_bad_request,
           [this, number] { connections_.erase(number); }});
--- a/src/dataplane/caller_server.h
+++ b/src/dataplane/caller_server.h
@@ -23,11 +23,13 @@
   };
 
   /// Listens on `local`; port 0 selects a free port. Connections above
-  /// `max_connections` are closed right after they are accepted. Throws
+  /// `max_connections` are closed right after they are accepted. `memory`
+  /// bounds the bodies of all requests and must outlive the server. Throws
   /// SystemError.
   CallerServer(net::EventLoop& loop,
                const world::Endpoint& local,
                uint32_t max_connections,
+               MemoryBudget& memory,
                Handlers handlers);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
@@ -52,6 +54,7 @@
 
   net::EventLoop& loop_;
   const uint32_t max_connections_;
+  MemoryBudget& memory_;
   Handlers handlers_;
   CallerLimits limits_;
   bool keep_alive_disabled_ = false;
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -42,6 +42,7 @@
 // again, possibly from another peer.
 constexpr Duration kFetchRetryInterval = std::chrono::milliseconds(300);
 constexpr int kStatusTooLarge = 413;
+constexpr int kStatusUnavailable = 503;
 // Bounds the memory for refused callers that may return, about 100 bytes each.
 constexpr size_t kMaxRefusedCallers = 1024;
 
@@ -51,13 +52,11 @@
                  const PlaneSettings& settings,
                  const FleetView& view,
                  Gate& gate,
-                 MemoryBudget& memory,
                  CrashTracker& crashes,
                  const PlaneHandlers& handlers)
     : loop_(loop),
       settings_(settings),
       view_(view),
-      memory_(memory),
       crashes_(crashes),
       handlers_(handlers),
       node_digest_(DigestOf(settings.id.value)),
@@ -141,6 +140,19 @@
 
 void Ingress::RejectMalformed(CallerExchange& exchange,
                               const net::HttpError& error) {
+  if (error.status() == kStatusUnavailable) {
+    LogEvent(
+        kRequestRefused,
+        {{"request", RequestIdOf(exchange.request().headers, settings_.names)},
+         {"reason", world::ToString(Reason::kMemory)},
+         {"detail", error.what()},
+         {"service", ""},
+         {"revision", view_.revision().value}});
+    SendFailureReply(
+        exchange, settings_.names,
+        {Outcome::kNotRun, Reason::kMemory, 0, 0, error.what(), true, {}});
+    return;
+  }
   const Reason reason = error.status() == kStatusTooLarge ? Reason::kTooLarge
                                                           : Reason::kBadRequest;
   exchange.Reply(error.status(),
@@ -178,11 +190,6 @@
 void Ingress::Accept(const std::shared_ptr<CallerExchange>& exchange,
                      const CallerTerms& terms) {
   auto request = std::make_shared<RequestState>();
-  if (!request->memory.Reserve(memory_, exchange->request().body.size())) {
-    RejectRequest(exchange, {Reason::kMemory, "too many bytes are held"},
-                  terms.service->name);
-    return;
-  }
   request->number = ++next_request_;
   request->exchange = exchange;
   request->fleet = view_.fleet();
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -44,7 +44,6 @@
           const PlaneSettings& settings,
           const FleetView& view,
           Gate& gate,
-          MemoryBudget& memory,
           CrashTracker& crashes,
           const PlaneHandlers& handlers);
   ~Ingress();
@@ -58,7 +57,8 @@
   /// are refused from now on, as they could be cut off.
   void SetStopTime(Time stop) { stop_time_ = stop; }
 
-  /// Rejects bytes from a caller that are not a valid request.
+  /// Rejects bytes from a caller that are not a valid request, or a request for
+  /// whose body there is no memory.
   void RejectMalformed(CallerExchange& exchange, const net::HttpError& error);
 
   /// Returns whether this node knows the quarantined requests of its peers, or
@@ -130,7 +130,6 @@
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
   const FleetView& view_;
-  MemoryBudget& memory_;
   CrashTracker& crashes_;
   const PlaneHandlers& handlers_;
   Digest node_digest_;  // of this node's id; part of each AttemptId
--- a/src/dataplane/memory_budget.h
+++ b/src/dataplane/memory_budget.h
@@ -41,6 +41,15 @@
   ~MemoryReservation() { Reset(); }
   MemoryReservation(const MemoryReservation&) = delete;
   MemoryReservation& operator=(const MemoryReservation&) = delete;
+  MemoryReservation(MemoryReservation&& other) noexcept
+      : budget_(std::exchange(other.budget_, nullptr)),
+        bytes_(std::exchange(other.bytes_, 0)) {}
+  MemoryReservation& operator=(MemoryReservation&& other) noexcept {
+    Reset();
+    budget_ = std::exchange(other.budget_, nullptr);
+    bytes_ = std::exchange(other.bytes_, 0);
+    return *this;
+  }
 
   /// Releases the current reservation and reserves `bytes` of `budget`. Returns
   /// false, and holds nothing, if fewer are left.
@@ -53,10 +62,23 @@
     bytes_ = bytes;
     return true;
   }
+  /// Extends the reservation to `bytes` of `budget`; keeps a larger one.
+  /// Returns false, and keeps the present one, if not enough are left.
+  bool GrowTo(MemoryBudget& budget, uint64_t bytes) {
+    if (bytes <= bytes_) {
+      return true;
+    }
+    if (!budget.Reserve(bytes - bytes_)) {
+      return false;
+    }
+    budget_ = &budget;
+    bytes_ = bytes;
+    return true;
+  }
   /// Releases the reservation before destruction.
   void Reset() {
     if (budget_ != nullptr) {
-      std::exchange(budget_, nullptr)->Release(bytes_);
+      std::exchange(budget_, nullptr)->Release(std::exchange(bytes_, 0));
     }
   }
 
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -119,11 +119,12 @@
              [this] { mesh_.Broadcast(wire::LoadNotice{gate_.Hint()}); },
              [this] { monitor_.OnTargetReplaced(); },
              [this] { monitor_.OnTargetLeaves(); }}),
-      ingress_(loop, settings_, view, gate_, memory_, crashes_, handlers_),
+      ingress_(loop, settings_, view, gate_, crashes_, handlers_),
       mesh_(loop, settings_, view, gate_, handlers_.present_file),
       callers_(loop,
                settings_.callers,
                settings_.caller_connections,
+               memory_,
                {[this](const std::shared_ptr<CallerExchange>& exchange) {
                   ingress_.OnRequest(exchange);
                 },
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -48,7 +48,6 @@
   Time
       first_arrival;  // of the caller's first attempt, if it was refused before
   Time deadline;
-  MemoryReservation memory;
   std::unique_ptr<net::Timer> deadline_timer;
   std::unique_ptr<net::Timer> retry_timer;
   std::unique_ptr<net::Timer> hedge_timer;
--- a/tests/dataplane/caller_server_test.cc
+++ b/tests/dataplane/caller_server_test.cc
@@ -20,7 +20,8 @@
     server->StopListening();
     stopped = true;
   };
-  server.emplace(loop, world::Endpoint{"127.0.0.1", 0}, 10, handlers);
+  MemoryBudget memory(1 << 20);
+  server.emplace(loop, world::Endpoint{"127.0.0.1", 0}, 10, memory, handlers);
   RawClient caller(loop, server->local());
   caller.Write("GET / HTTP/1.1\r\nHost: halls.example\r\n\r\n");
   net::Timer end(loop, [&] { loop.Stop(); });
