Send the rest of a response in a planned stop

Cause: Gate::SetTargetState fails each attempt that holds no slot once the target is not ready. It means those that wait for a slot, but an attempt whose response is being sent holds none either; it was reported as not run.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -343,7 +343,7 @@
   }
   std::vector<AttemptId> waiting;
   for (const auto& [id, attempt] : in_flight_) {
-    if (!attempt->holds_slot()) {
+    if (attempt->awaits_slot()) {
       waiting.push_back(id);
     }
   }
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -66,6 +66,11 @@
   bool may_have_reached_target() const {
     return stage == AttemptStage::kRunning || stage == AttemptStage::kSending;
   }
+  /// Returns whether it has not been given a slot yet. Not the opposite of
+  /// holds_slot(): a response that is being sent needs no slot any more.
+  bool awaits_slot() const {
+    return stage == AttemptStage::kReceiving || stage == AttemptStage::kQueued;
+  }
   /// Returns whether it holds a slot of the target.
   bool holds_slot() const {
     return stage == AttemptStage::kClaiming || stage == AttemptStage::kRunning;
