Answer a broken response with 502 if nothing of it has been sent

Cause: a streamed response is committed when it is handed to the connection, also if it waits there behind others, and a committed response that fails can only be aborted.

Change: a response of which nothing has been sent is taken back and the caller gets the failure reply in its place.

Ruled out: closing after the earlier responses; it would leave those behind without an answer for no reason.

Evidence: ABrokenResponseLeavesEarlierRequestsAnswered failed before (closed without any answer) and passes: 200, 502, 200.

--- a/src/dataplane/caller_exchange.cc
+++ b/src/dataplane/caller_exchange.cc
@@ -108,6 +108,16 @@
   Finish();
 }
 
+bool CallerExchange::Retract() {
+  if (!open() || slot_->at_front) {
+    return false;
+  }
+  evbuffer_drain(slot_->buffered, evbuffer_get_length(slot_->buffered));
+  on_sent_ = nullptr;
+  chunked_ = false;
+  return true;
+}
+
 void CallerExchange::Abort() {
   if (open()) {
     connection_->Abort();
--- a/src/dataplane/caller_exchange.h
+++ b/src/dataplane/caller_exchange.h
@@ -76,6 +76,10 @@
   void Write(std::string_view bytes, std::function<void()> on_sent);
   /// Completes a streamed response.
   void End();
+  /// Takes back a started response of which nothing has been sent, because
+  /// responses to earlier requests come first. Returns false if a part may have
+  /// been sent; otherwise another response may follow.
+  bool Retract();
   /// Closes the connection, so that the caller cannot mistake a truncated
   /// response for a complete one.
   void Abort();
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -644,7 +644,7 @@
 }
 
 // Ends a request without a complete response: reports the outcome to the
-// caller, or closes its connection if part of a response has been sent.
+// caller, or closes its connection if part of a response may have been sent.
 void Ingress::FailRequest(const RequestPtr& request,
                           Outcome outcome,
                           Reason reason) {
@@ -655,7 +655,7 @@
   RequestRecord record;
   record.outcome = outcome;
   record.reason = reason;
-  if (request->committed) {
+  if (request->committed && !request->exchange->Retract()) {
     request->exchange->Abort();
     FinishRequest(request, record);
     return;
