End a response that stalls soon after its deadline

Cause: at the deadline any byte that had come before counted as progress, and the next look was 10 s later. The 10 s are meant for callers that read slowly.

Change: from the deadline on, a response has to move on within 250 ms. While the caller has not read what was sent to it, the bound stays 10 s.

Evidence: AResponseThatStallsEndsSoonAfterTheDeadline failed before (10.6 s, bound 1.1 s) and passes. A response that moves on and a caller that pauses are served to the end as before (guards, passed before as well).

--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -22,9 +22,11 @@
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(50);
 // Time to send the last responses before this node stops.
 constexpr Duration kStopMargin = std::chrono::milliseconds(100);
-// After its deadline, a response that is being streamed is aborted when no
-// bytes have arrived for this long.
-constexpr Duration kStallTimeout = std::chrono::seconds(10);
+// After its deadline, a response that is being streamed is aborted when nothing
+// more has come from the target for this long.
+constexpr Duration kTargetStallTimeout = std::chrono::milliseconds(250);
+// The same while the caller has not read what was sent to it.
+constexpr Duration kCallerStallTimeout = std::chrono::seconds(10);
 // Delay before another attempt at the same gate while ingress and gate know
 // different revisions or incarnations.
 constexpr Duration kConvergenceDelay = std::chrono::milliseconds(10);
@@ -585,16 +587,7 @@
 
 void Ingress::OnDeadline(const RequestPtr& request) {
   if (request->committed) {
-    uint64_t progress_bytes = 0;
-    for (const auto& attempt : request->attempts) {
-      progress_bytes += attempt->relay->received_bytes();
-    }
-    if (progress_bytes == request->progress_bytes) {
-      FailRequest(request, Outcome::kUnknown, Reason::kDeadline);
-      return;
-    }
-    request->progress_bytes = progress_bytes;
-    request->deadline_timer->StartOnce(kStallTimeout);
+    CheckStall(request);
     return;
   }
   if (!request->attempts.empty() && !request->repeatable() &&
@@ -607,6 +600,29 @@
   FailRequest(request, Outcome::kNotRun, Reason::kDeadline);
 }
 
+// Ends a request whose response was begun before its deadline and does not move
+// on. A response that does may end later.
+void Ingress::CheckStall(const RequestPtr& request) {
+  uint64_t bytes = 0;
+  bool waits_for_caller = false;
+  for (const auto& attempt : request->attempts) {
+    bytes += attempt->relay->received_bytes();
+    waits_for_caller |= attempt->relay->waits_for_caller();
+  }
+  const Time now = loop_.Now();
+  if (request->progress_bytes != bytes) {
+    request->progress_bytes = bytes;
+    request->progress_at = now;
+  }
+  const Duration limit =
+      waits_for_caller ? kCallerStallTimeout : kTargetStallTimeout;
+  if (now - request->progress_at >= limit) {
+    FailRequest(request, Outcome::kUnknown, Reason::kDeadline);
+    return;
+  }
+  request->deadline_timer->StartOnce(kTargetStallTimeout);
+}
+
 void Ingress::OnCallerDisconnected(const RequestPtr& request) {
   ++counts_.hung_up;
   RequestRecord record;
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -119,6 +119,7 @@
                         uint16_t status);
 
   void OnDeadline(const RequestPtr& request);
+  void CheckStall(const RequestPtr& request);
   void OnCallerDisconnected(const RequestPtr& request);
   void CancelAttempts(const RequestPtr& request, const AttemptId* except);
   void DropAttempt(const AttemptId& id);
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -62,7 +62,10 @@
   bool hedged = false;
   bool returned = false;  // its caller was refused before
   bool in_grace = false;  // past its deadline, waiting for the gate's outcome
-  uint64_t progress_bytes = 0;  // bytes received at the last stall check
+  // Bytes of the response at the last check for a stall, which starts at the
+  // deadline, and when they were first seen.
+  std::optional<uint64_t> progress_bytes;
+  Time progress_at{};
   world::Reason reason = world::Reason::kNone;  // of the last failure
   // For `terms.kind`; owned by the ingress.
   policy::ServiceTimeEstimate* service_time_estimate = nullptr;
--- a/src/dataplane/response_relay.h
+++ b/src/dataplane/response_relay.h
@@ -40,6 +40,8 @@
 
   /// Returns whether part of the response has been sent to the caller.
   bool committed() const { return committed_; }
+  /// Returns whether bytes of the response wait for the caller to read.
+  bool waits_for_caller() const { return *unsent_bytes_ > 0; }
   uint16_t status() const { return head_.status; }
   /// Returns the number of body bytes received so far.
   uint64_t received_bytes() const { return received_bytes_; }
--- a/tests/dataplane/unanswered_request_test.cc
+++ b/tests/dataplane/unanswered_request_test.cc
@@ -88,5 +88,57 @@
   EXPECT_EQ(Count(received, "xx"), 0U);
 }
 
+// Guards against a caller that is left without an end of its response for 10 s
+// after its deadline, because a part of it came before the target fell silent.
+TEST_F(UnansweredRequestTest, AResponseThatStallsEndsSoonAfterTheDeadline) {
+  Start([](size_t, const ScriptedTarget::Write& write) {
+    write(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * kPartBytes) +
+        "\r\n\r\n" + std::string(kPartBytes, 'x'));
+  });
+  constexpr int kDeadlineMs = 600;
+  RawClient caller(loop_, ingress_->plane->callers());
+  const Time begin = loop_.Now();
+  caller.Write(Request("/bookings", kDeadlineMs));
+  RunUntil([&] { return caller.closed(); });
+  EXPECT_GE(loop_.Now() - begin, milliseconds(kDeadlineMs));
+  EXPECT_LT(loop_.Now() - begin, milliseconds(kDeadlineMs + 500));
+}
+
+// A response that still comes is delivered, although it is late.
+TEST_F(UnansweredRequestTest, AResponseThatMovesOnMayEndAfterTheDeadline) {
+  constexpr int kParts = 10;
+  Start([this](size_t, const ScriptedTarget::Write& write) {
+    write("HTTP/1.1 200 OK\r\nContent-Length: " +
+          std::to_string(kParts * kPartBytes) + "\r\n\r\n");
+    for (int part = 0; part < kParts; ++part) {
+      After(milliseconds(120 * part),
+            [write] { write(std::string(kPartBytes, 'x')); });
+    }
+  });
+  RawClient caller(loop_, ingress_->plane->callers());
+  caller.Write(Request("/bookings", 600));
+  RunUntil([&] {
+    return caller.closed() || caller.received().size() > kParts * kPartBytes;
+  });
+  EXPECT_EQ(Count(caller.received(), "x"), kParts * kPartBytes);
+}
+
+// A caller that reads slowly is not taken for a target that stalls.
+TEST_F(UnansweredRequestTest, ACallerThatPausesGetsTheRestAfterTheDeadline) {
+  constexpr size_t kBodyBytes = 16 << 20;
+  Start([](size_t, const ScriptedTarget::Write& write) {
+    write(WholeResponse(std::string(kBodyBytes, 'x')));
+  });
+  RawClient caller(loop_, ingress_->plane->callers());
+  caller.Write(Request("/bookings", 600));
+  bufferevent_disable(caller.end(), EV_READ);
+  RunFor(seconds(2));
+  bufferevent_enable(caller.end(), EV_READ);
+  RunUntil(
+      [&] { return caller.closed() || caller.received().size() > kBodyBytes; });
+  EXPECT_EQ(Count(caller.received(), "x"), kBodyBytes);
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
