Limit the bytes that a peer of the leader has not acknowledged

Callers would see: a leader that goes over its memory while a peer does not acknowledge large entries.

Cause: the bound was 16,384 entries, whatever their size.

Change: at most 8 MiB of entries, or one entry, are on their way to a peer.

--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -12,8 +12,10 @@
 // Size limit for the entries in one message, in bytes. A single entry may
 // exceed it.
 constexpr size_t kMaxAppendBytes = 1 << 20;
-// No more entries are sent to a peer that has not acknowledged this many.
+// No more entries are sent to a peer that has not acknowledged this many, or
+// entries with this many bytes.
 constexpr uint64_t kMaxUnacknowledgedEntries = 16 << 10;
+constexpr uint64_t kMaxUnacknowledgedBytes = 8 << 20;
 constexpr Duration kSnapshotRetryInterval = std::chrono::seconds(10);
 
 }  // namespace
@@ -468,12 +470,21 @@
     }
     return;
   }
-  while (!peer.probing && peer.next <= log_.last_index() &&
-         peer.next <= peer.match + kMaxUnacknowledgedEntries) {
+  while (!peer.probing && peer.next <= log_.last_index() && MaySendMore(peer)) {
     SendOneAppend(id, peer, true);
   }
 }
 
+// Returns whether what the peer has not acknowledged leaves room for more.
+bool Replica::MaySendMore(const PeerProgress& peer) const {
+  const uint64_t last_sent = peer.next - 1;
+  return last_sent <= peer.match ||
+         (last_sent < peer.match + kMaxUnacknowledgedEntries &&
+          log_.StartOfRecent(last_sent, kMaxUnacknowledgedEntries,
+                             kMaxUnacknowledgedBytes) <=
+              std::max(peer.match, log_.base_index()));
+}
+
 void Replica::SendOneAppend(wire::ReplicaId id,
                             PeerProgress& peer,
                             bool entries) {
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -184,6 +184,7 @@
   uint64_t ConflictIndex(uint64_t prev_index) const;
   void RefreshPeers(Time now);
   void SendAppends(wire::ReplicaId id, PeerProgress& peer, Time now);
+  bool MaySendMore(const PeerProgress& peer) const;
   void SendOneAppend(wire::ReplicaId id, PeerProgress& peer, bool entries);
   void Broadcast(Time now);
   void AdvanceCommit();
--- a/src/control/replica_log.cc
+++ b/src/control/replica_log.cc
@@ -50,6 +50,21 @@
   return found;
 }
 
+uint64_t ReplicaLog::StartOfRecent(uint64_t last,
+                                   uint64_t max_entries,
+                                   uint64_t max_bytes) const {
+  uint64_t start = last;
+  uint64_t bytes = 0;
+  while (start > base_.index && last - start < max_entries) {
+    bytes += At(start).data.size();
+    if (bytes > max_bytes) {
+      break;
+    }
+    --start;
+  }
+  return start;
+}
+
 const wire::KeeperMembers& ReplicaLog::MembersAt(uint64_t index) const {
   const auto after = std::upper_bound(
       members_history_.begin(), members_history_.end(), index,
@@ -68,7 +83,10 @@
   if (entry.kind == wire::EntryKind::kMembers) {
     members = wire::Decode<wire::KeeperMembers>(entry.data);
   }
-  entries_.resize(entry.index - base_.index - 1);
+  while (last_index() >= entry.index) {
+    bytes_ -= entries_.back().data.size();
+    entries_.pop_back();
+  }
   while (members_history_.size() > 1 &&
          members_history_.back().index >= entry.index) {
     members_history_.pop_back();
@@ -77,6 +95,7 @@
   if (members) {
     members_history_.push_back(MembersEntry{entry.index, *std::move(members)});
   }
+  bytes_ += entry.data.size();
   entries_.push_back(std::move(entry));
 }
 
@@ -92,8 +111,10 @@
     return;
   }
   const SnapshotMeta base{index, TermAt(index), MembersAt(index)};
-  entries_.erase(entries_.begin(),
-                 entries_.begin() + static_cast<int64_t>(index - base_.index));
+  for (uint64_t i = base_.index; i < index; ++i) {
+    bytes_ -= entries_.front().data.size();
+    entries_.pop_front();
+  }
   while (members_history_.size() > 1 && members_history_[1].index <= index) {
     members_history_.erase(members_history_.begin());
   }
@@ -103,6 +124,7 @@
 void ReplicaLog::Reset(const SnapshotMeta& base) {
   base_ = base;
   entries_.clear();
+  bytes_ = 0;
   members_history_ = {MembersEntry{base.index, base.members}};
   synced_ = base.index;
 }
--- a/src/control/replica_log.h
+++ b/src/control/replica_log.h
@@ -59,6 +59,14 @@
   /// Returns the index of the membership entry that set the current members.
   uint64_t members_index() const { return members_history_.back().index; }
 
+  /// Returns the bytes of the commands in the entries held.
+  uint64_t bytes() const { return bytes_; }
+  /// Returns the lowest index such that the entries above it, up to `last`, are
+  /// at most `max_entries` and hold at most `max_bytes`.
+  uint64_t StartOfRecent(uint64_t last,
+                         uint64_t max_entries,
+                         uint64_t max_bytes) const;
+
   /// Stores `entry` at its index, which must be above the base and at most one
   /// past the end. Entries with that index or a higher one are dropped first.
   void TruncateAndAppend(wire::LogEntry entry);
@@ -79,6 +87,7 @@
 
   SnapshotMeta base_;
   std::deque<wire::LogEntry> entries_;
+  uint64_t bytes_ = 0;  // of the data in entries_
   // By index; the first entry holds the members at the base.
   std::vector<MembersEntry> members_history_;
   uint64_t synced_ = 0;
--- a/tests/control/replica_rules_test.cc
+++ b/tests/control/replica_rules_test.cc
@@ -128,6 +128,41 @@
   EXPECT_EQ(TakeActions().committed.size(), 3U);
 }
 
+// Guards against a leader that runs out of memory by queueing large entries to
+// a peer that does not acknowledge them.
+TEST_F(ReplicaRulesTest, LimitsTheBytesThatAPeerHasNotAcknowledged) {
+  constexpr size_t kEntryBytes = 1 << 20;
+  constexpr size_t kMaxQueuedBytes = 16 << 20;
+  Start(LogOf({1}));
+  BecomeLeader();
+  Answer(kSecond, replica_->log().last_index(), 1);
+  TakeActions();
+  size_t sent = 0;
+  const auto count = [&](const std::vector<ReplicaMessage>& messages) {
+    for (const ReplicaMessage& message : messages) {
+      const auto* append = std::get_if<wire::AppendRequest>(&message);
+      if (append != nullptr && append->to == kSecond) {
+        for (const wire::LogEntry& entry : append->entries) {
+          sent += entry.data.size();
+        }
+      }
+    }
+  };
+  for (int i = 0; i < 40; ++i) {
+    replica_->Propose(std::string(kEntryBytes, 'x'));
+    const ReplicaActions actions = TakeActions();
+    count(actions.messages_before_sync);
+    count(actions.messages_after_sync);
+  }
+  EXPECT_GT(sent, kEntryBytes);
+  EXPECT_LT(sent, kMaxQueuedBytes);
+  // The rest follows once the peer has caught up.
+  const size_t before = sent;
+  Answer(kSecond, replica_->log().last_index() - 20, 2);
+  count(TakeActions().messages_before_sync);
+  EXPECT_GT(sent, before);
+}
+
 TEST_F(ReplicaRulesTest, ConfirmsAReadOnlyByALaterHeartbeatRound) {
   Start(LogOf({}));
   BecomeLeader();
