Bound the log entries that stay in memory by their size

Cause: a compaction keeps the last 2,000 entries in memory, and an entry holds the whole file.

Change: at most 8 MiB of them are kept.

Ruled out: differences in the log instead of whole files; they shorten the log, but a bound in entries would still be none in bytes.

Evidence: LargeFilesDoNotPileUpInMemory failed with the bound taken out (trial, 71.7 MB after 100 changes) and passes (bound 32 MiB).

--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -453,6 +453,7 @@
   gauge("ibis_keeper_commit", replica.commit());
   gauge("ibis_keeper_applied", driver_.state().applied());
   gauge("ibis_keeper_log_bytes", driver_.store().log_bytes());
+  gauge("ibis_keeper_log_memory_bytes", replica.log().bytes());
   gauge("ibis_keeper_claims", driver_.state().claims().size());
   gauge("ibis_keeper_nodes", sessions_.size());
   gauge("ibis_config_active",
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -20,8 +20,9 @@
 constexpr Duration kDiskFullRetryInterval = std::chrono::milliseconds(100);
 constexpr Duration kCompactionRetryInterval = std::chrono::seconds(1);
 // Applied entries that stay in memory after a compaction, so that replicas a
-// little behind need no snapshot.
+// little behind need no snapshot. An entry may hold a whole file.
 constexpr uint64_t kRetainedEntries = 2000;
+constexpr uint64_t kRetainedBytes = 8 << 20;
 
 // Opens the store, and waits until the disk has room for what it needs to
 // start.
@@ -355,8 +356,8 @@
   compaction_failed_ = false;
   snapshot_bytes_ = state.size();
   LogEvent(kSnapshotWritten, {{"index", applied}, {"bytes", state.size()}});
-  replica_->Compact(applied > kRetainedEntries ? applied - kRetainedEntries
-                                               : 0);
+  replica_->Compact(
+      log.StartOfRecent(applied, kRetainedEntries, kRetainedBytes));
 }
 
 }  // namespace ibisvalve::control
--- a/tests/control/keeper_test.cc
+++ b/tests/control/keeper_test.cc
@@ -38,6 +38,34 @@
   }
 };
 
+// Guards against keepers that run out of memory by some hundred changes to a
+// large file: each entry of the log holds the whole file.
+TEST_F(OneKeeperTest, LargeFilesDoNotPileUpInMemory) {
+  constexpr int kChanges = 100;
+  constexpr size_t kFileBytes = 700 << 10;
+  constexpr double kMaxLogMemoryBytes = 32 << 20;
+  activates_immediately_ = true;
+  double most = 0;
+  for (int i = 0; i < kChanges; ++i) {
+    std::string text = "file " + std::to_string(i) + " ";
+    text.append(kFileBytes, 'x');
+    ASSERT_EQ(AskJson(0, "POST",
+                      "/apply?change=" + std::to_string(i) +
+                          "&base=" + std::to_string(i),
+                      text)["result"],
+              "active");
+    std::vector<MetricSample> samples;
+    keepers_[0].keeper->Collect(samples);
+    for (const MetricSample& sample : samples) {
+      if (sample.name == "ibis_keeper_log_memory_bytes") {
+        most = std::max(most, sample.value);
+      }
+    }
+  }
+  EXPECT_GT(most, 0);
+  EXPECT_LT(most, kMaxLogMemoryBytes);
+}
+
 // A keeper that is partitioned from the others accepts connections but grants
 // no lease. The list of keepers changes meanwhile, as it does when gossip
 // suspects members; the change must not make the node return to the same
