Free the texts of old revisions

Cause: TrimHistory dropped the texts of old revisions with clear(), which keeps the memory of a string: a whole file for each change.

Change: the string is replaced by an empty one.

--- a/src/control/config_history.cc
+++ b/src/control/config_history.cc
@@ -232,7 +232,7 @@
     const bool retained = ++text_count <= kMaxTexts && bytes <= kMaxTextBytes;
     if (!retained && record->revision != active_ &&
         record->revision != staged_) {
-      record->text.clear();
+      std::string().swap(record->text);  // clear() would keep the memory
     }
   }
   while (records_.size() > kMaxRecords &&
--- a/tests/control/member_plan_test.cc
+++ b/tests/control/member_plan_test.cc
@@ -250,5 +250,23 @@
   EXPECT_FALSE(ledger.active()->text.empty());
 }
 
+// Guards against keepers that run out of memory by changes to a large file: the
+// texts of old revisions were dropped, but their memory was kept.
+TEST(ConfigHistoryTest, DroppedTextsGiveTheirMemoryBack) {
+  constexpr uint64_t kRevisions = 40;
+  constexpr size_t kMaxBytes = 4 << 20;
+  ConfigHistory ledger;
+  for (uint64_t i = 0; i < kRevisions; ++i) {
+    StageConfig stage = Stage(std::to_string(i), i);
+    stage.text.assign(1 << 20, static_cast<char>('a' + i % 26));
+    ledger.Apply(stage);
+  }
+  size_t allocated = 0;
+  for (const ConfigRecord& record : ledger.history()) {
+    allocated += record.text.capacity();
+  }
+  EXPECT_LE(allocated, kMaxBytes);
+}
+
 }  // namespace
 }  // namespace ibisvalve::control
