Have the keepers remember which requests crash targets

Cause: the records of crashes are in the memory of the nodes, and a node learns them from a peer when it starts.

Change: nodes report repeated crashes to the keepers, which hold them in the replicated state and tell nodes that follow them.

Ruled out: a file at the node (nodes have no disk); the gossip (it ends with the processes as well).

--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -56,6 +56,7 @@
                      wire::FrameType type,
                      std::string_view payload);
   void OnLinkFrame(wire::FrameType type, std::string_view payload);
+  void OnCrashReport(const wire::CrashReport& report);
   void OnHello(const world::Endpoint& endpoint, const wire::KeeperHello& hello);
   void OnFoundGroup(const wire::FoundGroup& found);
   void OnApplied(const wire::LogEntry* entry);
@@ -207,6 +208,10 @@
         [weak](const wire::ClaimReply& reply) { SendTo(weak, reply); });
     return true;
   }
+  if (type == wire::CrashReport::kType) {
+    OnCrashReport(wire::Decode<wire::CrashReport>(payload));
+    return true;
+  }
   if (type == wire::ClaimSettle::kType) {
     claims_.OnSettle(
         wire::Decode<wire::ClaimSettle>(payload),
@@ -239,6 +244,9 @@
           wire::Decode<wire::ForwardRequest>(payload),
           [weak](const wire::ForwardReply& reply) { SendTo(weak, reply); });
       return;
+    case wire::CrashReport::kType:
+      OnCrashReport(wire::Decode<wire::CrashReport>(payload));
+      return;
     case wire::LeaveRequest::kType:
       SendTo(weak,
              departure_.OnRequest(wire::Decode<wire::LeaveRequest>(payload)));
@@ -263,6 +271,20 @@
   }
 }
 
+// Records crashes that the group does not know. A report that is lost is
+// repeated by its node.
+void Keeper::Impl::OnCrashReport(const wire::CrashReport& report) {
+  const AddCrashes add{report.records, WallMicros()};
+  if (!driver_.state().crashes().HasNews(add)) {
+    return;
+  }
+  if (driver_.replica().leading()) {
+    driver_.Propose(add, [](const std::optional<CommandResult>&) {});
+  } else if (const auto leader = relay_.Leader()) {
+    links_.Send(*leader, report);
+  }
+}
+
 // Handles replies of other keepers on links that this keeper opened.
 void Keeper::Impl::OnLinkFrame(wire::FrameType type, std::string_view payload) {
   switch (type) {
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -43,6 +43,7 @@
              Duration timeout,
              std::function<void(const wire::ClaimReply&)> done);
   void Settle(const wire::ClaimSettle& settle);
+  void ReportCrashes(const std::vector<world::CrashRecord>& records);
   void Leave(std::function<void()> done);
   void Collect(std::vector<MetricSample>& out) const;
 
@@ -185,6 +186,13 @@
   }
 }
 
+void NodeAgent::Impl::ReportCrashes(
+    const std::vector<world::CrashRecord>& records) {
+  if (connected()) {
+    link_->Send(wire::CrashReport{records});
+  }
+}
+
 void NodeAgent::Impl::Leave(std::function<void()> done) {
   leaving_ = true;
   on_left_ = std::move(done);
@@ -270,6 +278,11 @@
       pending_settles_.erase({reply.key, reply.holder});
       return;
     }
+    case wire::CrashReport::kType:
+      if (handlers_.on_crashes) {
+        handlers_.on_crashes(wire::Decode<wire::CrashReport>(payload).records);
+      }
+      return;
     case wire::LeaveKeeper::kType:
       OnLeft();
       return;
@@ -525,6 +538,10 @@
   impl_->Settle(settle);
 }
 
+void NodeAgent::ReportCrashes(const std::vector<world::CrashRecord>& records) {
+  impl_->ReportCrashes(records);
+}
+
 void NodeAgent::Leave(std::function<void()> done) {
   impl_->Leave(std::move(done));
 }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -36,6 +36,9 @@
     std::function<void(bool held)> on_lease;
     /// Returns a short JSON object that `ibisctl status` shows for this node.
     std::function<std::string()> status;
+    /// Called with the crashes of targets that the keepers remember, when a
+    /// keeper is followed and when they have changed. May be null.
+    std::function<void(const std::vector<world::CrashRecord>&)> on_crashes = {};
   };
 
   /// Starts to follow one of `keepers`, given by their control endpoints.
@@ -74,6 +77,9 @@
   /// Releases a claim or records its result. Resent until a keeper acknowledges
   /// it.
   void Settle(const wire::ClaimSettle& settle);
+  /// Asks the keepers to remember these crashes of targets. Dropped if no
+  /// keeper is connected, so it must be repeated.
+  void ReportCrashes(const std::vector<world::CrashRecord>& records);
   /// Ends the lease and signs off from the keepers, so that no activation waits
   /// for this node. Calls `done` after the acknowledgement or after 1 s.
   void Leave(std::function<void()> done);
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -47,6 +47,13 @@
 }
 
 void NodeSessions::OnApplied() {
+  // Before a file, with which a node may start to serve.
+  const uint64_t version = driver_.state().crashes().version();
+  if (std::exchange(crashes_sent_, version) != version) {
+    for (const ControlPort::Peer& peer : node_peers_) {
+      SendCrashes(*peer);
+    }
+  }
   for (const ControlPort::Peer& peer : node_peers_) {
     SendFiles(*peer);
   }
@@ -94,6 +101,14 @@
   }
   peer->node = follow;
   node_peers_.insert(peer);
+  SendCrashes(*peer);
+}
+
+void NodeSessions::SendCrashes(InboundPeer& peer) {
+  wire::CrashReport report{driver_.state().crashes().Records(WallMicros())};
+  if (!report.records.empty()) {
+    peer.link->Send(report);
+  }
 }
 
 void NodeSessions::Heartbeat(const ControlPort::Peer& peer,
--- a/src/control/node_sessions.h
+++ b/src/control/node_sessions.h
@@ -15,8 +15,8 @@
 namespace ibisvalve::control {
 
 /// Sessions of the nodes that follow this keeper. Forwards their heartbeats to
-/// the leader in batches, and sends them lease grants and the files that this
-/// keeper has applied.
+/// the leader in batches, and sends them lease grants, and the files and
+/// crashes of targets that this keeper has applied.
 class NodeSessions {
  public:
   using Report = std::function<void(const wire::SessionReports&)>;
@@ -48,6 +48,7 @@
   void Heartbeat(const ControlPort::Peer& peer,
                  const wire::NodeHeartbeat& heartbeat);
   void Leave(const ControlPort::Peer& peer, const wire::LeaveKeeper& leave);
+  void SendCrashes(InboundPeer& peer);
   void SendFiles(InboundPeer& peer);
   void SendFile(InboundPeer& peer,
                 const ConfigRecord& record,
@@ -61,6 +62,7 @@
   std::set<ControlPort::Peer> node_peers_;
   std::set<ControlPort::Peer> unreported_;  // to report in the next batch
   std::vector<wire::LeaveKeeper> left_;
+  uint64_t crashes_sent_ = 0;  // version of the ledger last sent to all
   // Encoded texts of the newest revisions, by revision and base.
   std::map<std::pair<Revision, Revision>, std::string> encoded_;
   net::Timer batch_timer_;
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -22,6 +22,9 @@
         } else if constexpr (std::is_same_v<CommandType, SettleKey>) {
           claims_.Apply(command);
           return std::monostate();
+        } else if constexpr (std::is_same_v<CommandType, AddCrashes>) {
+          crashes_.Apply(command);
+          return std::monostate();
         } else {
           config_.Apply(command);
           return std::monostate();
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -6,13 +6,18 @@
 
 #include "control/claim_table.h"
 #include "control/config_history.h"
+#include "control/crash_ledger.h"
 #include "wire/wire.h"
 
 namespace ibisvalve::control {
 
 /// Contents of a log entry of kind kCommand.
-using Command = std::
-    variant<StageConfig, ActivateConfig, WithdrawConfig, ClaimKey, SettleKey>;
+using Command = std::variant<StageConfig,
+                             ActivateConfig,
+                             WithdrawConfig,
+                             ClaimKey,
+                             SettleKey,
+                             AddCrashes>;
 
 /// Result of applying a command, which is returned to its proposer.
 using CommandResult =
@@ -34,16 +39,26 @@
   uint64_t applied() const { return applied_; }
   const ConfigHistory& config() const { return config_; }
   const ClaimTable& claims() const { return claims_; }
+  const CrashLedger& crashes() const { return crashes_; }
 
   template <typename Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(applied_, config_, claims_, crashes_);
+  }
+  template <typename Archive>
+  void load(Archive& archive) {
     archive(applied_, config_, claims_);
+    // Snapshots of earlier releases end here.
+    if (archive.remaining_bytes() > 0) {
+      archive(crashes_);
+    }
   }
 
  private:
   uint64_t applied_ = 0;
   ConfigHistory config_;
   ClaimTable claims_;
+  CrashLedger crashes_;
 };
 
 }  // namespace ibisvalve::control
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -51,6 +51,7 @@
   std::string StatusJson() const;
   void Collect(std::vector<MetricSample>& out) const;
 
+  CrashTracker& crashes() { return crashes_; }
   bool ready() const { return ingress_.knows_crashes(); }
   const CallerServer& callers() const { return callers_; }
   const MeshServer& mesh() const { return mesh_; }
@@ -396,6 +397,18 @@
   impl_->Serve(admin);
 }
 
+std::vector<world::CrashRecord> NodePlane::RepeatedCrashes() const {
+  return impl_->crashes().SyncRecords().records;
+}
+
+Digest NodePlane::crash_digest() const {
+  return impl_->crashes().SyncDigest();
+}
+
+void NodePlane::LearnCrashes(const std::vector<world::CrashRecord>& records) {
+  impl_->crashes().OnNotice({records});
+}
+
 bool NodePlane::ready() const {
   return impl_->ready();
 }
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -13,6 +13,9 @@
 // A reachable keeper answers well within this interval, so the file is fetched
 // from a peer only if no keeper is reachable.
 constexpr Duration kPeerFetchInterval = std::chrono::milliseconds(500);
+constexpr Duration kCrashReportInterval = std::chrono::seconds(1);
+// A report to a keeper may be lost.
+constexpr Duration kCrashReportRepeat = std::chrono::seconds(10);
 constexpr Duration kJoinCheckInterval = std::chrono::milliseconds(20);
 // A node that no other member answers for this long is on its own.
 constexpr Duration kJoinTimeout = std::chrono::seconds(1);
@@ -64,6 +67,7 @@
       configured_keepers_(settings.keepers),
       admin_(loop, settings.admin),
       peer_fetch_timer_(loop, [this] { FetchFileFromPeer(); }),
+      crash_report_timer_(loop, [this] { ReportCrashes(); }),
       started_(loop.Now()),
       join_timer_(loop, [this] { ApplyWaitingAnnouncements(); }) {
   plane_ = std::make_unique<dataplane::NodePlane>(
@@ -79,6 +83,7 @@
   view_.SetLeaseCheck([this] { return agent_->lease_held(); });
   view_.SetOnFleetChanged([this] { plane_->ApplyFleet(); });
   peer_fetch_timer_.StartPeriodic(kPeerFetchInterval);
+  crash_report_timer_.StartPeriodic(kCrashReportInterval);
   ServePages();
   LogEvent(kProcessStarted,
            {{"role", "node"},
@@ -230,6 +235,23 @@
   }
 }
 
+// Has the keepers remember which requests crash targets: nodes have no disk,
+// and all of them may be killed at once.
+void NodeProcess::ReportCrashes() {
+  const Digest digest = plane_->crash_digest();
+  const Time now = loop_.Now();
+  if (digest == reported_crashes_ &&
+      now - crashes_reported_at_ < kCrashReportRepeat) {
+    return;
+  }
+  reported_crashes_ = digest;
+  crashes_reported_at_ = now;
+  const std::vector<world::CrashRecord> records = plane_->RepeatedCrashes();
+  if (!records.empty()) {
+    agent_->ReportCrashes(records);
+  }
+}
+
 world::Member NodeProcess::MakeSelf() const {
   world::Member self;
   self.id = settings_.id;
@@ -290,6 +312,9 @@
   };
   handlers.on_lease = [this](bool held) { OnLease(held); };
   handlers.status = [this] { return StatusJson(); };
+  handlers.on_crashes = [this](const std::vector<world::CrashRecord>& records) {
+    plane_->LearnCrashes(records);
+  };
   return handlers;
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -74,6 +74,7 @@
   void OnMember(const world::Member& member);
   void UpdateKeepers();
   void FetchFileFromPeer();
+  void ReportCrashes();
   void OnTarget(world::TargetState state, uint32_t slots);
   void ServePages();
   std::string StatusJson() const;
@@ -97,6 +98,9 @@
   std::unique_ptr<control::NodeAgent> agent_;
   net::Timer peer_fetch_timer_;
   size_t peer_fetches_ = 0;
+  Digest reported_crashes_;  // digest of those last reported to a keeper
+  Time crashes_reported_at_{};
+  net::Timer crash_report_timer_;
   // Announcements that arrived before this node had joined the fleet.
   std::vector<WaitingAnnouncement> waiting_announcements_;
   const Time started_;
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -214,6 +214,18 @@
   }
 };
 
+/// What the sender knows of crashes of targets: from a node to its keeper and
+/// from there to the leader, to be remembered, and from a keeper to its nodes.
+struct CrashReport {
+  static constexpr FrameType kType = 86;
+  std::vector<world::CrashRecord> records;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(records);
+  }
+};
+
 /// Operator request forwarded to the leader.
 struct ForwardRequest {
   static constexpr FrameType kType = 71;
--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -45,6 +45,7 @@
     std::vector<uint64_t> activated;  // revisions, in order of activation
     bool lease = false;
     std::string refusal;  // reason to refuse every file; empty: accept
+    std::vector<world::CrashRecord> crashes;  // last told by a keeper
   };
 
   /// Chooses free endpoints for `count` keepers.
@@ -95,12 +96,13 @@
     Node* raw = node.get();
     node->agent = std::make_unique<NodeAgent>(
         loop_, endpoints_, self,
-        NodeAgent::Handlers{[raw](const ConfigFile&) { return raw->refusal; },
-                            [raw](const ConfigFile& file) {
-                              raw->activated.push_back(file.revision.value);
-                            },
-                            [raw](bool held) { raw->lease = held; },
-                            [] { return "{}"; }});
+        NodeAgent::Handlers{
+            [raw](const ConfigFile&) { return raw->refusal; },
+            [raw](const ConfigFile& file) {
+              raw->activated.push_back(file.revision.value);
+            },
+            [raw](bool held) { raw->lease = held; }, [] { return "{}"; },
+            [raw](const auto& records) { raw->crashes = records; }});
     return node;
   }
 
