Do not take trailers of a message for its headers

Callers would see: a caller of another service, or a request id, that came in a trailer of a chunked body was passed on like a header.

Cause: the parser reports trailers like header fields.

Evidence: TrailersAreNotHeaders failed before and passes.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -101,6 +101,9 @@
     reader_.head_.status = static_cast<uint16_t>(code);
   }
   void on_field_impl(http::field, View name, View value, error_code&) override {
+    if (this->is_header_done()) {
+      return;  // a trailer must not pass for a header (RFC 9110, 6.5.1)
+    }
     reader_.head_.headers.emplace_back(std::string(name), std::string(value));
   }
   void on_header_impl(error_code&) override {}
--- a/tests/net/http_reader_test.cc
+++ b/tests/net/http_reader_test.cc
@@ -48,6 +48,18 @@
   }
 }
 
+// A trailer must not pass for a header, such as one that names the caller.
+TEST(HttpReaderTest, TrailersAreNotHeaders) {
+  HttpReader reader(Kind::kRequests, {});
+  reader.Feed(
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\nCaller-Service: other\r\n\r\n");
+  ASSERT_TRUE(reader.done());
+  for (const auto& [name, value] : reader.head().headers) {
+    EXPECT_NE(name, "Caller-Service");
+  }
+}
+
 int StatusOf(const std::string& request, HttpLimits limits = {}) {
   HttpReader reader(Kind::kRequests, limits);
   try {
