--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -260,6 +260,7 @@
 TEST(HeartbeatTest, RejectsOtherTargetsAndMalformedBodies) {
   const Json good = {
       {"address", "10.1.0.8:8301"},
+      {"born", kNowMs},
       {"info", {{"service", "huvo"}, {"slots", 6}}},
       {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftS", 0}}}};
   EXPECT_NO_THROW(ParseHeartbeat("i-7f", good.dump(), kLocalTarget, kNowMs));
@@ -287,6 +288,17 @@
                InvalidInput);
 }
 
+// Guards against an entry of another writer without a start, which takes the
+// place of the worker: its own entries then count as those of an earlier run.
+TEST(HeartbeatTest, RejectsAnEntryWithoutAStart) {
+  const Json odd = {
+      {"address", "10.1.0.8:8301"},
+      {"info", {{"service", "huvo"}, {"slots", 6}}},
+      {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftS", 0}}}};
+  EXPECT_THROW(ParseHeartbeat("i-7f", odd.dump(), kLocalTarget, kNowMs),
+               InvalidInput);
+}
+
 // Guards against an entry with a number out of range that is taken, so that the
 // entries after it count as late or its duration overflows.
 TEST(HeartbeatTest, RejectsNumbersOutOfRange) {
@@ -328,7 +340,8 @@
   EXPECT_THROW(ParseHeartbeat("i-7f", nested, kLocalTarget, kNowMs),
                InvalidInput);
   const std::string member =
-      R"({"address":"10.1.0.8:8301","info":{"service":"huvo","slots":6},)"
+      R"({"address":"10.1.0.8:8301","born":1700000000123,)"
+      R"("info":{"service":"huvo","slots":6},)"
       R"("status":{"state":"ready","sequence":4,"coldLeftS":0},"x":)" +
       nested + "}";
   EXPECT_NO_THROW(ParseHeartbeat("i-7f", member, kLocalTarget, kNowMs));
