Apply new limits to connections that were used before

Cause: a connection took the limits for a request when the one before it ended.

Change: it takes them when the request begins.

Evidence: ANewLimitAppliesToConnectionsThatWereUsedBefore failed before (413) and passes.

--- a/src/dataplane/caller_connection.cc
+++ b/src/dataplane/caller_connection.cc
@@ -148,6 +148,9 @@
     }
     return false;
   }
+  if (!reader_.started() && reader_.limits() != limits_.http) {
+    reader_.Next(limits_.http);
+  }
   if (reader_.FeedFrom(bufferevent_get_input(bufferevent_)) == 0) {
     return false;
   }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -76,6 +76,8 @@
   /// Returns whether the current message is complete.
   bool done() const;
   const HttpHead& head() const { return head_; }
+  /// Returns the limits of the current message.
+  const HttpLimits& limits() const { return limits_; }
   /// Returns the body bytes parsed since the last call.
   std::string TakeBody();
   /// Starts the next message. If `no_body` is set, the response has no body
--- a/tests/dataplane/streaming_test.cc
+++ b/tests/dataplane/streaming_test.cc
@@ -205,5 +205,31 @@
   EXPECT_TRUE(target.seen().empty());
 }
 
+// Guards against kept connections that refuse what the limits allow by now.
+TEST_F(StreamingTest, ANewLimitAppliesToConnectionsThatWereUsedBefore) {
+  constexpr size_t kBodyBytes = 4 << 20;
+  FakeTarget target(loop_,
+                    [](evhttp_request* request) { RespondOk(request, "x"); });
+  service_.limits.request_body = 2 << 20;
+  Node& node = AddNode("suva-1", &target);
+  WaitReady(node);
+  WaitForLimits();
+  RawClient caller(loop_, node.plane->callers());
+  const auto upload = [&](size_t bytes) {
+    const size_t before = caller.received().size();
+    caller.Write(
+        "POST /bookings HTTP/1.1\r\nHost: bookdesk\r\nContent-Length: " +
+        std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x'));
+    RunUntil(
+        [&] { return caller.closed() || caller.received().size() > before; });
+    return caller.received().substr(before, 12);
+  };
+  EXPECT_EQ(upload(100), "HTTP/1.1 200");
+  service_.limits.request_body = 8 << 20;
+  PublishFleet(2);
+  WaitForLimits();
+  EXPECT_EQ(upload(kBodyBytes), "HTTP/1.1 200");
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
