--- a/tests/dataplane/endless_bytes_test.cc
+++ b/tests/dataplane/endless_bytes_test.cc
@@ -39,7 +39,7 @@
   size_t requests() const { return writers_.size(); }
   size_t accepted() const {
     size_t bytes = 0;
-    for (const auto& writer : writers_) {
+    for (const auto& [end, writer] : writers_) {
       bytes += writer->accepted();
     }
     return bytes;
@@ -58,14 +58,16 @@
           evbuffer_drain(input, evbuffer_get_length(input));
           bufferevent_write(readable, self->bytes_.start.data(),
                             self->bytes_.start.size());
-          self->writers_.push_back(std::make_unique<EndlessWriter>(
-              self->loop_, readable, Repeat(self->bytes_.repeated)));
+          self->writers_[readable] = std::make_unique<EndlessWriter>(
+              self->loop_, readable, Repeat(self->bytes_.repeated));
         },
         nullptr,
-        [](bufferevent*, int16_t, void* argument) {
-          for (const auto& writer :
-               static_cast<EndlessTarget*>(argument)->writers_) {
-            writer->Stop();
+        [](bufferevent* closed, int16_t, void* argument) {
+          // A health check connects and closes as well.
+          const auto& writers = static_cast<EndlessTarget*>(argument)->writers_;
+          const auto found = writers.find(closed);
+          if (found != writers.end()) {
+            found->second->Stop();
           }
         },
         this);
@@ -75,7 +77,7 @@
   net::EventLoop& loop_;
   EndlessCase bytes_;
   std::list<bufferevent*> ends_;
-  std::vector<std::unique_ptr<EndlessWriter>> writers_;
+  std::map<bufferevent*, std::unique_ptr<EndlessWriter>> writers_;
   net::Listener listener_;
 };
 
