--- a/src/control/departure.cc
+++ b/src/control/departure.cc
@@ -32,11 +32,11 @@
 }
 
 void Departure::OnMembersApplied() {
-  if (!done_ ||
-      driver_.replica().log().members_index() > driver_.replica().commit()) {
+  const Replica& replica = driver_.replica();
+  if (!done_ || replica.log().members_index() > replica.commit()) {
     return;
   }
-  const auto& members = driver_.replica().members().members;
+  const auto& members = replica.members().members;
   const bool is_voter =
       std::any_of(members.begin(), members.end(), [this](const auto& member) {
         return member.replica == driver_.self() && member.voter;
@@ -50,12 +50,14 @@
   return {request.call, ResultFor(request.replica)};
 }
 
-wire::LeaveResult Departure::ResultFor(wire::ReplicaId replica) const {
-  const Replica& log = driver_.replica();
-  if (!log.committed_in_term() || log.log().members_index() > log.commit()) {
+wire::LeaveResult Departure::ResultFor(wire::ReplicaId id) const {
+  const Replica& replica = driver_.replica();
+  const bool members_committed =
+      replica.log().members_index() <= replica.commit();
+  if (!replica.committed_in_term() || !members_committed) {
     return wire::LeaveResult::kRetry;
   }
-  return ResultOfLeaving(view_(), replica);
+  return ResultOfLeaving(view_(), id);
 }
 
 void Departure::OnReply(const wire::LeaveReply& reply) {
--- a/src/control/departure.h
+++ b/src/control/departure.h
@@ -36,7 +36,7 @@
   void OnReply(const wire::LeaveReply& reply);
 
  private:
-  wire::LeaveResult ResultFor(wire::ReplicaId replica) const;
+  wire::LeaveResult ResultFor(wire::ReplicaId id) const;
   void Finish(const char* result);
 
   const ReplicaDriver& driver_;
