Let keepers find each other again in the test of a stop of all

When it was the one that the test asks, it knew no leader, as the fixture has no gossip. Now the keepers are told of each other as by gossip, and all six must vote again in the end.

--- a/tests/control/planned_stop_test.cc
+++ b/tests/control/planned_stop_test.cc
@@ -51,6 +51,15 @@
     }
   }
 
+  // Tells each keeper of all others, as gossip does.
+  void DiscoverAll() {
+    for (const KeeperInstance& instance : keepers_) {
+      std::set<world::Endpoint> others(endpoints_.begin(), endpoints_.end());
+      others.erase(instance.keeper->control());
+      instance.keeper->SetDiscoveredKeepers(others);
+    }
+  }
+
   // Applies a file through a keeper that runs.
   bool Apply(const std::string& change, int base) {
     return RunUntil([&] {
@@ -149,7 +158,9 @@
   for (size_t number = 0; number < 6; ++number) {
     StartKeeper(number);
   }
+  DiscoverAll();  // one of them, which may be the first, has lost its vote
   EXPECT_TRUE(Apply("second", 1));
+  EXPECT_TRUE(RunUntil([&] { return Voters() == 6; }));
 }
 
 // A stop without a majority must not outlast the time that a planned stop has.
@@ -168,9 +179,7 @@
   EXPECT_EQ(Voters(), 5U);
   StartKeeper(5);
   stopped_.clear();
-  for (size_t number = 0; number < 5; ++number) {
-    keepers_[number].keeper->SetDiscoveredKeepers({endpoints_[5]});
-  }
+  DiscoverAll();
   EXPECT_TRUE(RunUntil([&] { return Voters() == 6; }));
   EXPECT_TRUE(Apply("second", 1));
 }
