Say what the first answer of a member tells a node that starts

The comments claimed that it holds all that the fleet remembers; a member that had not heard of a departure does not know it.

--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -87,8 +87,9 @@
   const world::Member& self() const { return self_; }
   /// Returns this node's view of the fleet.
   const MemberTable& table() const { return table_; }
-  /// Returns whether another member has answered since the start, and with it
-  /// what the fleet remembers of this node.
+  /// Returns whether another member has answered since the start. A keeper that
+  /// confirmed a departure has then sent it; a member that had not heard of it
+  /// has not, and self() changes later.
   bool joined() const { return joined_; }
   /// Returns whether a newer process with the same id has replaced this one.
   bool replaced() const { return replaced_; }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -46,7 +46,7 @@
   /// Returns this node's announcement, with the gossip port that was bound.
   const world::Member& self() const;
   /// Returns whether another member has answered since the start. self() then
-  /// includes what the fleet remembers of this node.
+  /// includes what that member remembers of this node.
   bool joined() const;
   /// Returns whether a newer process with the same id has replaced this one,
   /// which then no longer takes part in the protocol.
