Add workspaces, quotas, cold starts and evacuations to the shared types

Cause: the parts for competing and uneven load are built side by side and need the same values. Nothing uses the values yet.

--- a/src/dataplane/header_names.h
+++ b/src/dataplane/header_names.h
@@ -37,6 +37,10 @@
   std::string rate_limit;
   /// Sent by a target that leaves, with the value 1.
   std::string leaving;
+  /// Sent to targets: name of the caller's workspace.
+  std::string workspace = "Ibis-Workspace";
+  /// Sent by a target with its health: milliseconds for which it stays cold.
+  std::string cold_left;
   /// Sent to callers: seconds to wait before a retry.
   std::string retry_after = "Retry-After";
   /// Whether the Ibis-* headers are sent.
--- a/src/dataplane/http_headers.cc
+++ b/src/dataplane/http_headers.cc
@@ -162,6 +162,10 @@
       return 404;
     case Reason::kTooLarge:
       return 413;
+    case Reason::kUnauthorized:
+      return 401;
+    case Reason::kQuota:
+      return 429;
     case Reason::kKeyMismatch:
       return 422;
     case Reason::kKeyRequired:
--- a/src/world/fleet.h
+++ b/src/world/fleet.h
@@ -92,6 +92,14 @@
   auto operator<=>(const Objective&) const = default;
 };
 
+/// Limit on a target that has just started or has lost its caches.
+struct ColdStart {
+  double per_second = 0;  // requests that a cold target takes
+  Duration period{0};     // for which a target is cold after its start
+
+  auto operator<=>(const ColdStart&) const = default;
+};
+
 /// Configuration of a service.
 struct Service {
   ServiceName name;
@@ -104,6 +112,9 @@
   Limits limits;
   std::optional<Objective> objective;
   std::string health_path;  // of a target's health report; may be empty
+  std::optional<ColdStart> cold;  // nullopt: cold targets are not limited
+  // Whether requests need no key of a workspace. Used without routes.
+  bool is_public = false;
 
   auto operator<=>(const Service&) const = default;
 };
@@ -144,10 +155,31 @@
   Duration objective = std::chrono::seconds(1);  // for the latency of answers
   uint32_t priority = 0;                         // 0 is the highest priority
   uint32_t max_attempts = 1;  // targets that may be sent the same request
+  bool is_public = false;     // requests need no key of a workspace
+  std::vector<RegionName> regions;  // whose targets may be used; empty: all
 
   auto operator<=>(const Route&) const = default;
 };
 
+/// Limit on the requests of a workspace, over all nodes together.
+struct Quota {
+  double per_second = 0;
+  double burst = 0;  // requests that may be sent at once
+
+  auto operator<=>(const Quota&) const = default;
+};
+
+/// A party whose callers identify themselves by one of its keys.
+struct Workspace {
+  std::string name;
+  std::vector<std::string> keys;     // secret
+  std::optional<uint32_t> priority;  // takes precedence over the route's
+  std::optional<Quota> quota;        // nullopt: no limit
+  std::vector<RegionName> regions;   // whose targets may be used; empty: all
+
+  auto operator<=>(const Workspace&) const = default;
+};
+
 /// Limits on callers' connections and requests, independent of the route.
 struct CallerRules {
   uint32_t header_bytes = 16 << 10;
@@ -191,6 +223,8 @@
   std::vector<Link> links;
   std::vector<Service> services;
   std::vector<Route> routes;  // sorted by SortRoutes; may be empty
+  // Without any, requests need no key.
+  std::vector<Workspace> workspaces;
   CallerRules callers;
   ControlRules control;
 
--- a/src/world/outcome.cc
+++ b/src/world/outcome.cc
@@ -66,6 +66,12 @@
       return "target-refused";
     case Reason::kSlow:
       return "slow";
+    case Reason::kUnauthorized:
+      return "unauthorized";
+    case Reason::kQuota:
+      return "quota";
+    case Reason::kEvacuated:
+      return "evacuated";
   }
   return "invalid";
 }
--- a/src/world/outcome.h
+++ b/src/world/outcome.h
@@ -39,6 +39,9 @@
   kNoRoute,        // no route matches the host and path
   kTargetRefused,  // the target reports that it did not run the request
   kSlow,           // the target's host is slowed down; another target is faster
+  kUnauthorized,   // the route needs a key of a workspace
+  kQuota,          // the workspace has used up its quota
+  kEvacuated,      // the target's zone is evacuated
 };
 
 /// Returns "answered", "not-run" or "unknown", as sent in the Ibis-Outcome
