Send a node that starts only the crash records that it must know

Cause: after a loss of all power each node's link held 1,289,732 bytes of crash records in front of a file of 763 bytes, 2.46 s at 4.2 Mbit/s. Keepers sent all remembered records, cleared ones too, at each follow and each change; nodes reported and exchanged the same.

Change: keepers send the records that quarantine something, and what became of those sent before; nodes exchange and report those that count (world::WeightOf), in reports of bounded size, and a process that tells a cleared crash is corrected.

--- a/src/control/control_port.h
+++ b/src/control/control_port.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +22,8 @@
   wire::NodeHeartbeat heartbeat;  // the node's latest
   Revision sent_staged;           // last revisions sent on this connection
   Revision sent_active;
+  // Digests of the crash records sent on this connection, by resource.
+  std::map<Digest, Digest> sent_crashes;
 };
 
 /// Accepts connections from keepers and nodes at a keeper's control endpoint,
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -104,8 +104,24 @@
   SendCrashes(*peer);
 }
 
+// Sends the records that quarantine something, without which the node must not
+// serve, and what became of those that it was sent before. The others only
+// inform, and the node's file would wait behind them.
 void NodeSessions::SendCrashes(InboundPeer& peer) {
-  wire::CrashReport report{driver_.state().crashes().Records(WallMicros())};
+  wire::CrashReport report;
+  for (const world::CrashRecord& record :
+       driver_.state().crashes().Records(WallMicros())) {
+    const auto sent = peer.sent_crashes.find(record.resource);
+    const bool known = sent != peer.sent_crashes.end();
+    if (!known && world::WeightOf(record) != world::CrashWeight::kQuarantines) {
+      continue;
+    }
+    const Digest digest = world::DigestOf(record);
+    if (!known || sent->second != digest) {
+      peer.sent_crashes[record.resource] = digest;
+      report.records.push_back(record);
+    }
+  }
   if (!report.records.empty()) {
     peer.link->Send(report);
   }
--- a/src/control/node_sessions.h
+++ b/src/control/node_sessions.h
@@ -16,7 +16,7 @@
 
 /// Sessions of the nodes that follow this keeper. Forwards their heartbeats to
 /// the leader in batches, and sends them lease grants, and the files and
-/// crashes of targets that this keeper has applied.
+/// quarantining crashes of targets that this keeper has applied.
 class NodeSessions {
  public:
   using Report = std::function<void(const wire::SessionReports&)>;
--- a/src/dataplane/crash_sync.cc
+++ b/src/dataplane/crash_sync.cc
@@ -52,7 +52,7 @@
 }
 
 void CrashSync::OnReply(const NodeId& peer, const wire::CrashSyncReply& reply) {
-  replied_ = true;
+  replied_ |= !reply.correction;
   const wire::CrashNotice missing = crashes_.OnSyncReply(reply);
   if (!missing.records.empty()) {
     gates_.SendToPeer(peer, missing);
--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -145,14 +145,7 @@
   std::sort(records.begin(), records.end());
   std::string text;
   for (const world::CrashRecord& record : records) {
-    text += ToHex(record.resource);
-    for (const world::KnownCrash& crash : record.crashes) {
-      text += ' ' + crash.id.gate.value + '/' +
-              std::to_string(crash.id.incarnation.value) + '/' +
-              std::to_string(crash.id.number) + '/' + ToHex(crash.request) +
-              (crash.cleared ? "-" : "+") +
-              (crash.resource_cleared ? "-" : "+");
-    }
+    text += ToHex(world::DigestOf(record));
   }
   return DigestOf(text);
 }
@@ -161,15 +154,29 @@
   return {quarantine_.RepeatedCrashRecords(kMaxSyncRecords, loop_.Now())};
 }
 
+std::vector<world::CrashRecord> CrashTracker::Corrections(
+    const std::vector<world::CrashRecord>& told) const {
+  std::vector<world::CrashRecord> corrections;
+  for (const world::CrashRecord& record : told) {
+    world::CrashRecord known = Find(record.resource);
+    if (world::Clears(known, record)) {
+      corrections.push_back(std::move(known));
+    }
+  }
+  return corrections;
+}
+
 wire::CrashSyncReply CrashTracker::ReplyTo(const wire::CrashSync& sync) const {
   const Digest digest = SyncDigest();
-  return {digest, sync.digest == digest ? std::vector<world::CrashRecord>()
-                                        : SyncRecords().records};
+  return {digest,
+          sync.digest == digest ? std::vector<world::CrashRecord>()
+                                : SyncRecords().records,
+          false};
 }
 
 wire::CrashNotice CrashTracker::OnSyncReply(const wire::CrashSyncReply& reply) {
   OnNotice({reply.records});
-  if (SyncDigest() == reply.digest) {
+  if (reply.correction || SyncDigest() == reply.digest) {
     return {};
   }
   // Crashes without their age, which differs from node to node.
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -73,6 +73,10 @@
   Digest SyncDigest() const;
   /// Returns these records.
   wire::CrashNotice SyncRecords() const;
+  /// Returns the records of this node that clear a request or a resource of a
+  /// crash which counts against it in `told`, as another process knows it.
+  std::vector<world::CrashRecord> Corrections(
+      const std::vector<world::CrashRecord>& told) const;
   /// Returns the reply to a peer that compares its records with this node's.
   wire::CrashSyncReply ReplyTo(const wire::CrashSync& sync) const;
   /// Adds the records of a peer, and returns those that the peer lacks.
--- a/src/dataplane/mesh_server.cc
+++ b/src/dataplane/mesh_server.cc
@@ -84,7 +84,7 @@
                   ReplyPortFor(number));
       return;
     case wire::CrashNotice::kType:
-      gate_.crashes().OnNotice(wire::Decode<wire::CrashNotice>(payload));
+      OnCrashNotice(link, wire::Decode<wire::CrashNotice>(payload));
       return;
     case wire::CrashSync::kType:
       link.frames->Send(
@@ -117,6 +117,18 @@
 
 // Takes the time that the attempt was on its way from the times left, which
 // were right when it was sent.
+// Replies with what this node knows to be cleared and the sender does not.
+void MeshServer::OnCrashNotice(Link& link, const wire::CrashNotice& notice) {
+  CrashTracker& crashes = gate_.crashes();
+  crashes.OnNotice(notice);
+  std::vector<world::CrashRecord> corrections =
+      crashes.Corrections(notice.records);
+  if (!corrections.empty()) {
+    link.frames->Send(wire::CrashSyncReply{crashes.SyncDigest(),
+                                           std::move(corrections), true});
+  }
+}
+
 void MeshServer::OnOpen(uint64_t number, Link& link, wire::OpenAttempt open) {
   const auto delay = static_cast<uint64_t>(
       link.transit.OnArrival(open.sent_us, BootMicros()).count());
--- a/src/dataplane/mesh_server.h
+++ b/src/dataplane/mesh_server.h
@@ -49,6 +49,7 @@
   void OnFrame(uint64_t number, wire::FrameType type, std::string_view payload);
   void OnHello(Link& link, const wire::MeshHello& hello);
   void OnOpen(uint64_t number, Link& link, wire::OpenAttempt open);
+  void OnCrashNotice(Link& link, const wire::CrashNotice& notice);
   void OnClosed(uint64_t number, const std::string& why);
   void CloseSilent();
   ReplyPort ReplyPortFor(uint64_t number);
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -401,12 +401,14 @@
   return impl_->crashes().SyncRecords().records;
 }
 
-Digest NodePlane::crash_digest() const {
-  return impl_->crashes().SyncDigest();
+world::CrashRecord NodePlane::FindCrashes(Digest resource) const {
+  return impl_->crashes().Find(resource);
 }
 
-void NodePlane::LearnCrashes(const std::vector<world::CrashRecord>& records) {
+std::vector<world::CrashRecord> NodePlane::LearnCrashes(
+    const std::vector<world::CrashRecord>& records) {
   impl_->crashes().OnNotice({records});
+  return impl_->crashes().Corrections(records);
 }
 
 bool NodePlane::ready() const {
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -131,13 +131,15 @@
   /// PlaneSettings::stop_linger. Calls `done` once nothing is in flight, or
   /// after `limit`.
   void Stop(Duration limit, std::function<void()> done);
-  /// Returns the crashes of targets that this node knows of requests with
-  /// several of them, to be remembered beyond the processes of all nodes.
+  /// Returns the crashes of targets that count against a request or a resource,
+  /// to be remembered beyond the processes of all nodes.
   std::vector<world::CrashRecord> RepeatedCrashes() const;
-  /// Returns the digest of what RepeatedCrashes returns.
-  Digest crash_digest() const;
-  /// Adds crashes of targets that were remembered.
-  void LearnCrashes(const std::vector<world::CrashRecord>& records);
+  /// Returns the crashes that this node knows of requests for `resource`.
+  world::CrashRecord FindCrashes(Digest resource) const;
+  /// Adds crashes of targets that were remembered. Returns what this node knows
+  /// to be cleared of them.
+  std::vector<world::CrashRecord> LearnCrashes(
+      const std::vector<world::CrashRecord>& records);
   /// Registers the handlers for operators (POST /drain, POST /undrain,
   /// GET /quarantine, POST /quarantine/lift) and for the target (POST
   /// /announce) at `admin`.
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -14,6 +14,8 @@
 // from a peer only if no keeper is reachable.
 constexpr Duration kPeerFetchInterval = std::chrono::milliseconds(500);
 constexpr Duration kCrashReportInterval = std::chrono::seconds(1);
+// About 16 KiB, so that a report does not hold up heartbeats on a small link.
+constexpr size_t kMaxCrashesPerReport = 256;
 // A report to a keeper may be lost.
 constexpr Duration kCrashReportRepeat = std::chrono::seconds(10);
 constexpr Duration kJoinCheckInterval = std::chrono::milliseconds(20);
@@ -243,15 +245,15 @@
 // Has the keepers remember which requests crash targets: nodes have no disk,
 // and all of them may be killed at once.
 void NodeProcess::ReportCrashes() {
-  const Digest digest = plane_->crash_digest();
   const Time now = loop_.Now();
-  if (digest == reported_crashes_ &&
-      now - crashes_reported_at_ < kCrashReportRepeat) {
-    return;
+  if (now - crashes_repeated_at_ >= kCrashReportRepeat) {
+    crashes_repeated_at_ = now;
+    crash_reports_.Repeat();
   }
-  reported_crashes_ = digest;
-  crashes_reported_at_ = now;
-  const std::vector<world::CrashRecord> records = plane_->RepeatedCrashes();
+  const std::vector<world::CrashRecord> records = crash_reports_.Next(
+      plane_->RepeatedCrashes(),
+      [this](Digest resource) { return plane_->FindCrashes(resource); },
+      kMaxCrashesPerReport);
   if (!records.empty()) {
     agent_->ReportCrashes(records);
   }
@@ -318,7 +320,11 @@
   handlers.on_lease = [this](bool held) { OnLease(held); };
   handlers.status = [this] { return StatusJson(); };
   handlers.on_crashes = [this](const std::vector<world::CrashRecord>& records) {
-    plane_->LearnCrashes(records);
+    const std::vector<world::CrashRecord> corrections =
+        plane_->LearnCrashes(records);
+    if (!corrections.empty()) {
+      agent_->ReportCrashes(corrections);
+    }
   };
   return handlers;
 }
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -11,6 +11,7 @@
 #include "dataplane/dataplane.h"
 #include "membership/membership.h"
 #include "net/net.h"
+#include "node/crash_reports.h"
 #include "observe/observe.h"
 
 namespace ibisvalve::node {
@@ -99,8 +100,8 @@
   std::unique_ptr<control::NodeAgent> agent_;
   net::Timer peer_fetch_timer_;
   size_t peer_fetches_ = 0;
-  Digest reported_crashes_;  // digest of those last reported to a keeper
-  Time crashes_reported_at_{};
+  CrashReports crash_reports_;
+  Time crashes_repeated_at_{};
   net::Timer crash_report_timer_;
   // Announcements that arrived before this node had joined the fleet.
   std::vector<WaitingAnnouncement> waiting_announcements_;
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -100,7 +100,9 @@
     Time now) const {
   std::vector<std::pair<Time, Digest>> latest;
   for (const auto& [resource, record] : records_) {
-    if (HasRepeatedCrashes(record) && now < ExpiryOf(record)) {
+    if (now < ExpiryOf(record) &&
+        world::WeightOf(ToRecord(resource, record, now)) !=
+            world::CrashWeight::kNone) {
       latest.emplace_back(ExpiryOf(record), resource);
     }
   }
@@ -260,18 +262,6 @@
                      });
 }
 
-// Returns whether requests of the record were in flight at several crashes,
-// cleared or not.
-bool Quarantine::HasRepeatedCrashes(const Record& record) const {
-  uint32_t crashes = 0;
-  const CrashId* previous = nullptr;
-  for (const auto& [key, crash] : record) {  // sorted by crash
-    crashes += previous == nullptr || *previous != key.first ? 1 : 0;
-    previous = &key.first;
-  }
-  return crashes >= settings_.crash_threshold;
-}
-
 // Drops the crash that weighs least: one that is cleared if possible, else one
 // of a request with few crashes, else the oldest.
 void Quarantine::DropWeakestCrash(Record& record) const {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -14,9 +14,8 @@
 
 /// Settings of the request quarantine of a node.
 struct QuarantineSettings {
-  uint32_t crash_threshold = 2;  // with a request in flight, to quarantine it
-  // Crashes with requests for a resource in flight, to quarantine all of them.
-  uint32_t resource_threshold = 3;
+  uint32_t crash_threshold = world::kRequestCrashThreshold;
+  uint32_t resource_threshold = world::kResourceCrashThreshold;
   // Both periods start at the last crash with the request in flight.
   Duration suspicion_period = std::chrono::minutes(10);
   Duration quarantine_period = std::chrono::minutes(10);
@@ -88,7 +87,8 @@
   CrashEffect Merge(const world::CrashRecord& record, Time now);
   /// Returns the crashes at which requests for `resource` were in flight.
   world::CrashRecord Find(Digest resource, Time now) const;
-  /// Returns the records of resources with repeated crashes, at most
+  /// Returns the records of which some crashes count against a request or a
+  /// resource and at most one more is needed for a quarantine, at most
   /// `max_records`, those that expire last first.
   std::vector<world::CrashRecord> RepeatedCrashRecords(size_t max_records,
                                                        Time now) const;
@@ -137,7 +137,6 @@
   bool IsInForce(const Evidence& evidence, Time now) const;
   Time ExpiryOf(const Record& record) const;
   bool HasQuarantine(const Record& record) const;
-  bool HasRepeatedCrashes(const Record& record) const;
   void DropWeakestCrash(Record& record) const;
   static std::set<Digest> RequestsOf(const Record& record);
   static world::CrashRecord ToRecord(Digest resource,
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -243,15 +243,17 @@
   }
 };
 
-/// Reply to CrashSync.
+/// Reply to CrashSync, or to a CrashNotice of crashes that the replier knows to
+/// be cleared.
 struct CrashSyncReply {
   static constexpr FrameType kType = 19;
   Digest digest;                            // of the replier's records
   std::vector<world::CrashRecord> records;  // empty if the digests are equal
+  bool correction = false;                  // a reply to CrashNotice
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(digest, records);
+    archive(digest, records, correction);
   }
 };
 
--- a/src/world/crash.h
+++ b/src/world/crash.h
@@ -68,4 +68,28 @@
   }
 };
 
+/// Crashes with a request in flight that quarantine this very request.
+inline constexpr uint32_t kRequestCrashThreshold = 2;
+/// Crashes with requests for a resource in flight that quarantine all of them,
+/// unless a single request was in flight at each.
+inline constexpr uint32_t kResourceCrashThreshold = 3;
+
+/// How much a record counts against the requests for its resource.
+enum class CrashWeight : uint8_t {
+  kNone,         // less than two crashes count against anything
+  kSuspicious,   // one more crash may quarantine something
+  kQuarantines,  // a request or the whole resource is quarantined
+};
+
+/// Returns the weight of `record`, whatever the age of its crashes.
+CrashWeight WeightOf(const CrashRecord& record);
+
+/// Returns a digest of `record` that leaves out the ages of its crashes, which
+/// differ from node to node.
+Digest DigestOf(const CrashRecord& record);
+
+/// Returns whether `known` clears a request or its resource of a crash that
+/// counts against it in `told`. Both are of the same resource.
+bool Clears(const CrashRecord& known, const CrashRecord& told);
+
 }  // namespace ibisvalve::world
--- a/tests/control/slow_link_test.cc
+++ b/tests/control/slow_link_test.cc
@@ -69,5 +69,74 @@
   EXPECT_LE(relay_->bytes() - before, kMaxBytes);
 }
 
+// Returns a record of 32 crashes, of which `counting` count against the
+// request.
+world::CrashRecord CrashesOf(uint64_t resource, uint64_t counting) {
+  world::CrashRecord record{Digest(resource), {}};
+  for (uint64_t number = 1; number <= 32; ++number) {
+    const bool cleared = number > counting;
+    record.crashes.push_back(
+        {{NodeId("examination-host-" + std::to_string(number)),
+          Incarnation(number), number},
+         Digest(resource + 1000),
+         1,
+         cleared,
+         cleared});
+  }
+  return record;
+}
+
+class RememberedCrashesOverASlowLinkTest : public SlowLinkTest {
+ protected:
+  static constexpr size_t kBytesPerSecond = 500'000;
+  static constexpr uint64_t kResources = 256;
+
+  // Starts a keeper that remembers crashes of many requests, of which
+  // `counting` count against the first one and none against the others.
+  void StartWithCrashes(uint64_t counting) {
+    Start(100 * kBytesPerSecond);
+    Apply(1, "file");
+    std::vector<world::CrashRecord> records;
+    for (uint64_t resource = 1; resource <= kResources; ++resource) {
+      records.push_back(CrashesOf(resource, 32));
+    }
+    const auto reporter = StartNode("reporter");
+    ASSERT_TRUE(RunUntil([&] { return reporter->lease; }));
+    reporter->agent->ReportCrashes(records);
+    for (world::CrashRecord& record : records) {
+      record = CrashesOf(record.resource.value,
+                         record.resource == Digest(1) ? counting : 0);
+    }
+    reporter->agent->ReportCrashes(records);
+    RunFor(milliseconds(500));
+    const world::Endpoint keeper = keepers_[0].keeper->control();
+    relay_.emplace(loop_, keeper, kBytesPerSecond);
+    endpoints_ = {relay_->local()};
+  }
+};
+
+// Guards against a file that waits behind megabytes of remembered crashes:
+// after a loss of all power, nodes on small links served nothing for seconds.
+TEST_F(RememberedCrashesOverASlowLinkTest,
+       AFileDoesNotWaitBehindClearedCrashes) {
+  StartWithCrashes(0);
+  const Time start = loop_.Now();
+  const auto node = StartNode("node");
+  ASSERT_TRUE(RunUntil([&] { return node->lease; }));
+  EXPECT_LT(loop_.Now() - start, seconds(1));
+  EXPECT_LT(relay_->bytes(), 5'000U);
+}
+
+// Guards against a node that serves a quarantined request because it got its
+// file first.
+TEST_F(RememberedCrashesOverASlowLinkTest,
+       CrashesThatQuarantineARequestArriveBeforeTheFile) {
+  StartWithCrashes(2);
+  const auto node = StartNode("node");
+  ASSERT_TRUE(RunUntil([&] { return !node->activated.empty(); }));
+  ASSERT_EQ(node->crashes.size(), 1U);
+  EXPECT_EQ(node->crashes[0].resource, Digest(1));
+}
+
 }  // namespace
 }  // namespace ibisvalve::control
