--- a/src/world/fleet.h
+++ b/src/world/fleet.h
@@ -111,7 +111,7 @@
   MeasuringBudget measuring;
   Limits limits;
   std::optional<Objective> objective;
-  std::string health_path;  // of a target's health report; may be empty
+  std::string health_path;        // of a target's health report; may be empty
   std::optional<ColdStart> cold;  // nullopt: cold targets are not limited
   // Whether requests need no key of a workspace. Used without routes.
   bool is_public = false;
@@ -154,8 +154,8 @@
   Duration timeout = std::chrono::seconds(1);    // maximum wait for an answer
   Duration objective = std::chrono::seconds(1);  // for the latency of answers
   uint32_t priority = 0;                         // 0 is the highest priority
-  uint32_t max_attempts = 1;  // targets that may be sent the same request
-  bool is_public = false;     // requests need no key of a workspace
+  uint32_t max_attempts = 1;        // targets that may be sent the same request
+  bool is_public = false;           // requests need no key of a workspace
   std::vector<RegionName> regions;  // whose targets may be used; empty: all
 
   auto operator<=>(const Route&) const = default;
