--- a/src/config/fleet_parser.cc
+++ b/src/config/fleet_parser.cc
@@ -5,6 +5,7 @@
 #include "config/config.h"
 #include "config/converters.h"
 #include "config/service_parser.h"
+#include "config/workspace_parser.h"
 
 namespace ibisvalve::config {
 namespace {
@@ -52,6 +53,10 @@
                 [this](const YamlValue& item) { ReadLink(item); });
   map_.ReadList("services", true, "services: [{name: ledger}]",
                 [this](const YamlValue& item) { ReadService(item); });
+  WorkspaceParser workspaces(fleet_.regions);
+  map_.ReadList("workspaces", false, "", [&](const YamlValue& item) {
+    fleet_.workspaces.push_back(workspaces.Parse(item));
+  });
   map_.ReadMap("control", [this](YamlMap& map) { ReadControl(map); });
   map_.ReportUnknownKeys();
   return fleet_;
--- a/src/config/service_parser.cc
+++ b/src/config/service_parser.cc
@@ -27,6 +27,9 @@
 constexpr uint32_t kMaxAttempts = 10;
 constexpr double kMaxMeasurementsPerSecond = 50;  // per second
 constexpr double kShareSumTolerance = 1e-6;
+constexpr double kMinColdRate = 0.1;  // requests a second
+constexpr double kMaxColdRate = 100'000;
+constexpr Duration kMaxColdPeriod = hours(1);
 
 std::string Quoted(const std::string& text) {
   return "\"" + text + "\"";
@@ -68,6 +71,7 @@
   void ReadMeasuring(YamlMap& map);
   void ReadLimits(YamlMap& map);
   void ReadObjective(YamlMap& map);
+  void ReadCold(YamlMap& map);
   bool AllowsRepeats() const;
 
   YamlMap map_;
@@ -92,6 +96,8 @@
   map_.ReadMap("measuring", [this](YamlMap& map) { ReadMeasuring(map); });
   map_.ReadMap("limits", [this](YamlMap& map) { ReadLimits(map); });
   map_.ReadMap("objective", [this](YamlMap& map) { ReadObjective(map); });
+  map_.ReadMap("cold", [this](YamlMap& map) { ReadCold(map); });
+  map_.Read("public", Boolean(), service_.is_public);
   map_.ReportUnknownKeys();
   return service_;
 }
@@ -324,6 +330,15 @@
   service_.objective = objective;
 }
 
+void ServiceParser::ReadCold(YamlMap& map) {
+  world::ColdStart cold;
+  map.Require("per_second", "per_second: 10",
+              NumberBetween(kMinColdRate, kMaxColdRate), cold.per_second);
+  map.Require("period", "period: 3s",
+              DurationBetween(milliseconds(1), kMaxColdPeriod), cold.period);
+  service_.cold = cold;
+}
+
 }  // namespace
 
 world::Service ParseService(const YamlValue& value,
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -89,6 +89,9 @@
   ChoicePolicy policy = ChoicePolicy::kWeighed;
   ProcessLimits limits;
   KeeperGroup group;  // keeper
+  // keeper: zones that operators may name besides those of the file and of the
+  // nodes that report
+  std::vector<ZoneName> zones;
   // node: whether to count burn rates, which takes 0.2 MiB per service
   bool reports = true;
 
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -104,7 +104,7 @@
   map_.ReadMap("target", [this](YamlMap& map) { ReadTarget(map); });
   ReadPolicy();
   map_.ReadMap("limits", [this](YamlMap& map) { ReadLimits(map); });
-  RejectKeys({"control", "data", "group"}, "node");
+  RejectKeys({"control", "data", "group", "zones"}, "node");
 }
 
 void SettingsParser::ReadKeeper() {
@@ -114,6 +114,11 @@
                settings_.data);
   map_.Read("gossip", AnnouncedAddress(), settings_.gossip);
   map_.ReadMap("group", [this](YamlMap& map) { ReadGroup(map); });
+  map_.ReadList("zones", false, "", [this](const YamlValue& item) {
+    if (const auto zone = Name<ZoneName>()(item)) {
+      settings_.zones.push_back(*zone);
+    }
+  });
   RejectKeys({"callers", "mesh", "target", "policy", "limits", "reports"},
              "keeper");
 }
--- a/src/control/events.h
+++ b/src/control/events.h
@@ -45,6 +45,13 @@
 inline constexpr EventCode kDiskFailed{1425, Severity::kError, "disk-failed"};
 inline constexpr EventCode kKeeperLeaves{1431, Severity::kInfo,
                                          "keeper-leaves"};
+inline constexpr EventCode kZoneOrdered{1432, Severity::kInfo, "zone-ordered"};
+inline constexpr EventCode kZoneOrderAnswered{1433, Severity::kInfo,
+                                              "zone-order-answered"};
+inline constexpr EventCode kZonesReceived{1434, Severity::kInfo,
+                                          "zones-received"};
+inline constexpr EventCode kQuotasEmptied{1440, Severity::kInfo,
+                                          "quotas-emptied"};
 inline constexpr EventCode kChangeRefused{1424, Severity::kInfo,
                                           "change-refused"};
 
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -14,7 +14,9 @@
 #include "control/member_plan.h"
 #include "control/node_coordinator.h"
 #include "control/node_sessions.h"
+#include "control/quota_grants.h"
 #include "control/replica_driver.h"
+#include "control/zone_pages.h"
 
 namespace ibisvalve::control {
 namespace {
@@ -82,6 +84,9 @@
   ClaimRelay claims_;
   NodeSessions sessions_;
   NodeCoordinator coordinator_;
+  FileTerms file_terms_;
+  ZonePages zone_pages_;
+  QuotaGrants quotas_;
   KeeperPages pages_;
   ControlPort port_;
   net::Timer maintenance_timer_;
@@ -117,7 +122,10 @@
           driver_,
           [this](const wire::SessionReports& reports) { Report(reports); }),
       coordinator_(loop, driver_),
-      pages_({loop, driver_, links_, relay_, coordinator_},
+      file_terms_(driver_, checker),
+      zone_pages_(driver_, coordinator_, file_terms_, settings.zones),
+      quotas_(loop, driver_, links_, relay_, file_terms_),
+      pages_({loop, driver_, links_, relay_, coordinator_, zone_pages_},
              std::move(checker),
              std::move(editor),
              [this](const world::Endpoint& endpoint) {
@@ -208,6 +216,12 @@
         [weak](const wire::ClaimReply& reply) { SendTo(weak, reply); });
     return true;
   }
+  if (type == wire::QuotaRequest::kType) {
+    quotas_.OnRequest(
+        wire::Decode<wire::QuotaRequest>(payload),
+        [weak](const wire::QuotaReply& reply) { SendTo(weak, reply); });
+    return true;
+  }
   if (type == wire::CrashReport::kType) {
     OnCrashReport(wire::Decode<wire::CrashReport>(payload));
     return true;
@@ -247,6 +261,11 @@
     case wire::CrashReport::kType:
       OnCrashReport(wire::Decode<wire::CrashReport>(payload));
       return;
+    case wire::QuotaRequests::kType:
+      quotas_.OnForwarded(
+          wire::Decode<wire::QuotaRequests>(payload),
+          [weak](const wire::QuotaReplies& replies) { SendTo(weak, replies); });
+      return;
     case wire::LeaveRequest::kType:
       SendTo(weak,
              departure_.OnRequest(wire::Decode<wire::LeaveRequest>(payload)));
@@ -294,6 +313,9 @@
     case wire::LeaveReply::kType:
       departure_.OnReply(wire::Decode<wire::LeaveReply>(payload));
       return;
+    case wire::QuotaReplies::kType:
+      quotas_.OnReplies(wire::Decode<wire::QuotaReplies>(payload));
+      return;
     case wire::SessionGrants::kType:
       sessions_.SendGrants(wire::Decode<wire::SessionGrants>(payload));
       return;
--- a/src/control/keeper.h
+++ b/src/control/keeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -28,6 +29,7 @@
   // of voters is never reduced below 2n + 1.
   uint32_t tolerated_disk_losses = 1;
   Duration heartbeat = std::chrono::milliseconds(100);
+  std::vector<ZoneName> zones;  // that operators may name besides known nodes'
   // Minimum election timeout.
   Duration election_timeout = std::chrono::milliseconds(800);
 
@@ -41,6 +43,9 @@
   // Whether the file is active as soon as a quorum of the keepers has stored
   // it, without acknowledgements of nodes.
   bool activate_immediately = false;
+  std::vector<ZoneName> zones;  // that the file names
+  // By workspace; those without a quota are left out.
+  std::map<std::string, world::Quota> quotas;
 
   auto operator<=>(const CheckedFile&) const = default;
 };
@@ -77,8 +82,9 @@
 
   /// Registers the operator endpoints with `admin`, which must not outlive the
   /// keeper's loop: POST /apply?change=ID&base=N, GET /apply?change=ID,
-  /// /history, /show?revision=N, /fleet, /keepers, POST
-  /// /keepers/add?id=ID&control=IP:PORT and /keepers/remove?id=ID. Every keeper
+  /// /history, /show?revision=N, /fleet, /keepers, /zones, POST
+  /// /keepers/add?id=ID&control=IP:PORT, /keepers/remove?id=ID,
+  /// /zones/evacuate?zone=ZONE and /zones/restore?zone=ZONE. Every keeper
   /// accepts these requests and forwards them to the leader, except GET
   /// /keepers, which it answers itself.
   void Serve(net::AdminServer& admin);
--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -105,10 +105,11 @@
                             const net::AdminServer::Reply& reply) {
     Route(request, reply);
   };
-  for (const char* path : {"/apply", "/history", "/show", "/fleet"}) {
+  for (const char* path : {"/apply", "/history", "/show", "/fleet", "/zones"}) {
     admin.Handle("GET", path, route);
   }
-  for (const char* path : {"/apply", "/keepers/add", "/keepers/remove"}) {
+  for (const char* path : {"/apply", "/keepers/add", "/keepers/remove",
+                           "/zones/evacuate", "/zones/restore"}) {
     admin.Handle("POST", path, route);
   }
   // Answered by this keeper, so that operators can diagnose a group without a
@@ -211,6 +212,8 @@
     AnswerAfterRead(done, [this, request] { return Show(request); });
   } else if (request.path == "/fleet") {
     AnswerAfterRead(done, [this] { return FleetPage(); });
+  } else if (ZonePages::Serves(request.path)) {
+    parts_.zones.Handle(request, done);
   } else if (request.path == "/keepers/add") {
     AddKeeper(request, done);
   } else if (request.path == "/keepers/remove") {
@@ -392,12 +395,17 @@
                      {"lease", lease},
                      {"status", StatusJson(session.status)}});
   }
+  Json evacuated = Json::array();
+  for (const ZoneName& zone : driver.state().zones().evacuated()) {
+    evacuated.push_back(zone.value);
+  }
   const ConfigRecord* active = config.active();
   const ConfigRecord* staged = config.staged();
   return JsonResponse(
       kOk, {{"leader", KeeperIdOf(driver.replica().members(), driver.self())},
             {"active", active == nullptr ? 0 : active->revision.value},
             {"staged", staged == nullptr ? 0 : staged->revision.value},
+            {"evacuated", evacuated},
             {"nodes", nodes}});
 }
 
--- a/src/control/keeper_pages.h
+++ b/src/control/keeper_pages.h
@@ -11,6 +11,7 @@
 #include "control/member_plan.h"
 #include "control/node_coordinator.h"
 #include "control/replica_driver.h"
+#include "control/zone_pages.h"
 #include "net/net.h"
 
 namespace ibisvalve::control {
@@ -27,6 +28,7 @@
     KeeperLinks& links;
     LeaderRelay& relay;
     NodeCoordinator& coordinator;
+    ZonePages& zones;
   };
   /// Opens a link to a keeper that an operator wants to add.
   using OpenLink = std::function<void(const world::Endpoint&)>;
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -44,6 +44,9 @@
              std::function<void(const wire::ClaimReply&)> done);
   void Settle(const wire::ClaimSettle& settle);
   void ReportCrashes(const std::vector<world::CrashRecord>& records);
+  void AskQuota(
+      const std::vector<wire::QuotaDemand>& demands,
+      std::function<void(const std::vector<wire::QuotaTokens>&)> done);
   void Leave(std::function<void()> done);
   void Collect(std::vector<MetricSample>& out) const;
 
@@ -63,6 +66,8 @@
   void OnGrant(const wire::LeaseGrant& grant);
   void OnUpdate(const wire::ConfigUpdate& update);
   std::string DecodeUpdate(const wire::ConfigUpdate& update) const;
+  void OnZones(const wire::ZoneOrdersUpdate& update);
+  void OnQuota(const wire::QuotaReply& reply);
   void OnClaimReply(wire::ClaimReply reply);
   void OnLeft();
   std::string Check(const ConfigFile& file) const;
@@ -95,6 +100,9 @@
   std::map<uint64_t, PendingClaim> pending_claims_;
   std::map<std::pair<wire::RequestKey, wire::ClaimHolder>, wire::ClaimSettle>
       pending_settles_;
+  // By call number; answered by the keeper of the present link, or never.
+  std::map<uint64_t, std::function<void(const std::vector<wire::QuotaTokens>&)>>
+      pending_quotas_;
   std::function<void()> on_left_;
   bool leaving_ = false;
   uint64_t closed_link_bytes_ = 0;  // sent and received on closed links
@@ -193,6 +201,26 @@
   }
 }
 
+void NodeAgent::Impl::AskQuota(
+    const std::vector<wire::QuotaDemand>& demands,
+    std::function<void(const std::vector<wire::QuotaTokens>&)> done) {
+  if (connected()) {
+    const uint64_t call = next_call_++;
+    pending_quotas_[call] = std::move(done);
+    link_->Send(wire::QuotaRequest{call, demands});
+  }
+}
+
+void NodeAgent::Impl::OnQuota(const wire::QuotaReply& reply) {
+  const auto found = pending_quotas_.find(reply.call);
+  if (found != pending_quotas_.end()) {
+    const auto done = std::move(found->second);
+    // Replies come in the order of the questions, so earlier ones are lost.
+    pending_quotas_.erase(pending_quotas_.begin(), std::next(found));
+    done(reply.tokens);
+  }
+}
+
 void NodeAgent::Impl::Leave(std::function<void()> done) {
   leaving_ = true;
   on_left_ = std::move(done);
@@ -242,6 +270,7 @@
               {"partial", link_->arrived_bytes() - link_->received_bytes()}});
   }
   closed_link_bytes_ += link_->sent_bytes() + link_->received_bytes();
+  pending_quotas_.clear();
   link_.reset();
   failed_[link_keeper_] = loop_.Now();
   ++keeper_changes_;
@@ -283,6 +312,12 @@
         handlers_.on_crashes(wire::Decode<wire::CrashReport>(payload).records);
       }
       return;
+    case wire::QuotaReply::kType:
+      OnQuota(wire::Decode<wire::QuotaReply>(payload));
+      return;
+    case wire::ZoneOrdersUpdate::kType:
+      OnZones(wire::Decode<wire::ZoneOrdersUpdate>(payload));
+      return;
     case wire::LeaveKeeper::kType:
       OnLeft();
       return;
@@ -301,6 +336,21 @@
   UpdateLeaseState();
 }
 
+// Reports the new version at once, since the acknowledgement of the order waits
+// for it.
+void NodeAgent::Impl::OnZones(const wire::ZoneOrdersUpdate& update) {
+  if (update.version <= report_.zones) {
+    return;  // from a keeper that lags
+  }
+  report_.zones = update.version;
+  LogEvent(kZonesReceived, {{"version", update.version},
+                            {"evacuated", uint64_t{update.evacuated.size()}}});
+  if (handlers_.on_zones) {
+    handlers_.on_zones(update.evacuated);
+  }
+  Heartbeat();
+}
+
 void NodeAgent::Impl::OnUpdate(const wire::ConfigUpdate& update) {
   if (follow_.group.value != 0 && update.group != follow_.group) {
     LogEvent(kForeignGroup, {{"keeper", world::ToString(link_keeper_)}});
@@ -542,6 +592,12 @@
   impl_->ReportCrashes(records);
 }
 
+void NodeAgent::AskQuota(
+    const std::vector<wire::QuotaDemand>& demands,
+    std::function<void(const std::vector<wire::QuotaTokens>&)> done) {
+  impl_->AskQuota(demands, std::move(done));
+}
+
 void NodeAgent::Leave(std::function<void()> done) {
   impl_->Leave(std::move(done));
 }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
     /// Called with the crashes of targets that the keepers remember, when a
     /// keeper is followed and when they have changed. May be null.
     std::function<void(const std::vector<world::CrashRecord>&)> on_crashes = {};
+    /// Called with the evacuated zones when they have changed. May be null.
+    std::function<void(const std::set<ZoneName>&)> on_zones = {};
   };
 
   /// Starts to follow one of `keepers`, given by their control endpoints.
@@ -80,6 +83,11 @@
   /// Asks the keepers to remember these crashes of targets. Dropped if no
   /// keeper is connected, so it must be repeated.
   void ReportCrashes(const std::vector<world::CrashRecord>& records);
+  /// Asks a keeper for tokens of workspaces' quotas. `done` is called with the
+  /// answer of a leader, or never.
+  void AskQuota(
+      const std::vector<wire::QuotaDemand>& demands,
+      std::function<void(const std::vector<wire::QuotaTokens>&)> done);
   /// Ends the lease and signs off from the keepers, so that no activation waits
   /// for this node. Calls `done` after the acknowledgement or after 1 s.
   void Leave(std::function<void()> done);
--- a/src/control/node_coordinator.cc
+++ b/src/control/node_coordinator.cc
@@ -179,29 +179,53 @@
 
 void NodeCoordinator::AwaitPropagation(Revision revision,
                                        std::function<void(bool)> done) {
+  const Time since =
+      revision == propagating_ ? propagating_since_ : loop_.Now();
+  Await({{revision, 0}, false, since + kMaxPropagation, std::move(done)});
+}
+
+void NodeCoordinator::AwaitZones(uint64_t zones,
+                                 bool all_leases,
+                                 std::function<void(bool)> done) {
+  const Duration limit =
+      all_leases
+          ? std::max(kMaxPropagation, ActiveLease(driver_.state().config()))
+          : kMaxPropagation;
+  Await(
+      {{Revision(), zones}, all_leases, loop_.Now() + limit, std::move(done)});
+}
+
+void NodeCoordinator::Await(PropagationWaiter waiter) {
   if (!Ready()) {
-    done(false);
+    waiter.done(false);
     return;
   }
-  const Time since =
-      revision == propagating_ ? propagating_since_ : loop_.Now();
-  waiters_.push_back({revision, since + kMaxPropagation, std::move(done)});
+  waiters_.push_back(std::move(waiter));
   CompleteWaiters();
 }
 
 // Returns whether every node that reports has `revision`, or the wait for it
 // ends at `until`.
-bool NodeCoordinator::HasPropagated(Revision revision, Time until) const {
+bool NodeCoordinator::HasPropagated(const PropagationGoal& goal,
+                                    bool all_leases,
+                                    Time until) const {
   const Time now = loop_.Now();
-  return now >= until || (now >= sessions_known_at_ &&
-                          MeasurePropagation(tracker_.sessions(), revision, now)
-                              .lagging.empty());
+  if (now >= until) {
+    return true;
+  }
+  if (now < sessions_known_at_) {
+    return false;
+  }
+  const Propagation propagation =
+      MeasurePropagation(tracker_.sessions(), goal, now);
+  return propagation.lagging.empty() &&
+         (!all_leases || propagation.silent_with_lease == 0);
 }
 
 void NodeCoordinator::CompleteWaiters() {
   const auto waiting = std::stable_partition(
       waiters_.begin(), waiters_.end(), [this](const auto& waiter) {
-        return HasPropagated(waiter.revision, waiter.until);
+        return HasPropagated(waiter.goal, waiter.all_leases, waiter.until);
       });
   // A callback may add another waiter.
   std::vector<PropagationWaiter> completed(
@@ -226,11 +250,11 @@
     propagating_since_ = now;
     propagated_ = false;
   }
-  if (!propagated_ &&
-      HasPropagated(propagating_, propagating_since_ + kMaxPropagation)) {
+  if (!propagated_ && HasPropagated({propagating_, 0}, false,
+                                    propagating_since_ + kMaxPropagation)) {
     propagated_ = true;
     const Propagation propagation =
-        MeasurePropagation(tracker_.sessions(), propagating_, now);
+        MeasurePropagation(tracker_.sessions(), {propagating_, 0}, now);
     LogEvent(kConfigPropagated,
              {{"revision", propagating_.value},
               {"took_ms", ToMillis(now - propagating_since_)},
--- a/src/control/node_coordinator.h
+++ b/src/control/node_coordinator.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "control/activation_tracker.h"
+#include "control/propagation.h"
 #include "control/replica_driver.h"
 #include "net/net.h"
 
@@ -33,6 +34,11 @@
   /// keeper does not lead or stops to lead before. `done` may run within this
   /// call.
   void AwaitPropagation(Revision revision, std::function<void(bool)> done);
+  /// The same for version `zones` of the zone orders. With `all_leases`, waits
+  /// for silent nodes too until their leases have ended.
+  void AwaitZones(uint64_t zones,
+                  bool all_leases,
+                  std::function<void(bool)> done);
   /// Handles a change of the replicated state. Returns whether this keeper has
   /// just become a leader with all committed entries applied.
   bool OnApplied();
@@ -46,13 +52,17 @@
   };
 
   struct PropagationWaiter {
-    Revision revision;
+    PropagationGoal goal;
+    bool all_leases = false;
     Time until;
     std::function<void(bool)> done;
   };
 
   bool Ready() const;
-  bool HasPropagated(Revision revision, Time until) const;
+  void Await(PropagationWaiter waiter);
+  bool HasPropagated(const PropagationGoal& goal,
+                     bool all_leases,
+                     Time until) const;
   void CompleteWaiters();
   void Grant(const GrantRequest& request);
   void GrantDeferred();
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -55,6 +55,7 @@
     }
   }
   for (const ControlPort::Peer& peer : node_peers_) {
+    SendZones(*peer);
     SendFiles(*peer);
   }
 }
@@ -102,6 +103,7 @@
   peer->node = follow;
   node_peers_.insert(peer);
   SendCrashes(*peer);
+  SendZones(*peer);
 }
 
 // Sends the records that quarantine something, without which the node must not
@@ -127,6 +129,18 @@
   }
 }
 
+// Zone orders go before the file, with which a node may start to serve.
+void NodeSessions::SendZones(InboundPeer& peer) {
+  const ZoneOrders& zones = driver_.state().zones();
+  // A keeper that still applies old entries may not know the newest orders.
+  if (driver_.state().applied() < driver_.replica().commit() ||
+      zones.version() <= peer.sent_zones) {
+    return;
+  }
+  peer.sent_zones = zones.version();
+  peer.link->Send(wire::ZoneOrdersUpdate{zones.version(), zones.evacuated()});
+}
+
 void NodeSessions::Heartbeat(const ControlPort::Peer& peer,
                              const wire::NodeHeartbeat& heartbeat) {
   if (!peer->node) {
--- a/src/control/node_sessions.h
+++ b/src/control/node_sessions.h
@@ -49,6 +49,7 @@
                  const wire::NodeHeartbeat& heartbeat);
   void Leave(const ControlPort::Peer& peer, const wire::LeaveKeeper& leave);
   void SendCrashes(InboundPeer& peer);
+  void SendZones(InboundPeer& peer);
   void SendFiles(InboundPeer& peer);
   void SendFile(InboundPeer& peer,
                 const ConfigRecord& record,
--- a/src/control/propagation.cc
+++ b/src/control/propagation.cc
@@ -6,7 +6,7 @@
 
 Propagation MeasurePropagation(
     const std::map<ActivationTracker::Key, NodeSession>& sessions,
-    Revision revision,
+    const PropagationGoal& goal,
     Time now) {
   Propagation propagation;
   for (auto entry = sessions.begin(); entry != sessions.end(); ++entry) {
@@ -17,12 +17,14 @@
     if (superseded || session.report.active == Revision()) {
       continue;
     }
-    if (session.report.active >= revision) {
+    if (session.report.active >= goal.revision &&
+        session.report.zones >= goal.zones) {
       ++propagation.confirmed;
     } else if (now < session.reported + kReportTimeout) {
       propagation.lagging.push_back(node);
     } else {
       propagation.silent.push_back(node);
+      propagation.silent_with_lease += now < session.lease_until ? 1 : 0;
     }
   }
   return propagation;
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -7,6 +7,7 @@
 #include "control/claim_table.h"
 #include "control/config_history.h"
 #include "control/crash_ledger.h"
+#include "control/zone_orders.h"
 #include "wire/wire.h"
 
 namespace ibisvalve::control {
@@ -17,7 +18,8 @@
                              WithdrawConfig,
                              ClaimKey,
                              SettleKey,
-                             AddCrashes>;
+                             AddCrashes,
+                             OrderZone>;
 
 /// Result of applying a command, which is returned to its proposer.
 using CommandResult =
@@ -40,18 +42,22 @@
   const ConfigHistory& config() const { return config_; }
   const ClaimTable& claims() const { return claims_; }
   const CrashLedger& crashes() const { return crashes_; }
+  const ZoneOrders& zones() const { return zones_; }
 
   template <typename Archive>
   void save(Archive& archive) const {
-    archive(applied_, config_, claims_, crashes_);
+    archive(applied_, config_, claims_, crashes_, zones_);
   }
   template <typename Archive>
   void load(Archive& archive) {
     archive(applied_, config_, claims_);
-    // Snapshots of earlier releases end here.
+    // Snapshots of earlier releases end here or after the crashes.
     if (archive.remaining_bytes() > 0) {
       archive(crashes_);
     }
+    if (archive.remaining_bytes() > 0) {
+      archive(zones_);
+    }
   }
 
  private:
@@ -59,6 +65,7 @@
   ConfigHistory config_;
   ClaimTable claims_;
   CrashLedger crashes_;
+  ZoneOrders zones_;
 };
 
 }  // namespace ibisvalve::control
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -65,6 +65,11 @@
        "node at\n--admin itself is drained. Requests in flight continue.\n",
        RunDrain},
       {"undrain", "[NODE]", "Undo drain.", "", RunUndrain},
+      {"evacuate", "ZONE", "Send no more requests to the targets of a zone.",
+       "Returns once all nodes that report to the keepers have the order. "
+       "Requests\nthat run there continue. The order outlives restarts.\n",
+       RunEvacuate},
+      {"restore", "ZONE", "Undo evacuate.", "", RunRestore},
       {"keepers", "[add ID IP:PORT | remove ID]",
        "Show the keepers, or add or remove one.", "", RunKeepers},
       {"quarantine", "[lift FINGERPRINT]",
--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -46,6 +46,9 @@
     out << ", staged revision " << staged;
   }
   out << ", leader " << CellAt(fleet, "leader") << '\n';
+  for (const nlohmann::json& zone : ListAt(fleet, "evacuated")) {
+    out << "zone " << zone.get<std::string>() << " is evacuated\n";
+  }
   Table table({"NODE", "ZONE", "SERVICE", "REVISION", "SINCE", "STAGED",
                "LEASE", "TARGET", "RUNNING", "QUEUED", "LIMIT", "SLOTS",
                "QUARANTINED"});
@@ -150,7 +153,9 @@
 }
 
 // Sends a membership change to each keeper in turn until the leader accepts it.
-ExitCode ChangeKeepers(Session& session, const std::string& page) {
+ExitCode PostToKeepers(Session& session,
+                       const std::string& page,
+                       const std::string& check) {
   std::string errors;
   bool sent = false;
   for (const world::Endpoint& keeper : session.options().admins) {
@@ -172,7 +177,7 @@
       throw CommandError(
           ExitCode::kUnknown,
           "the outcome of the change is unknown: " + answer.ErrorMessage() +
-              "\nto check it: ibisctl keepers");
+              "\nto check it: ibisctl " + check);
     }
     errors += "\n  " + answer.ErrorMessage();
   }
@@ -180,8 +185,26 @@
                      "no keeper accepted the change:" + errors);
 }
 
+ExitCode OrderZone(Session& session, const std::string& page) {
+  const std::vector<std::string>& arguments = session.options().arguments;
+  if (arguments.size() != 1) {
+    throw CommandError(ExitCode::kUsage,
+                       "usage: ibisctl " + session.options().command + " ZONE");
+  }
+  return PostToKeepers(
+      session, page + "?zone=" + CheckQueryWord(arguments.front()), "status");
+}
+
 }  // namespace
 
+ExitCode RunEvacuate(Session& session) {
+  return OrderZone(session, "/zones/evacuate");
+}
+
+ExitCode RunRestore(Session& session) {
+  return OrderZone(session, "/zones/restore");
+}
+
 ExitCode RunStatus(Session& session) {
   std::string errors;
   bool refused = false;
@@ -222,13 +245,15 @@
   }
   if (arguments.size() == 3 && arguments[0] == "add" &&
       world::ParseEndpoint(arguments[2])) {
-    return ChangeKeepers(session,
+    return PostToKeepers(session,
                          "/keepers/add?id=" + CheckQueryWord(arguments[1]) +
-                             "&control=" + arguments[2]);
+                             "&control=" + arguments[2],
+                         "keepers");
   }
   if (arguments.size() == 2 && arguments[0] == "remove") {
-    return ChangeKeepers(session,
-                         "/keepers/remove?id=" + CheckQueryWord(arguments[1]));
+    return PostToKeepers(session,
+                         "/keepers/remove?id=" + CheckQueryWord(arguments[1]),
+                         "keepers");
   }
   throw CommandError(ExitCode::kUsage,
                      "usage: ibisctl keepers [add ID IP:PORT | remove ID]");
--- a/src/ctl/fleet_commands.h
+++ b/src/ctl/fleet_commands.h
@@ -15,6 +15,11 @@
 /// of the keepers, or adds or removes a keeper.
 ExitCode RunKeepers(Session& session);
 
+/// `evacuate ZONE`: sends no more requests to the targets of a zone.
+ExitCode RunEvacuate(Session& session);
+/// `restore ZONE`: takes the evacuation of a zone back.
+ExitCode RunRestore(Session& session);
+
 /// Returns the JSON entries of all nodes from the page /members of a node, or
 /// from /fleet of a keeper. Throws CommandError if neither page is served.
 std::vector<nlohmann::json> FetchNodes(Session& session);
--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -61,11 +61,13 @@
  public:
   TermsParser(const CallerRequest& request,
               const world::Fleet& fleet,
+              const policy::WorkspaceKeys& keys,
               const HeaderNames& names,
               const ServiceName& caller,
               CallerRefusal& refusal)
       : request_(request),
         fleet_(fleet),
+        keys_(keys),
         names_(names),
         caller_(caller),
         refusal_(refusal) {}
@@ -76,8 +78,10 @@
   bool ReadNumbers();
   bool ResolveRoute(const PickService& pick);
   bool ResolveService();
+  bool Identify(const world::Route* route, bool is_public);
+  uint32_t PriorityOr(uint32_t otherwise) const;
   bool ReadKey();
-  world::RequestIdentity Identify() const;
+  world::RequestIdentity IdentityOfRequest() const;
   bool Refuse(Reason reason, const std::string& detail, bool close = false) {
     refusal_ = {reason, detail, close};
     return false;
@@ -85,6 +89,7 @@
 
   const CallerRequest& request_;
   const world::Fleet& fleet_;
+  const policy::WorkspaceKeys& keys_;
   const HeaderNames& names_;
   const ServiceName& caller_;
   CallerRefusal& refusal_;
@@ -113,7 +118,7 @@
     return std::nullopt;
   }
   parsed_.fingerprint = FingerprintOf(request_);
-  parsed_.identity = Identify();
+  parsed_.identity = IdentityOfRequest();
   return parsed_;
 }
 
@@ -138,6 +143,9 @@
   if (route == nullptr) {
     return Refuse(Reason::kNoRoute, "no route fits this host and path");
   }
+  if (!Identify(route, route->is_public)) {
+    return false;
+  }
   parsed_.service = world::FindService(fleet_, pick(*route));
   if (parsed_.service == nullptr) {
     return Refuse(Reason::kUnknownService, "no such service is in force");
@@ -145,7 +153,7 @@
   parsed_.terms = {route->repeat, world::KeyRule::kOptional, route->timeout};
   parsed_.kind = route->name + '>' + parsed_.service->name.value;
   parsed_.objective = route->objective;
-  parsed_.priority = route->priority;
+  parsed_.priority = PriorityOr(route->priority);
   parsed_.max_attempts = route->max_attempts;
   return true;
 }
@@ -155,6 +163,9 @@
   if (parsed_.service == nullptr) {
     return Refuse(Reason::kUnknownService, "no such service is in force");
   }
+  if (!Identify(nullptr, parsed_.service->is_public)) {
+    return false;
+  }
   parsed_.terms =
       world::TermsFor(*parsed_.service, request_.method, PathOf(request_.uri));
   parsed_.kind = parsed_.service->name.value;
@@ -162,9 +173,30 @@
                           ? parsed_.service->objective->within
                           : parsed_.terms.deadline;
   parsed_.max_attempts = parsed_.service->retry.max_attempts;
+  parsed_.priority = PriorityOr(0);
   return true;
 }
 
+// Identifies the caller's workspace. Returns false if the request needs one.
+bool TermsParser::Identify(const world::Route* route, bool is_public) {
+  const CallerIdentity caller =
+      IdentifyCaller(request_.headers, keys_, is_public);
+  if (!caller.accepted) {
+    return Refuse(Reason::kUnauthorized, "no valid key of a workspace");
+  }
+  parsed_.workspace = caller.workspace;
+  parsed_.regions = RegionsFor(route, caller.workspace);
+  return true;
+}
+
+// Returns the priority of the caller's workspace, or `otherwise` if it has
+// none.
+uint32_t TermsParser::PriorityOr(uint32_t otherwise) const {
+  return parsed_.workspace == nullptr
+             ? otherwise
+             : parsed_.workspace->priority.value_or(otherwise);
+}
+
 bool TermsParser::ReadKey() {
   if (!names_.send_ibis_headers) {
     return true;
@@ -180,16 +212,23 @@
     return Refuse(Reason::kKeyRequired,
                   "this request needs an Idempotency-Key");
   }
+  if (!parsed_.key.empty() && parsed_.workspace != nullptr) {
+    // Workspaces choose their idempotency keys independently.
+    parsed_.key = parsed_.workspace->name + '\n' + parsed_.key;
+  }
   return true;
 }
 
 // Returns the identity of the request: all that its target gets each time it
 // comes again, the caller's service too, and path and body of the resource.
-world::RequestIdentity TermsParser::Identify() const {
+world::RequestIdentity TermsParser::IdentityOfRequest() const {
   const std::string host = fleet_.routes.empty() ? parsed_.service->name.value
                                                  : HostOf(request_.headers);
+  const std::string workspace =
+      parsed_.workspace == nullptr ? "" : parsed_.workspace->name + '\n';
   return {
-      DigestOf(host + '\n' + caller_.value + '\n' + ToHex(parsed_.fingerprint)),
+      DigestOf(host + '\n' + caller_.value + '\n' + workspace +
+               ToHex(parsed_.fingerprint)),
       DigestOf(PathOf(request_.uri) + '\n' + ToHex(DigestOf(request_.body)))};
 }
 
@@ -197,11 +236,12 @@
 
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
+                                      const policy::WorkspaceKeys& keys,
                                       const HeaderNames& names,
                                       const ServiceName& caller,
                                       const PickService& pick,
                                       CallerRefusal& refusal) {
-  return TermsParser(request, fleet, names, caller, refusal).Parse(pick);
+  return TermsParser(request, fleet, keys, names, caller, refusal).Parse(pick);
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "dataplane/caller_exchange.h"
+#include "dataplane/caller_identity.h"
 #include "dataplane/header_names.h"
 #include "world/world.h"
 
@@ -27,6 +28,9 @@
   uint32_t priority = 0;      // 0 is the most urgent
   uint32_t max_attempts = 1;  // maximum number of targets that may get it
   std::string kind;           // requests of a kind have similar service times
+  // Of the caller; null: not known. Owned by the parsed fleet.
+  const world::Workspace* workspace = nullptr;
+  AllowedRegions regions;  // whose targets may be used
 };
 
 /// Why a request is rejected before the first attempt.
@@ -41,11 +45,12 @@
 
 /// Parses the headers of `request`, which began on a host of the service
 /// `caller`. Returns std::nullopt and sets `refusal` if
-/// the request cannot be served under `fleet`. The service is selected by the
-/// routes of `fleet` if it has any, otherwise by the Ibis-Service header or the
-/// first label of the Host header.
+/// the request cannot be served under `fleet`, whose workspaces have `keys`.
+/// The service is selected by the routes of `fleet` if it has any, otherwise by
+/// the Ibis-Service header or the first label of the Host header.
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
+                                      const policy::WorkspaceKeys& keys,
                                       const HeaderNames& names,
                                       const ServiceName& caller,
                                       const PickService& pick,
--- a/src/dataplane/candidate_table.cc
+++ b/src/dataplane/candidate_table.cc
@@ -24,11 +24,13 @@
     const world::Service& service,
     ServicePolicy& policy,
     const policy::RequestTerms& terms,
+    const AllowedRegions& regions,
     const std::set<NodeId>& tried,
     Time now) {
   std::vector<policy::Candidate> candidates;
   for (const world::Member* member : view_.Targets(service.name)) {
-    if (!tried.contains(member->id)) {
+    if (!tried.contains(member->id) &&
+        Allows(regions, member->location.region)) {
       policy.ejection.Add(member->id);
       candidates.push_back(CandidateFor(service, *member, now));
       candidates.back().ejected =
@@ -36,11 +38,13 @@
                    policy.ejection.EjectedShare(member->id, now));
     }
   }
-  // Other regions are used only if no candidate is left in this one.
+  // Other regions are used only if no candidate is left in this one, and only
+  // if the service or the request allows them.
+  const bool cross_region = service.routing.cross_region || regions.has_value();
   const bool has_same_region =
       std::any_of(candidates.begin(), candidates.end(),
                   [](const auto& candidate) { return candidate.same_region; });
-  if (has_same_region || !service.routing.cross_region) {
+  if (has_same_region || !cross_region) {
     std::erase_if(candidates,
                   [](const auto& candidate) { return !candidate.same_region; });
   }
--- a/src/dataplane/candidate_table.h
+++ b/src/dataplane/candidate_table.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "dataplane/caller_identity.h"
 #include "dataplane/fleet_view.h"
 #include "dataplane/node_plane.h"
 #include "dataplane/service_policies.h"
@@ -27,11 +28,13 @@
     bool has_alternative = false;  // another target is nearly as good
     bool worth_trying = true;      // it may respond before the deadline
   };
-  /// Selects a target of `service` that is not in `tried`, by `policy`, for a
-  /// request with `terms`. Returns std::nullopt if no target is left.
+  /// Selects a target of `service` that is in one of `regions` and not in
+  /// `tried`, by `policy`, for a request with `terms`. Returns std::nullopt if
+  /// no target is left.
   std::optional<Choice> Choose(const world::Service& service,
                                ServicePolicy& policy,
                                const policy::RequestTerms& terms,
+                               const AllowedRegions& regions,
                                const std::set<NodeId>& tried,
                                Time now);
   /// Returns the last hint of `gate` and its age in milliseconds, for logging.
--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -40,6 +40,9 @@
                                          "attempt_ended"};
 inline constexpr EventCode kRequestCrashing{1527, Severity::kWarning,
                                             "request_crashing"};
+inline constexpr EventCode kTargetCold{1540, Severity::kInfo, "target_cold"};
+inline constexpr EventCode kZonesChanged{1541, Severity::kInfo,
+                                         "zones_changed"};
 inline constexpr EventCode kPlaneStopped{1507, Severity::kInfo,
                                          "plane_stopped"};
 
--- a/src/dataplane/fleet_view.cc
+++ b/src/dataplane/fleet_view.cc
@@ -1,6 +1,7 @@
 #include "dataplane/fleet_view.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace ibisvalve::dataplane {
@@ -8,6 +9,9 @@
 void FleetView::SetFleet(std::shared_ptr<const world::Fleet> fleet,
                          Revision revision) {
   fleet_ = std::move(fleet);
+  std::random_device device;
+  workspace_keys_ =
+      std::make_shared<const policy::WorkspaceKeys>(fleet_, device());
   revision_ = revision;
   if (on_fleet_) {
     on_fleet_();
@@ -59,7 +63,11 @@
 
 std::vector<const world::Member*> FleetView::Targets(
     const ServiceName& service) const {
-  return Select(service, world::IsServing);
+  std::vector<const world::Member*> targets = Select(service, world::IsServing);
+  std::erase_if(targets, [this](const world::Member* member) {
+    return IsEvacuated(member->location.zone);
+  });
+  return targets;
 }
 
 std::vector<const world::Member*> FleetView::Gates(
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -3,9 +3,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "base/base.h"
+#include "policy/policy.h"
 #include "world/world.h"
 
 namespace ibisvalve::dataplane {
@@ -23,12 +25,25 @@
   /// suspended may handle a request before the lease's timer fires. Without
   /// this function, no lease is held.
   void SetLeaseCheck(std::function<bool()> is_held);
+  /// Sets the zones whose targets get no requests.
+  void SetEvacuatedZones(const std::set<ZoneName>& zones) {
+    evacuated_ = zones;
+  }
+  /// Returns whether the targets in `zone` get no requests.
+  bool IsEvacuated(const ZoneName& zone) const {
+    return evacuated_.contains(zone);
+  }
   /// Adds or updates a member.
   void SetMember(const world::Member& member);
 
   /// Returns the active configuration, or null before the first one.
   const std::shared_ptr<const world::Fleet>& fleet() const { return fleet_; }
   Revision revision() const { return revision_; }
+  /// Returns the index of the keys of the active configuration's workspaces, or
+  /// null before the first configuration.
+  const std::shared_ptr<const policy::WorkspaceKeys>& workspace_keys() const {
+    return workspace_keys_;
+  }
   /// Returns whether requests with `repeat` may be served now, given the lease
   /// and the fleet's policy for isolated nodes.
   bool MayServe(world::Repeat repeat) const;
@@ -47,9 +62,11 @@
       bool (*wanted)(const world::Member&)) const;
 
   std::shared_ptr<const world::Fleet> fleet_;
+  std::shared_ptr<const policy::WorkspaceKeys> workspace_keys_;
   Revision revision_;
   std::function<bool()> lease_held_;
   std::function<void()> on_fleet_;
+  std::set<ZoneName> evacuated_;
   std::map<NodeId, world::Member> members_;
   std::map<ServiceName, std::vector<NodeId>> by_service_;
 };
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -35,10 +35,6 @@
 constexpr Duration kRedirectTime = std::chrono::milliseconds(10);
 constexpr Duration kRedirectTimePerKib = std::chrono::milliseconds(5);
 
-// Lowest rate, in requests per second, at which a target is used: only its next
-// response can end its limit.
-constexpr double kTrialRate = 0.1;
-
 Duration MaxQueueTime(const wire::OpenAttempt& open) {
   constexpr uint64_t kBytesPerKib = 1024;
   return kRedirectTime +
@@ -84,10 +80,18 @@
             settings,
             client_.get(),
             {[this](const wire::Headers& headers) {
-               OnTargetNotice(ParseTargetNotice(headers, settings_.names),
-                              "probe");
+               target_limit_.OnNotice(
+                   ParseTargetNotice(headers, settings_.names), "probe");
              },
              [this] { AdmitProbed(); }, handlers_.on_load_changed}),
+      target_limit_(
+          loop,
+          settings,
+          view,
+          {[this](std::optional<double> per_second) {
+             ApplyReleases(admission_.SetRate(per_second, loop_.Now()));
+           },
+           handlers_.on_load_changed, handlers_.on_target_leaves}),
       bodies_(loop, settings.link_mbps, [this](const wire::Credit& credit) {
         const GateAttempt* attempt = Find(credit.id);
         if (attempt != nullptr && attempt->port.send) {
@@ -338,9 +342,13 @@
   target_state_ = state;
   admission_.Configure(MakeAdmissionSettings(view_, settings_.service, slots,
                                              settings_.names.load.empty()));
-  if (state == world::TargetState::kReady) {
-    return;
+  if (state != world::TargetState::kReady) {
+    RefuseWaiting(state == world::TargetState::kDraining ? Reason::kDraining
+                                                         : Reason::kTargetDown);
   }
+}
+
+void Gate::RefuseWaiting(Reason reason) {
   std::vector<AttemptId> waiting;
   for (const auto& [id, attempt] : in_flight_) {
     if (attempt->awaits_slot()) {
@@ -349,9 +357,7 @@
   }
   for (const AttemptId& id : waiting) {
     if (GateAttempt* attempt = Find(id)) {
-      Fail(*attempt, Outcome::kNotRun,
-           state == world::TargetState::kDraining ? Reason::kDraining
-                                                  : Reason::kTargetDown);
+      Fail(*attempt, Outcome::kNotRun, reason);
     }
   }
 }
@@ -374,8 +380,7 @@
 void Gate::SetTargetIdentity(const std::string& identity) {
   if (identity != target_identity_) {
     target_identity_ = identity;
-    target_notice_ = TargetNotice();
-    ApplyReleases(admission_.SetRate(std::nullopt, loop_.Now()));
+    target_limit_.Reset(identity);
     if (client_ != nullptr) {
       client_->CloseIdleConnections();
     }
@@ -597,8 +602,8 @@
   load_.UpdateFromHeaders(head.headers);
   unanswered_.OnResponse(attempt->dispatched);
   if (attempt->target_identity == target_identity_) {
-    OnTargetNotice(ParseTargetNotice(head.headers, settings_.names),
-                   "response");
+    target_limit_.OnNotice(ParseTargetNotice(head.headers, settings_.names),
+                           "response");
   }
   WatchSlowPhase();
   if (ProvesNotRun(head, settings_.names)) {
@@ -624,35 +629,6 @@
                             head.length);
 }
 
-// Applies what the target tells about itself. All requests to the target pass
-// this gate, so its limit holds for all hosts together.
-void Gate::OnTargetNotice(const TargetNotice& notice,
-                          const std::string& source) {
-  const TargetNotice before = std::exchange(target_notice_, notice);
-  if (notice.rate_limit != before.rate_limit) {
-    LogEvent(kTargetLimit,
-             {{"target", target_identity_},
-              {"per_second",
-               notice.rate_limit ? std::to_string(*notice.rate_limit) : "none"},
-              {"source", source}});
-    std::optional<double> rate = notice.rate_limit;
-    if (rate) {
-      rate = std::max(*rate, kTrialRate);
-    }
-    ApplyReleases(admission_.SetRate(rate, loop_.Now()));
-    // Smaller changes are told with the next responses.
-    if (notice.rate_limit.has_value() != before.rate_limit.has_value()) {
-      handlers_.on_load_changed();
-    }
-  }
-  if (notice.leaving && !before.leaving) {
-    LogEvent(kTargetLeaves, {{"target", target_identity_}, {"source", source}});
-  }
-  if (notice.leaving) {
-    handlers_.on_target_leaves();
-  }
-}
-
 void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -19,7 +19,7 @@
 #include "dataplane/memory_budget.h"
 #include "dataplane/node_plane.h"
 #include "dataplane/target_client.h"
-#include "dataplane/target_notice.h"
+#include "dataplane/target_limit.h"
 #include "policy/policy.h"
 
 namespace ibisvalve::dataplane {
@@ -93,6 +93,12 @@
   /// Sets the identity of the target that may run requests from now on. Closes
   /// idle connections to a previous one.
   void SetTargetIdentity(const std::string& identity);
+  /// Records that the target announced to stay cold for `left`.
+  void OnAnnouncedCold(Duration left) { target_limit_.OnAnnouncedCold(left); }
+  /// Returns whether the target is cold and limited for that reason.
+  bool cold() const { return target_limit_.cold(); }
+  /// Refuses the attempts that hold no slot of the target yet.
+  void RefuseWaiting(world::Reason reason);
   /// Handles that the target has ended, though its connections may still look
   /// open: what it was running, or had not answered before, may have ended it.
   /// Each run counts once, however often this is called.
@@ -143,7 +149,6 @@
   bool OnClaimed(const AttemptId& id, const wire::ClaimReply& reply);
   void Dispatch(GateAttempt& attempt);
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
-  void OnTargetNotice(const TargetNotice& notice, const std::string& source);
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
   void FinishIfSent(const AttemptId& id);
@@ -174,7 +179,6 @@
   world::TargetState target_state_ = world::TargetState::kNone;
   std::string target_identity_;
   policy::UnansweredRuns unanswered_;
-  TargetNotice target_notice_;  // in the latest response of the target
   policy::Admission admission_;
   claims::AttemptTable attempt_table_;
   std::unique_ptr<TargetClient> client_;  // null without a target
@@ -182,6 +186,7 @@
   net::Timer queue_timer_;
   net::Timer slow_phase_timer_;
   LoadTracker load_;
+  TargetLimit target_limit_;
   BodyReceiver bodies_;
   GateCounts counts_;
 };
--- a/src/dataplane/gate_checks.cc
+++ b/src/dataplane/gate_checks.cc
@@ -29,6 +29,9 @@
   if (!settings.target || open.service != settings.service) {
     return Reason::kNoTarget;
   }
+  if (view.IsEvacuated(settings.location.zone)) {
+    return Reason::kEvacuated;
+  }
   if (state == world::TargetState::kDraining) {
     return Reason::kDraining;
   }
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -34,6 +34,9 @@
 // while they were processing it.
 constexpr uint32_t kMaxBrokenTargets = 2;
 constexpr uint16_t kFirstServerError = 500;
+// A request waits at least this long for a token of its workspace's quota. A
+// leader answers within some milliseconds.
+constexpr Duration kMinQuotaPatience = std::chrono::milliseconds(50);
 
 // Size of the headers both ways and a typical response body, in bytes.
 constexpr size_t kTypicalOverheadBytes = 2500;
@@ -94,6 +97,7 @@
                 crash_sync_.OnReply(peer, reply);
               }}),
       crash_sync_(loop, settings, view, crashes, gates_),
+      quotas_(loop, handlers.ask_quota),
       recovery_(
           loop,
           attempts_,
@@ -114,7 +118,8 @@
   }
   CallerRefusal refusal;
   const std::optional<CallerTerms> terms = ParseTerms(
-      exchange->request(), *view_.fleet(), settings_.names, settings_.service,
+      exchange->request(), *view_.fleet(), *view_.workspace_keys(),
+      settings_.names, settings_.service,
       [this](const world::Route& route) {
         return candidates_.share_rotation().Next(route);
       },
@@ -205,7 +210,48 @@
   if (request->repeatable()) {
     PolicyOf(*request).hedge.OnRequest(request->arrived);
   }
-  StartOrFail(request);
+  AwaitQuota(request);
+}
+
+// Starts the request once its workspace's quota has a token for it, as long as
+// its response can still be on time.
+void Ingress::AwaitQuota(const RequestPtr& request) {
+  const world::Workspace* workspace = request->terms.workspace;
+  if (workspace == nullptr || !workspace->quota) {
+    StartOrFail(request);
+    return;
+  }
+  const Duration patience = std::max(
+      request->objective() - loop_.Now() - request->ExpectedServiceTime(),
+      kMinQuotaPatience);
+  quotas_.Admit(
+      workspace->name, patience,
+      [this, weak = std::weak_ptr<RequestState>(request)](
+          const QuotaDecision& decision) {
+        const RequestPtr locked = weak.lock();
+        if (locked == nullptr || !requests_.contains(locked->number)) {
+          return false;
+        }
+        OnQuotaDecision(locked, decision);
+        return true;
+      });
+}
+
+void Ingress::OnQuotaDecision(const RequestPtr& request,
+                              const QuotaDecision& decision) {
+  switch (decision.verdict) {
+    case QuotaDecision::Verdict::kGranted:
+      request->quota_token = decision.expires;
+      StartOrFail(request);
+      return;
+    case QuotaDecision::Verdict::kOver:
+      request->quota_retry = decision.retry;
+      FailRequest(request, Outcome::kNotRun, Reason::kQuota);
+      return;
+    case QuotaDecision::Verdict::kUnknown:
+      FailRequest(request, Outcome::kNotRun, Reason::kNoQuorum);
+      return;
+  }
 }
 
 bool Ingress::CanEndBeforeStop(const CallerTerms& terms) const {
@@ -284,9 +330,9 @@
 }
 
 bool Ingress::StartAttempt(const RequestPtr& request, bool hedge) {
-  const std::optional<CandidateTable::Choice> choice =
-      candidates_.Choose(*request->terms.service, PolicyOf(*request),
-                         TermsOf(*request), request->tried, loop_.Now());
+  const std::optional<CandidateTable::Choice> choice = candidates_.Choose(
+      *request->terms.service, PolicyOf(*request), TermsOf(*request),
+      request->terms.regions, request->tried, loop_.Now());
   if (!choice) {
     return false;
   }
@@ -685,7 +731,8 @@
       *request->exchange, settings_.names,
       {outcome, reason, request->attempts_made, request->first_status,
        world::ToString(outcome) + ": " + world::ToString(reason), false,
-       outcome == Outcome::kNotRun
+       request->quota_retry ? request->quota_retry
+       : outcome == Outcome::kNotRun
            ? policy::RetryAfter({request->deadline - loop_.Now(),
                                  request->objective() - loop_.Now(),
                                  request->ExpectedServiceTime()},
@@ -704,6 +751,9 @@
   record.attempts = request->attempts_made;
   record.hedged = request->hedged;
   LogEnd(*request, record, settings_.names);
+  if (request->quota_token && record.outcome == Outcome::kNotRun) {
+    quotas_.Refund(request->terms.workspace->name, *request->quota_token);
+  }
   request->exchange->SetOnDisconnect(nullptr);
   while (!request->attempts.empty()) {
     DropAttempt(AttemptId(request->attempts.back()->id));
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -16,6 +16,7 @@
 #include "dataplane/gate_client.h"
 #include "dataplane/link_recovery.h"
 #include "dataplane/node_plane.h"
+#include "dataplane/quota_control.h"
 #include "dataplane/request_state.h"
 #include "dataplane/service_policies.h"
 
@@ -81,6 +82,9 @@
               const CallerTerms& terms);
   bool CanEndBeforeStop(const CallerTerms& terms) const;
   void RestoreFirstArrival(RequestState& request);
+  void AwaitQuota(const RequestPtr& request);
+  void OnQuotaDecision(const RequestPtr& request,
+                       const QuotaDecision& decision);
   void AddTimers(const RequestPtr& request);
   ServicePolicy& PolicyOf(const RequestState& request);
 
@@ -139,6 +143,7 @@
   ServicePolicies policies_;
   GateClient gates_;
   CrashSync crash_sync_;
+  QuotaControl quotas_;
   std::optional<Time> stop_time_;
   uint64_t next_request_ = 0;
   uint64_t next_attempt_ = 0;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -34,6 +34,7 @@
        PlaneHandlers handlers);
 
   void ApplyFleet();
+  void ApplyZones();
   void FetchFile(const NodeId& peer) { ingress_.gates().FetchFile(peer); }
   void SetIncarnation(Incarnation incarnation) {
     settings_.incarnation = incarnation;
@@ -150,6 +151,7 @@
     gate_.OnTargetEnded();
   }
   gate_.SetTargetIdentity(monitor_.identity());
+  gate_.OnAnnouncedCold(monitor_.cold_left());
 }
 
 void NodePlane::Impl::SetDraining(bool draining) {
@@ -235,6 +237,9 @@
   Add(out, "ibis_gate_in_flight", static_cast<double>(gate_.in_flight()),
       false);
   Add(out, "ibis_gate_running", gate_.running(), false);
+  Add(out, "ibis_gate_target_cold", gate_.cold() ? 1 : 0, false);
+  Add(out, "ibis_gate_zone_evacuated",
+      view_.IsEvacuated(settings_.location.zone) ? 1 : 0, false);
   Add(out, "ibis_gate_limit", gate_.Hint().limit, false);
   Add(out, "ibis_gate_attempt_entries",
       static_cast<double>(gate_.attempts().entries()), false);
@@ -318,6 +323,15 @@
   ConfigureProbes();
 }
 
+// Requests that wait for the target of an evacuated zone go elsewhere.
+void NodePlane::Impl::ApplyZones() {
+  const bool evacuated = view_.IsEvacuated(settings_.location.zone);
+  LogEvent(kZonesChanged, {{"own_zone_evacuated", evacuated ? "yes" : "no"}});
+  if (evacuated) {
+    gate_.RefuseWaiting(world::Reason::kEvacuated);
+  }
+}
+
 // Configures load probes for a target that reports its load. Probes are sent
 // when responses are too rare, at most at the rate that the service's measuring
 // budget allows.
@@ -381,6 +395,10 @@
   impl_->ApplyFleet();
 }
 
+void NodePlane::ApplyZones() {
+  impl_->ApplyZones();
+}
+
 void NodePlane::Drain() {
   impl_->SetDraining(true);
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -8,6 +8,7 @@
 
 #include "dataplane/fleet_view.h"
 #include "dataplane/header_names.h"
+#include "dataplane/quota_control.h"
 #include "dataplane/target_registry.h"
 #include "net/net.h"
 #include "policy/policy.h"
@@ -90,6 +91,8 @@
   /// Returns the active configuration file of this node, for peers that request
   /// it.
   std::function<std::optional<wire::ActiveFile>()> present_file;
+  /// Asks the keepers for tokens of workspaces' quotas.
+  AskQuota ask_quota = nullptr;
 };
 
 /// The data plane of one node: an ingress that serves callers over HTTP, a gate
@@ -122,6 +125,8 @@
   /// Applies the limits and probe settings of the configuration file that has
   /// become active.
   void ApplyFleet();
+  /// Applies the evacuated zones of the view, which have changed.
+  void ApplyZones();
   /// Stops accepting new requests for the target. Requests in flight continue.
   /// Undrain reverts this.
   void Drain();
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -35,6 +35,12 @@
   open.method = caller_request.method;
   open.uri = caller_request.uri;
   open.headers = EndToEndHeaders(caller_request.headers, names);
+  if (!request.fleet->workspaces.empty()) {
+    RemoveCredentials(open.headers, names);
+  }
+  if (request.terms.workspace != nullptr) {
+    open.workspace = request.terms.workspace->name;
+  }
   open.remaining_us = static_cast<uint64_t>(
       std::max<int64_t>((request.deadline - now).count(), 0));
   open.depth = request.terms.depth;
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -60,7 +60,9 @@
   bool may_have_run = false;  // the outcome of an attempt is unknown
   bool committed = false;     // part of a response was sent to the caller
   bool hedged = false;
-  bool returned = false;  // its caller was refused before
+  bool returned = false;                // its caller was refused before
+  std::optional<Time> quota_token;      // expiry of the token that it has taken
+  std::optional<Duration> quota_retry;  // until its workspace has a token
   bool in_grace = false;  // past its deadline, waiting for the gate's outcome
   // Bytes of the response at the last check for a stall, which starts at the
   // deadline, and when they were first seen.
--- a/src/dataplane/target_messages.cc
+++ b/src/dataplane/target_messages.cc
@@ -19,6 +19,9 @@
   if (!names.caller.empty()) {
     request.headers.emplace_back(names.caller, attempt.open.caller.value);
   }
+  if (!names.workspace.empty() && !attempt.open.workspace.empty()) {
+    request.headers.emplace_back(names.workspace, attempt.open.workspace);
+  }
   if (!names.target.empty() && !identity.empty()) {
     request.headers.emplace_back(names.target, identity);
   }
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -54,6 +54,10 @@
   std::optional<world::TargetRun> departing_run() const;
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
+  /// Returns how long the target stays cold by its latest announcement.
+  Duration cold_left() const {
+    return registry_.current() ? registry_.current()->cold_left : Duration(0);
+  }
   /// Returns whether the target answered the latest check, healthy or not.
   bool answers_checks() const { return answers_checks_; }
   /// Returns the number of the announced run of the target; 0: none yet.
--- a/src/dataplane/target_notice.cc
+++ b/src/dataplane/target_notice.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char kLeaving[] = "1";
+constexpr double kMaxColdMs = 24 * 3600 * 1000.0;
 
 std::optional<double> ParseRate(std::string_view text) {
   double rate = 0;
@@ -32,6 +33,13 @@
   if (const std::string* rate = FindNamed(headers, names.rate_limit)) {
     notice.rate_limit = ParseRate(*rate);
   }
+  if (const std::string* cold = FindNamed(headers, names.cold_left)) {
+    const std::optional<double> left_ms = ParseRate(*cold);
+    if (left_ms && *left_ms <= kMaxColdMs) {
+      notice.cold_left = std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double, std::milli>(*left_ms));
+    }
+  }
   const std::string* leaving = FindNamed(headers, names.leaving);
   notice.leaving = leaving != nullptr && *leaving == kLeaving;
   return notice;
--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -17,6 +17,7 @@
   keeper.control = settings.control;
   keeper.data = settings.data;
   keeper.keepers = settings.keepers;
+  keeper.zones = settings.zones;
   keeper.may_found = settings.group.found;
   keeper.manages_membership = settings.group.grow;
   keeper.election_timeout = settings.group.election;
@@ -28,10 +29,26 @@
                                const std::string& text) {
   try {
     const world::Fleet fleet = options.parse(text, "applied file");
-    return {"", fleet.control.lease,
-            fleet.control.apply == world::ApplyRule::kMajority};
+    control::CheckedFile checked{
+        "",
+        fleet.control.lease,
+        fleet.control.apply == world::ApplyRule::kMajority,
+        {},
+        {}};
+    for (const world::Region& region : fleet.regions) {
+      checked.zones.insert(checked.zones.end(), region.zones.begin(),
+                           region.zones.end());
+    }
+    for (const world::Workspace& workspace : fleet.workspaces) {
+      if (workspace.quota) {
+        checked.quotas[workspace.name] = *workspace.quota;
+      }
+    }
+    return checked;
   } catch (const InvalidInput& error) {
-    return {error.what(), {}};
+    control::CheckedFile refused;
+    refused.findings = error.what();
+    return refused;
   }
 }
 
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -303,6 +303,13 @@
   handlers.on_file = [this](const wire::ActiveFile& file) {
     agent_->OfferActiveFile(file);
   };
+  handlers.ask_quota =
+      [this](const std::vector<wire::QuotaDemand>& demands,
+             std::function<void(const std::vector<wire::QuotaTokens>&)> done) {
+        if (agent_ != nullptr) {
+          agent_->AskQuota(demands, std::move(done));
+        }
+      };
   handlers.present_file = [this]() -> std::optional<wire::ActiveFile> {
     return agent_ == nullptr ? std::nullopt : agent_->EncodeActiveFile();
   };
@@ -326,6 +333,10 @@
       agent_->ReportCrashes(corrections);
     }
   };
+  handlers.on_zones = [this](const std::set<ZoneName>& evacuated) {
+    view_.SetEvacuatedZones(evacuated);
+    plane_->ApplyZones();
+  };
   return handlers;
 }
 
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -16,6 +16,7 @@
 #include "policy/pace_meter.h"             // IWYU pragma: export
 #include "policy/probe_budget.h"           // IWYU pragma: export
 #include "policy/quarantine.h"             // IWYU pragma: export
+#include "policy/quota_balance.h"          // IWYU pragma: export
 #include "policy/rate_limit.h"             // IWYU pragma: export
 #include "policy/refused_callers.h"        // IWYU pragma: export
 #include "policy/retry_after.h"            // IWYU pragma: export
@@ -24,7 +25,9 @@
 #include "policy/service_time_estimate.h"  // IWYU pragma: export
 #include "policy/silence_bound.h"          // IWYU pragma: export
 #include "policy/subset.h"                 // IWYU pragma: export
+#include "policy/token_buckets.h"          // IWYU pragma: export
 #include "policy/transit_delay.h"          // IWYU pragma: export
 #include "policy/unanswered_runs.h"        // IWYU pragma: export
 #include "policy/weighed_chooser.h"        // IWYU pragma: export
 #include "policy/weighted_round_robin.h"   // IWYU pragma: export
+#include "policy/workspace_keys.h"         // IWYU pragma: export
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -263,12 +264,13 @@
   Revision staged;             // validated and accepted; 0: none
   Revision refused;            // failed validation; 0: none
   std::string refusal_reason;  // reason why `refused` failed validation
+  uint64_t zones = 0;          // version of the zone orders in effect
 
   auto operator<=>(const NodeReport&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(number, active, staged, refused, refusal_reason);
+    archive(number, active, staged, refused, refusal_reason, zones);
   }
 };
 
@@ -341,6 +343,96 @@
   }
 };
 
+/// The zones whose targets get no requests, from a keeper to its nodes.
+struct ZoneOrdersUpdate {
+  static constexpr FrameType kType = 90;
+  uint64_t version = 0;
+  std::set<ZoneName> evacuated;
+
+  auto operator<=>(const ZoneOrdersUpdate&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, evacuated);
+  }
+};
+
+/// Tokens of a workspace's quota that a node needs.
+struct QuotaDemand {
+  std::string workspace;
+  uint32_t tokens = 0;
+  uint64_t max_delay_us = 0;  // for which the requests may wait
+
+  auto operator<=>(const QuotaDemand&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(workspace, tokens, max_delay_us);
+  }
+};
+
+/// Tokens of a workspace's quota that the leader grants a node.
+struct QuotaTokens {
+  std::string workspace;
+  uint32_t wanted = 0;
+  uint32_t granted = 0;
+  uint64_t delay_us = 0;  // they may be spent after this time
+  uint64_t retry_us = 0;  // until a further token, if not all were granted
+
+  auto operator<=>(const QuotaTokens&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(workspace, wanted, granted, delay_us, retry_us);
+  }
+};
+
+/// Asks for tokens: from a node to its keeper.
+struct QuotaRequest {
+  static constexpr FrameType kType = 87;
+  uint64_t call = 0;  // echoed in the reply
+  std::vector<QuotaDemand> demands;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, demands);
+  }
+};
+
+/// Reply to QuotaRequest.
+struct QuotaReply {
+  static constexpr FrameType kType = 88;
+  uint64_t call = 0;
+  std::vector<QuotaTokens> tokens;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, tokens);
+  }
+};
+
+/// The requests of a keeper's nodes, to the leader. `call` is the keeper's.
+struct QuotaRequests {
+  static constexpr FrameType kType = 89;
+  std::vector<QuotaRequest> requests;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(requests);
+  }
+};
+
+/// Reply to QuotaRequests, sent after confirmation by a majority.
+struct QuotaReplies {
+  static constexpr FrameType kType = 91;
+  std::vector<QuotaReply> replies;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replies);
+  }
+};
+
 /// Announces that the node is leaving. The keeper closes the link once it has
 /// processed this message.
 struct LeaveKeeper {
--- a/src/wire/mesh_messages.h
+++ b/src/wire/mesh_messages.h
@@ -79,13 +79,14 @@
   // Crashes of targets at which requests for the resource were in flight, known
   // at the ingress.
   std::vector<world::KnownCrash> crashes;
+  std::string workspace;  // of the caller; empty: not known
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, gate, revision, service, method, uri, headers, remaining_us,
             depth, retry, may_repeat, key, fingerprint, body_bytes, body,
             body_complete, caller, objective_us, expected_us, priority,
-            may_redirect, sent_us, identity, crashes);
+            may_redirect, sent_us, identity, crashes, workspace);
   }
 };
 
--- a/tests/control/propagation_test.cc
+++ b/tests/control/propagation_test.cc
@@ -21,7 +21,7 @@
     session.reported = clock_.Now() - age;
   }
   Propagation Measure(uint64_t revision) {
-    return MeasurePropagation(sessions_, Revision(revision), clock_.Now());
+    return MeasurePropagation(sessions_, {Revision(revision), 0}, clock_.Now());
   }
 
   ManualClock clock_;
--- a/tests/dataplane/candidate_table_test.cc
+++ b/tests/dataplane/candidate_table_test.cc
@@ -27,9 +27,10 @@
   int CountChosen(const std::string& gate, Time now) {
     int count = 0;
     for (int i = 0; i < 50; ++i) {
-      const auto choice = table_.Choose(
-          service_, policy_,
-          {milliseconds(500), seconds(1), milliseconds(100), 1}, {}, now);
+      const auto choice =
+          table_.Choose(service_, policy_,
+                        {milliseconds(500), seconds(1), milliseconds(100), 1},
+                        std::nullopt, {}, now);
       count += choice && choice->gate.value == gate ? 1 : 0;
     }
     return count;
@@ -69,7 +70,7 @@
   table_.OnUnreachable(NodeId("a"), now_);
   const auto choice = table_.Choose(
       service_, policy_, {milliseconds(500), seconds(1), milliseconds(100), 1},
-      {NodeId("b")}, now_);
+      std::nullopt, {NodeId("b")}, now_);
   ASSERT_TRUE(choice);
   EXPECT_EQ(choice->gate, NodeId("a"));
   EXPECT_FALSE(choice->worth_trying);
