--- a/tests/config/fleet_parser_test.cc
+++ b/tests/config/fleet_parser_test.cc
@@ -171,6 +171,9 @@
     {"limits: {request_body: 1.5B}", "limits.request_body"},
     {"limits: {queue: 2s}", "limits.queue"},
     {"objective: {share: 99%}", "objective"},
+    {"cold: {per_second: 0, period: 3s}", "cold.per_second"},
+    {"cold: {per_second: 5}", "cold"},
+    {"public: maybe", "public"},
     {"objective: {share: 100%, within: 10ms}", "objective.share"}};
 
 TEST(FleetParserTest, EachServiceErrorIsOneFinding) {
@@ -197,6 +200,74 @@
               ElementsAre("6:5 services[1]"));
 }
 
+std::string FileWithWorkspaces(const std::string& workspaces) {
+  return FileWithService("  - name: one\n") + "workspaces:\n" + workspaces;
+}
+
+TEST(FleetParserTest, ReadsWorkspaces) {
+  const world::Fleet fleet = ParseFleet(
+      FileWithWorkspaces("  - name: north\n"
+                         "    keys: [key-north-1, key-north-2]\n"
+                         "    priority: 2\n"
+                         "    quota: {per_second: 50, burst: 100}\n"),
+      "");
+  ASSERT_THAT(fleet.workspaces, SizeIs(1));
+  EXPECT_EQ(fleet.workspaces[0].keys.size(), 2U);
+  EXPECT_EQ(fleet.workspaces[0].priority, 2U);
+  EXPECT_EQ(fleet.workspaces[0].quota, (world::Quota{50, 100}));
+}
+
+// Guards against a file that is accepted with a workspace that cannot work.
+TEST(FleetParserTest, EachWorkspaceErrorIsOneFinding) {
+  const std::string key = "keys: [key-north-1]";
+  const std::vector<std::pair<std::string, std::string>> bad = {
+      {"keys: []", "keys"},
+      {"keys: [short]", "keys[0]"},
+      {"keys: [\"with space\"]", "keys[0]"},
+      {"keys: [\"nul-\\0-inside\"]", "keys[0]"},
+      {"keys: [\"caf\xc3\xa9-caf\xc3\xa9\"]", "keys[0]"},
+      {"keys: [" + std::string(64 << 10, 'k') + "]", "keys[0]"},
+      {"keys: [key-north-1, key-north-1]", "keys[1]"},
+      {key + ", quota: {per_second: 0, burst: 1}", "quota.per_second"},
+      {key + ", quota: {per_second: -1, burst: 1}", "quota.per_second"},
+      {key + ", quota: {per_second: 1e308, burst: 1}", "quota.per_second"},
+      {key + ", quota: {per_second: nan, burst: 1}", "quota.per_second"},
+      {key + ", quota: {per_second: 5, burst: 0}", "quota.burst"},
+      {key + ", quota: {burst: 5}", "quota"},
+      {key + ", regions: [nowhere]", "regions[0]"}};
+  for (const auto& [text, path] : bad) {
+    SCOPED_TRACE(text.substr(0, 80));
+    const auto findings =
+        FindingsOf(FileWithWorkspaces("  - {name: north, " + text + "}\n"));
+    ASSERT_THAT(findings, SizeIs(1));
+    EXPECT_EQ(findings[0].place.path, "workspaces[0]." + path);
+    EXPECT_EQ(findings[0].problem.find("key-north-1"), std::string::npos);
+  }
+}
+
+// Guards against a file whose workspaces share a key; the finding names both
+// places.
+TEST(FleetParserTest, AKeyBelongsToOneWorkspace) {
+  const auto findings =
+      FindingsOf(FileWithWorkspaces("  - {name: north, keys: [shared-key]}\n"
+                                    "  - {name: south, keys: [shared-key]}\n"));
+  ASSERT_THAT(findings, SizeIs(1));
+  EXPECT_EQ(findings[0].place.path, "workspaces[1].keys[0]");
+  EXPECT_NE(findings[0].problem.find("workspaces[0].keys[0]"),
+            std::string::npos);
+}
+
+// The largest fleet has this many workspaces.
+TEST(FleetParserTest, ReadsTenThousandWorkspaces) {
+  std::string text;
+  for (int i = 0; i < 10'000; ++i) {
+    const std::string number = std::to_string(i);
+    text += "  - {name: w" + number + ", keys: [key-of-" + number + "]}\n";
+  }
+  EXPECT_THAT(ParseFleet(FileWithWorkspaces(text), "").workspaces,
+              SizeIs(10'000));
+}
+
 TEST(FleetParserTest, LeaseIsAtMost15Seconds) {
   const std::string file = FileWithService("  - name: one\n");
   EXPECT_THAT(PlacesOf(file + "control: {lease: 15s}\n"), IsEmpty());
--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
     bool lease = false;
     std::string refusal;  // reason to refuse every file; empty: accept
     std::vector<world::CrashRecord> crashes;  // last told by a keeper
+    std::set<ZoneName> evacuated;             // last told by a keeper
   };
 
   /// Chooses free endpoints for `count` keepers.
@@ -72,7 +74,8 @@
     instance.keeper = std::make_unique<Keeper>(
         loop_, settings, [this](const std::string& text) {
           return CheckedFile{text.starts_with("bad") ? "line 1: bad" : "",
-                             std::chrono::seconds(2), activates_immediately_};
+                             std::chrono::seconds(2), activates_immediately_,
+                             zones_, quotas_};
         });
     instance.keeper->Serve(*instance.admin);
   }
@@ -102,7 +105,8 @@
               raw->activated.push_back(file.revision.value);
             },
             [raw](bool held) { raw->lease = held; }, [] { return "{}"; },
-            [raw](const auto& records) { raw->crashes = records; }});
+            [raw](const auto& records) { raw->crashes = records; },
+            [raw](const auto& zones) { raw->evacuated = zones; }});
     return node;
   }
 
@@ -171,6 +175,8 @@
   bool manages_membership_ = false;
   // Whether files are active without acknowledgements of nodes.
   bool activates_immediately_ = false;
+  std::vector<ZoneName> zones_;                 // that each file names
+  std::map<std::string, world::Quota> quotas_;  // of each file
   net::EventLoop loop_;
   TemporaryFolder folder_;
   std::vector<world::Endpoint> endpoints_;
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -164,6 +164,7 @@
       return wire::ActiveFile{raw->view.revision(), Digest(1),
                               "of " + raw->member.id.value};
     };
+    handlers.ask_quota = ask_quota_;
     handlers.on_target = [this, raw](world::TargetState state, uint32_t slots) {
       raw->member.target = state;
       raw->member.slots = slots;
@@ -205,6 +206,7 @@
     auto fleet = std::make_shared<world::Fleet>();
     fleet->services = {service_};
     fleet->routes = routes_;
+    fleet->workspaces = workspaces_;
     fleet->control.isolated = isolated_;
     world::SortRoutes(*fleet);
     for (const auto& node : nodes_) {
@@ -271,6 +273,8 @@
   HeaderNames names_;
   policy::ChoiceKind choice_ = policy::ChoiceKind::kWeighed;
   std::vector<world::Route> routes_;
+  std::vector<world::Workspace> workspaces_;
+  AskQuota ask_quota_;  // of the nodes that are added
   world::IsolatedPolicy isolated_ = world::IsolatedPolicy::kRefuse;
   Duration link_silence_ = std::chrono::milliseconds(300);
   bool same_incarnation_ = false;  // all nodes get the same incarnation
--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -46,6 +46,82 @@
                {"idleTimeoutS", 15}}}}}}};
 }
 
+Json Workspace(const std::string& name, const Json& spec) {
+  return {{"type", "tenants"}, {"metadata", {{"name", name}}}, {"spec", spec}};
+}
+
+// Returns the fleet of a state with the item `workspace` besides.
+world::Fleet FleetWith(const Json& workspace) {
+  Json state = State("00000007", "00000000");
+  state["resources"].push_back(workspace);
+  return ParseDesiredState(state.dump(), "state");
+}
+
+TEST(DesiredStateTest, ConvertsWorkspaces) {
+  const world::Fleet fleet =
+      FleetWith(Workspace("pulo", {{"apiKeys", {"k1", "k2"}},
+                                   {"priority", 1},
+                                   {"ratePerS", 250},
+                                   {"burst", 100}}));
+  ASSERT_EQ(fleet.workspaces.size(), 1U);
+  const world::Workspace& workspace = fleet.workspaces.front();
+  EXPECT_EQ(workspace.name, "pulo");
+  EXPECT_EQ(workspace.keys, (std::vector<std::string>{"k1", "k2"}));
+  EXPECT_EQ(workspace.priority, 1U);
+  EXPECT_EQ(workspace.quota, (world::Quota{250, 100}));
+  EXPECT_FALSE(fleet.routes.front().is_public);
+  // A rate of 0, or none, is no limit.
+  for (const Json& spec :
+       {Json{{"apiKeys", {"k"}}, {"ratePerS", 0}, {"burst", 5}},
+        Json{{"apiKeys", {"k"}}, {"burst", 5}}, Json{{"apiKeys", {"k"}}}}) {
+    EXPECT_FALSE(FleetWith(Workspace("pulo", spec)).workspaces[0].quota);
+  }
+}
+
+// Guards against workspaces that are accepted with keys or limits that make no
+// sense.
+TEST(DesiredStateTest, RefusesInvalidWorkspaces) {
+  for (const Json& spec :
+       {Json::object(), Json{{"apiKeys", "k"}}, Json{{"apiKeys", {1}}},
+        Json{{"apiKeys", {""}}}, Json{{"apiKeys", {"k"}}, {"ratePerS", -1}},
+        Json{{"apiKeys", {"k"}}, {"ratePerS", 1e308}},
+        Json{{"apiKeys", {"k"}}, {"ratePerS", "fast"}},
+        Json{{"apiKeys", {"k"}}, {"ratePerS", 1}, {"burst", -1}},
+        Json{{"apiKeys", {"k"}}, {"priority", -1}}}) {
+    EXPECT_THROW(FleetWith(Workspace("pulo", spec)), InvalidInput) << spec;
+  }
+}
+
+// Guards against two workspaces with one key, and against a report that shows
+// the secret.
+TEST(DesiredStateTest, RefusesASharedKeyAndNamesBothPlaces) {
+  Json state = State("00000007", "00000000");
+  state["resources"].push_back(Workspace("a", {{"apiKeys", {"secret"}}}));
+  state["resources"].push_back(Workspace("b", {{"apiKeys", {"x", "secret"}}}));
+  try {
+    ParseDesiredState(state.dump(), "state");
+    ADD_FAILURE() << "accepted";
+  } catch (const InvalidInput& error) {
+    const std::string text = error.what();
+    EXPECT_THAT(text, testing::HasSubstr("resources[3]"));
+    EXPECT_THAT(text, testing::HasSubstr("resources[4].apiKeys[1]"));
+    EXPECT_THAT(text, testing::Not(testing::HasSubstr("secret")));
+  }
+}
+
+TEST(DesiredStateTest, ConvertsColdStartsAndLargeResponses) {
+  Json state = State("00000007", "00000000");
+  state["resources"][0]["spec"]["kind"] = "download";
+  state["resources"][0]["spec"]["public"] = true;
+  state["resources"][1]["spec"]["coldPerS"] = 13.0;
+  state["resources"][1]["spec"]["coldStartS"] = 3;
+  const world::Fleet fleet = ParseDesiredState(state.dump(), "state");
+  EXPECT_EQ(fleet.routes.front().repeat, world::Repeat::kAllowed);
+  EXPECT_TRUE(fleet.routes.front().is_public);
+  EXPECT_EQ(fleet.services.front().cold,
+            (world::ColdStart{13, std::chrono::seconds(3)}));
+}
+
 TEST(DesiredStateTest, ConvertsToFleet) {
   const world::Fleet fleet =
       ParseDesiredState(State("00000007", "00000000").dump(), "state");
