Let costs of the network order targets but never refuse a caller

Cause: a request was refused if its value less the cost of a transfer to another zone was below 0.04, so from about 160 KiB on no body crossed zones, even to the only target of an idle fleet. Change: whether a request is sent depends on the value of its response alone.

Also: a status outside 100 to 599 is a fault of the target and gives 502; 600 and 999 were passed on as responses.

--- a/src/dataplane/target_connection.cc
+++ b/src/dataplane/target_connection.cc
@@ -20,6 +20,9 @@
 // this time, it is not expected to do so soon.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 
+// Statuses of HTTP (RFC 9110, 15).
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
 constexpr uint16_t kFirstFinalStatus = 200;
 constexpr uint16_t kFirstRedirect = 300;
 constexpr uint16_t kFirstFailure = 400;
@@ -159,6 +162,11 @@
 
 void TargetConnection::HandleHead() {
   const net::HttpHead& head = reader_.head();
+  if (head.status < kFirstStatus || head.status > kLastStatus) {
+    throw net::HttpError(kBadGateway, "the target sent the status " +
+                                          std::to_string(head.status) +
+                                          ", which HTTP does not have");
+  }
   if (head.status < kFirstFinalStatus) {
     skipping_response_ = true;  // interim response (1xx)
     return;
--- a/src/policy/expected_value.cc
+++ b/src/policy/expected_value.cc
@@ -65,32 +65,42 @@
   Choice choice;
   choice.index = std::discrete_distribution<size_t>(weights.begin(),
                                                     weights.end())(random);
-  choice.value = values[choice.index];
+  choice.answer_value = AnswerValue(candidates[choice.index], terms, now);
   for (size_t i = 0; i < candidates.size(); ++i) {
-    choice.has_alternative |=
-        i != choice.index && values[i] >= best * kAlternativeValueRatio;
+    // Where costs exceed every value, the responses are compared without them.
+    const bool nearly_as_good =
+        best > 0 ? values[i] >= best * kAlternativeValueRatio
+                 : AnswerValue(candidates[i], terms, now) >=
+                       choice.answer_value * kAlternativeValueRatio;
+    choice.has_alternative |= i != choice.index && nearly_as_good;
   }
   return choice;
 }
 
-double ExpectedValueChooser::Value(const Candidate& candidate,
-                                   const RequestTerms& terms,
-                                   Time now) const {
+double ExpectedValueChooser::AnswerValue(const Candidate& candidate,
+                                         const RequestTerms& terms,
+                                         Time now) const {
   const Duration duration = ExpectedDuration(candidate, terms, now);
   const double on_time = ProbabilityWithin(duration, terms.objective_left);
   const double before_deadline =
       std::max(on_time, ProbabilityWithin(duration, terms.deadline_left));
   const double answered =
       on_time + settings_.late_value * (before_deadline - on_time);
+  return (1 - candidate.hint_failure_share) * (1 - candidate.ejected) *
+         answered;
+}
+
+double ExpectedValueChooser::Value(const Candidate& candidate,
+                                   const RequestTerms& terms,
+                                   Time now) const {
   const double transfer_cost =
       candidate.same_zone
           ? 0
           : settings_.cross_zone_cost_per_kib * terms.transfer_kib;
   const double utilization =
       std::min(1.0, Load(candidate, now) / LimitOf(candidate));
-  return (1 - candidate.hint_failure_share) * (1 - candidate.ejected) *
-             answered -
-         transfer_cost - kUtilizationCost * utilization * utilization;
+  return AnswerValue(candidate, terms, now) - transfer_cost -
+         kUtilizationCost * utilization * utilization;
 }
 
 Duration ExpectedValueChooser::ExpectedDuration(const Candidate& candidate,
--- a/src/policy/expected_value.h
+++ b/src/policy/expected_value.h
@@ -23,9 +23,10 @@
   double late_value = 0.1;                 // of a response after the objective
   double cross_zone_cost_per_kib = 0.006;  // cost of a KiB to another zone
   double value_tolerance = 0.005;          // smaller differences are ignored
-  // Requests with a lower value are not sent, as they would only occupy slots
-  // that other requests need.
-  double min_value = 0.04;
+  // Requests whose response has a lower value, without any costs, are not sent,
+  // as they would only occupy slots that other requests need. Costs decide
+  // between targets but never that a caller is not served.
+  double min_answer_value = 0.04;
   Duration hint_half_life = std::chrono::milliseconds(800);
   // Of the transfer time: a full link stays full for seconds.
   Duration transfer_half_life = std::chrono::milliseconds(2500);
@@ -47,7 +48,8 @@
     /// Whether a refused attempt could be redirected to another target of
     /// similar value.
     bool has_alternative = false;
-    double value = 0;  // expected value at the chosen target
+    /// Expected value of the response of the chosen target, without costs.
+    double answer_value = 0;
   };
 
   /// Returns the choice among `candidates`, which must not be empty.
@@ -57,13 +59,17 @@
                 Random& random) const;
   /// Returns whether a request with this choice should be sent at all.
   bool IsWorthTrying(const Choice& choice) const {
-    return choice.value >= settings_.min_value;
+    return choice.answer_value >= settings_.min_answer_value;
   }
   /// Returns the expected value of the request at `candidate`: 1 if a response
   /// within the objective is certain, less costs.
   double Value(const Candidate& candidate,
                const RequestTerms& terms,
                Time now) const;
+  /// Returns the same without costs: the value of the response.
+  double AnswerValue(const Candidate& candidate,
+                     const RequestTerms& terms,
+                     Time now) const;
   /// Returns the expected time from `now` until the response of `candidate`:
   /// transfer, queueing and service time.
   Duration ExpectedDuration(const Candidate& candidate,
--- a/tests/policy/placement_test.cc
+++ b/tests/policy/placement_test.cc
@@ -59,6 +59,34 @@
   EXPECT_EQ(CountChoices(candidates, upload)[1], 1000);
 }
 
+// Load: large uploads on an idle fleet whose only target is in another zone.
+// Guards against a cost of the network that refuses a caller.
+TEST(ExpectedValueTest, ALargeUploadIsSentToTheOnlyTarget) {
+  const std::vector<Candidate> candidates = {MakeCandidate("c", false)};
+  Random random(1);
+  for (const double kib : {64.0, 256.0, 12.0 * 1024}) {
+    RequestTerms upload = LookupTerms();
+    upload.transfer_kib = kib;
+    const ExpectedValueChooser chooser;
+    EXPECT_TRUE(
+        chooser.IsWorthTrying(chooser.Choose(candidates, upload, kNow, random)))
+        << kib;
+  }
+}
+
+// Guards against a request that is sent although it cannot be answered in time,
+// now that costs have no part in this.
+TEST(ExpectedValueTest, ARequestThatCannotBeInTimeIsNotSent) {
+  RequestTerms late = LookupTerms();
+  late.objective_left = milliseconds(10);
+  late.deadline_left = milliseconds(60);
+  const std::vector<Candidate> candidates = {MakeCandidate("a", true)};
+  Random random(1);
+  const ExpectedValueChooser chooser;
+  EXPECT_FALSE(
+      chooser.IsWorthTrying(chooser.Choose(candidates, late, kNow, random)));
+}
+
 // Guards against herding: many ingresses choose by the same hints.
 TEST(ExpectedValueTest, DrawsEqualTargetsByFreeSlots) {
   std::vector<Candidate> candidates = {MakeCandidate("a", true),
