Send large responses in slices behind small ones

Whole downloads of 90 KB were queued on the target's link of 11 Mbit/s. Ruled out: slow runs, the wait for a token (7 ms), the queue at the gate (2 to 3 ms).

Change: the gate hands its uplink slices of large responses only while what was handed to it takes at most 10 ms, the response with the fewest bytes left first.

--- a/bench/control/main.cc
+++ b/bench/control/main.cc
@@ -53,16 +53,22 @@
   return endpoints;
 }
 
+control::KeeperSettings MakeSettings(const std::string& data) {
+  control::KeeperSettings settings;
+  settings.id = NodeId(FLAGS_id);
+  settings.control = world::ParseEndpoint(FLAGS_control).value();
+  settings.data = data;
+  settings.keepers = Endpoints(FLAGS_keepers);
+  return settings;
+}
+
 // A keeper with its admin server on an event loop.
 struct KeeperHost {
   KeeperHost(net::EventLoop& loop, const std::string& data)
       : admin(loop, world::ParseEndpoint(FLAGS_admin).value()),
-        keeper(
-            loop,
-            control::KeeperSettings{NodeId(FLAGS_id),
-                                    world::ParseEndpoint(FLAGS_control).value(),
-                                    data, Endpoints(FLAGS_keepers)},
-            [](const std::string&) { return control::CheckedFile(); }) {
+        keeper(loop, MakeSettings(data), [](const std::string&) {
+          return control::CheckedFile();
+        }) {
     keeper.Serve(admin);
   }
   net::AdminServer admin;
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -506,6 +506,7 @@
         config.active() == nullptr ? 0 : config.active()->revision.value);
   counter("ibis_keeper_syncs_total", driver_.store().syncs());
   counter("ibis_keeper_claims_answered_total", claims_.answered());
+  counter("ibis_keeper_quota_tokens_total", quotas_.granted());
 }
 
 Keeper::Keeper(net::EventLoop& loop,
--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -76,6 +76,8 @@
                             AdmitProbed();
                           }
                         }),
+      uplink_(settings.link_mbps),
+      slice_timer_(loop, [this] { SendSlices(); }),
       load_(loop,
             settings,
             client_.get(),
@@ -227,8 +229,10 @@
   // A run that holds an idempotency key continues, because its caller may send
   // the request again and then needs the response.
   if (attempt->keyed() && attempt->may_have_reached_target()) {
-    if (attempt->response != nullptr && attempt->response->started()) {
-      attempt->response->Discard();
+    if (attempt->response != nullptr) {
+      if (attempt->response->started()) {
+        attempt->response->Discard();
+      }
       FinishIfSent(id);
     }
     return;
@@ -245,6 +249,7 @@
     return;
   }
   attempt->response->AddCredit(credit.bytes);
+  QueueSlice(*attempt);
   if (attempt->call != nullptr) {
     attempt->call->SetReading(attempt->response->can_buffer_more());
   }
@@ -616,19 +621,54 @@
   attempt->stored_response->status = head.status;
   attempt->stored_response->headers =
       EndToEndHeaders(head.headers, settings_.names);
-  attempt->response =
-      std::make_unique<ResponseSender>(id, [this, id](const GateReply& reply) {
-        GateAttempt* sending = Find(id);
-        if (sending != nullptr && sending->port.send) {
-          sending->port.send(reply);
-        }
-      });
+  attempt->response = std::make_unique<ResponseSender>(
+      id, [this, id](const GateReply& reply) { SendReply(id, reply); });
+  if (uplink_.enabled() && attempt->port.link != 0) {
+    attempt->response->SetSliced();
+  }
   attempt->response->SetRunTiming(loop_.Now() - attempt->dispatched,
                                   attempt->slowdown);
   attempt->response->OnHead(head.status, attempt->stored_response->headers,
                             head.length);
 }
 
+void Gate::SendReply(const AttemptId& id, const GateReply& reply) {
+  const GateAttempt* attempt = Find(id);
+  if (attempt == nullptr || !attempt->port.send) {
+    return;
+  }
+  if (attempt->port.link != 0) {
+    uplink_.OnSent(kFrameOverheadBytes + BodyBytesIn(reply), loop_.Now());
+  }
+  attempt->port.send(reply);
+}
+
+// Lets the next slice of a large response wait for the uplink.
+void Gate::QueueSlice(const GateAttempt& attempt) {
+  if (attempt.response->wants_slice()) {
+    uplink_.Add(attempt.open.id, attempt.response->unsent_bytes());
+    slice_timer_.StartOnce(*uplink_.NextIn(loop_.Now()));
+  }
+}
+
+void Gate::SendSlices() {
+  while (const auto id = uplink_.TakeNext(loop_.Now())) {
+    GateAttempt* attempt = Find(*id);
+    if (attempt == nullptr || attempt->response == nullptr) {
+      continue;  // it ended while it waited
+    }
+    attempt->response->GrantSlice(kMaxPartBytes);
+    if (attempt->call != nullptr) {
+      attempt->call->SetReading(attempt->response->can_buffer_more());
+    }
+    QueueSlice(*attempt);
+    FinishIfSent(*id);
+  }
+  if (const auto wait = uplink_.NextIn(loop_.Now())) {
+    slice_timer_.StartOnce(*wait);
+  }
+}
+
 void Gate::OnTargetData(const AttemptId& id, const std::string& bytes) {
   GateAttempt* attempt = Find(id);
   CHECK_NOTNULL(attempt);
@@ -642,6 +682,7 @@
     }
   }
   attempt->response->OnData(bytes);
+  QueueSlice(*attempt);
   attempt->call->SetReading(attempt->response->can_buffer_more());
 }
 
@@ -655,6 +696,7 @@
   }
   const uint16_t status = attempt->response->status();
   attempt->response->OnEnd(Hint());
+  QueueSlice(*attempt);
   crashes_.OnResponse(attempt->open.identity, status);
   ReleaseSlot(*attempt, status,
               status >= kFirstServerError ? policy::RunResult::kFailed
@@ -665,9 +707,8 @@
 void Gate::FinishIfSent(const AttemptId& id) {
   GateAttempt* attempt = Find(id);
   if (attempt == nullptr || attempt->stage != AttemptStage::kSending ||
-      (attempt->response->started() && !attempt->response->finished() &&
-       attempt->port.send)) {
-    return;  // the rest is sent as the ingress grants credit
+      (!attempt->response->finished() && attempt->port.send)) {
+    return;  // the rest is sent as the ingress and the uplink allow it
   }
   const FinishedAttempt finished{Outcome::kAnswered, Reason::kNone,
                                  attempt->response->status(),
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -20,6 +20,7 @@
 #include "dataplane/node_plane.h"
 #include "dataplane/target_client.h"
 #include "dataplane/target_limit.h"
+#include "dataplane/uplink_schedule.h"
 #include "policy/policy.h"
 
 namespace ibisvalve::dataplane {
@@ -151,6 +152,9 @@
   void OnTargetHead(const AttemptId& id, const TargetHead& head);
   void OnTargetData(const AttemptId& id, const std::string& bytes);
   void OnTargetEnd(const AttemptId& id);
+  void SendReply(const AttemptId& id, const GateReply& reply);
+  void QueueSlice(const GateAttempt& attempt);
+  void SendSlices();
   void FinishIfSent(const AttemptId& id);
   void OnTargetFault(const AttemptId& id,
                      TargetFault fault,
@@ -185,6 +189,8 @@
   std::unordered_map<AttemptId, std::unique_ptr<GateAttempt>> in_flight_;
   net::Timer queue_timer_;
   net::Timer slow_phase_timer_;
+  UplinkSchedule uplink_;
+  net::Timer slice_timer_;
   LoadTracker load_;
   TargetLimit target_limit_;
   BodyReceiver bodies_;
--- a/src/dataplane/gate_frames.cc
+++ b/src/dataplane/gate_frames.cc
@@ -35,6 +35,14 @@
   return hint;
 }
 
+uint64_t BodyBytesIn(const GateReply& reply) {
+  if (const auto* head = std::get_if<wire::AnswerHead>(&reply)) {
+    return head->body.size();
+  }
+  const auto* part = std::get_if<wire::AnswerPart>(&reply);
+  return part == nullptr ? 0 : part->bytes.size();
+}
+
 void SendAttemptResult(const claims::FinishedAttempt& finished,
                        const AttemptId& reply_as,
                        const ReplyPort& port,
--- a/src/dataplane/gate_frames.h
+++ b/src/dataplane/gate_frames.h
@@ -26,4 +26,7 @@
                        const wire::LoadHint& hint,
                        const world::CrashRecord& crashes);
 
+/// Returns the number of bytes of a response's body in `reply`.
+uint64_t BodyBytesIn(const GateReply& reply);
+
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -71,6 +71,7 @@
   /// gates.
   uint64_t queries() const { return recovery_.queries(); }
   const IngressCounts& counts() const { return counts_; }
+  const QuotaCounts& quota_counts() const { return quotas_.counts(); }
   GateClient& gates() { return gates_; }
   const GateClient& gates() const { return gates_; }
 
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -262,6 +262,13 @@
       true);
   Add(out, "ibis_ingress_returned_answered_total",
       static_cast<double>(ingress.returned_answered), true);
+  const QuotaCounts& quotas = ingress_.quota_counts();
+  Add(out, "ibis_quota_asked_total", static_cast<double>(quotas.asked), true);
+  Add(out, "ibis_quota_granted_total", static_cast<double>(quotas.granted),
+      true);
+  Add(out, "ibis_quota_over_total", static_cast<double>(quotas.over), true);
+  Add(out, "ibis_quota_unknown_total", static_cast<double>(quotas.unknown),
+      true);
   Add(out, "ibis_ingress_in_flight", static_cast<double>(ingress_.in_flight()),
       false);
   Add(out, "ibis_mesh_links",
--- a/src/dataplane/response_sender.cc
+++ b/src/dataplane/response_sender.cc
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace ibisvalve::dataplane {
+namespace {
+
+constexpr size_t kMaxSlicedBufferBytes = 1 << 20;
+
+}  // namespace
 
 ResponseSender::ResponseSender(const AttemptId& id, Send send)
     : id_(id), send_(std::move(send)) {}
@@ -21,6 +26,7 @@
   head_.status = status;
   head_.headers = std::move(headers);
   head_.length = length;
+  head_length_ = length.value_or(0);
 }
 
 void ResponseSender::OnData(std::string_view bytes) {
@@ -55,6 +61,31 @@
   }
 }
 
+bool ResponseSender::wants_slice() const {
+  return IsSliced() && !finished_ && !discarding_ && slice_ == 0 &&
+         credit_ > 0 && offset_ < buffer_.size();
+}
+
+void ResponseSender::GrantSlice(uint64_t bytes) {
+  slice_ = bytes;
+  if (!finished_ && !discarding_) {
+    SendAvailable();
+  }
+}
+
+uint64_t ResponseSender::unsent_bytes() const {
+  return std::max(received_bytes_, head_length_) - sent_bytes_;
+}
+
+// A response that fits into one frame is sent as a whole.
+bool ResponseSender::IsSliced() const {
+  return sliced_ && std::max(received_bytes_, head_length_) > kMaxPartBytes;
+}
+
+uint64_t ResponseSender::AllowedBytes() const {
+  return IsSliced() ? std::min(credit_, slice_) : credit_;
+}
+
 void ResponseSender::Discard() {
   discarding_ = true;
   finished_ = ended_;
@@ -63,14 +94,18 @@
 }
 
 bool ResponseSender::can_buffer_more() const {
-  return buffer_.size() - offset_ <= kMaxBufferedResponseBytes;
+  return buffer_.size() - offset_ <=
+         (IsSliced() ? kMaxSlicedBufferBytes : kMaxBufferedResponseBytes);
 }
 
 void ResponseSender::SendAvailable() {
+  if (wants_slice()) {
+    return;
+  }
   if (!head_sent_) {
     SendHead();
   }
-  while (!finished_ && credit_ > 0 && offset_ < buffer_.size()) {
+  while (!finished_ && AllowedBytes() > 0 && offset_ < buffer_.size()) {
     wire::AnswerPart part{id_, NextPart(), false};
     part.last = ended_ && offset_ == buffer_.size();
     finished_ = part.last;
@@ -95,11 +130,13 @@
 }
 
 std::string ResponseSender::NextPart() {
-  const size_t size = std::min<size_t>(
-      {buffer_.size() - offset_, kMaxPartBytes, static_cast<size_t>(credit_)});
+  const size_t size = std::min<size_t>({buffer_.size() - offset_, kMaxPartBytes,
+                                        static_cast<size_t>(AllowedBytes())});
   std::string part = buffer_.substr(offset_, size);
   offset_ += size;
+  sent_bytes_ += size;
   credit_ -= size;
+  slice_ -= std::min<uint64_t>(slice_, size);
   return part;
 }
 
--- a/src/dataplane/response_sender.h
+++ b/src/dataplane/response_sender.h
@@ -34,6 +34,15 @@
   /// Adds credit: the receiver accepts `bytes` more.
   void AddCredit(uint32_t bytes);
 
+  /// Makes a large response wait for GrantSlice before each slice.
+  void SetSliced() { sliced_ = true; }
+  /// Returns whether the next part of the response waits for GrantSlice.
+  bool wants_slice() const;
+  /// Sends up to `bytes` more of a large response.
+  void GrantSlice(uint64_t bytes);
+  /// Returns the number of known bytes of the body that have not been sent.
+  uint64_t unsent_bytes() const;
+
   /// Drops the rest of the response: it is still read to its end, but nothing
   /// more is sent.
   void Discard();
@@ -44,12 +53,15 @@
   /// its end.
   bool finished() const { return finished_; }
   /// Returns whether more of the response should be read from the target: at
-  /// most kMaxBufferedResponseBytes of it are waiting to be sent.
+  /// most kMaxBufferedResponseBytes of it are waiting to be sent, or 1 MiB of
+  /// one that is sent in slices, so that it does not hold its slot meanwhile.
   bool can_buffer_more() const;
   /// Returns the HTTP status of the response.
   uint16_t status() const { return status_; }
 
  private:
+  bool IsSliced() const;
+  uint64_t AllowedBytes() const;
   void SendAvailable();
   void SendHead();
   std::string NextPart();
@@ -61,7 +73,11 @@
   std::string buffer_;  // the bytes from `offset_` on have not been sent yet
   size_t offset_ = 0;
   uint64_t received_bytes_ = 0;  // bytes of the body received from the target
+  uint64_t head_length_ = 0;     // declared length of the body; 0: not known
+  uint64_t sent_bytes_ = 0;      // bytes of the body sent
   uint64_t credit_ = kInitialCredit;
+  uint64_t slice_ = 0;  // bytes that may be sent if the response is sliced
+  bool sliced_ = false;
   bool ended_ = false;
   bool discarding_ = false;
   bool head_sent_ = false;
