--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -29,18 +29,6 @@
 // Estimated bytes on the link of a request without its body, with the overhead
 // of its frames.
 constexpr uint64_t kFrameOverheadBytes = 600;
-// A request that may be redirected waits in the queue no longer than a redirect
-// takes: the time to ask another gate, plus the time to transfer its body there
-// for each KiB.
-constexpr Duration kRedirectTime = std::chrono::milliseconds(10);
-constexpr Duration kRedirectTimePerKib = std::chrono::milliseconds(5);
-
-Duration MaxQueueTime(const wire::OpenAttempt& open) {
-  constexpr uint64_t kBytesPerKib = 1024;
-  return kRedirectTime +
-         kRedirectTimePerKib *
-             static_cast<int64_t>(open.body_bytes / kBytesPerKib);
-}
 
 }  // namespace
 
@@ -175,7 +163,7 @@
   }
   const Time end = loop_.Now() + bodies_.TransferTime(left) + service;
   const bool no_slot =
-      admission_.Preview(AdmissionTermsOf(attempt, service), loop_.Now()) ==
+      admission_.Preview(MakeAdmissionTerms(attempt, service), loop_.Now()) ==
       policy::Admission::Decision{policy::Admit::kRefuse, Reason::kBusy};
   if (end >= attempt.deadline) {
     Fail(attempt, Outcome::kNotRun, Reason::kDeadline);
@@ -191,7 +179,7 @@
                   Reason reason) {
   const FinishedAttempt finished{Outcome::kNotRun, reason, 0, nullptr};
   attempt_table_.Finish(open.id, finished, false);
-  Count(finished);
+  counts_.Add(finished.outcome);
   LogAdmissionDecision(kAttemptRefused, open, reason, LogContext());
   Send(finished, open.id, port, crashes_.Find(open.identity.resource));
 }
@@ -407,24 +395,11 @@
 
 void Gate::Admit(GateAttempt& attempt) {
   attempt.stage = AttemptStage::kQueued;
-  const policy::AdmissionTerms terms = AdmissionTermsOf(
+  const policy::AdmissionTerms terms = MakeAdmissionTerms(
       attempt, load_.ExpectedServiceTime(attempt.open.expected_us));
   ApplyDecision(attempt, admission_.Arrive(terms, loop_.Now()));
 }
 
-policy::AdmissionTerms Gate::AdmissionTermsOf(const GateAttempt& attempt,
-                                              Duration expected) const {
-  policy::AdmissionTerms terms{attempt.open.id, attempt.deadline,
-                               attempt.objective};
-  terms.expected = expected;
-  terms.priority = attempt.open.priority;
-  if (attempt.open.may_redirect) {
-    terms.max_queue_wait =
-        std::max(MaxQueueTime(attempt.open), attempt.redirect_cost);
-  }
-  return terms;
-}
-
 void Gate::ApplyReleases(
     const std::vector<policy::Admission::Release>& released) {
   for (const policy::Admission::Release& release : released) {
@@ -810,7 +785,7 @@
   if (release_key) {
     claims_.Release(attempt.key(), ClaimHolderOf(attempt));
   }
-  Count(finished);
+  counts_.Add(finished.outcome);
   if (!attempt.may_have_reached_target() &&
       finished.outcome == Outcome::kNotRun) {
     LogAdmissionDecision(kAttemptRefused, attempt.open, finished.reason,
@@ -834,20 +809,6 @@
   }
 }
 
-void Gate::Count(const FinishedAttempt& finished) {
-  switch (finished.outcome) {
-    case Outcome::kAnswered:
-      ++counts_.answered;
-      return;
-    case Outcome::kNotRun:
-      ++counts_.refused;
-      return;
-    case Outcome::kUnknown:
-      ++counts_.unknown;
-      return;
-  }
-}
-
 wire::ClaimHolder Gate::ClaimHolderOf(const GateAttempt& attempt) const {
   return {attempt.open.id, settings_.id, settings_.incarnation};
 }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -34,6 +34,13 @@
   uint64_t fenced = 0;      // queries answered with a fence
   uint64_t cancelled = 0;   // cancels of attempts in flight
 
+  /// Counts the end of an attempt.
+  void Add(world::Outcome outcome) {
+    ++(outcome == world::Outcome::kAnswered ? answered
+       : outcome == world::Outcome::kNotRun ? refused
+                                            : unknown);
+  }
+
   auto operator<=>(const GateCounts&) const = default;
 };
 
@@ -136,8 +143,6 @@
             const ReplyPort& port,
             const world::CrashRecord& crashes = {}) const;
   void ReceiveBody(GateAttempt& attempt);
-  policy::AdmissionTerms AdmissionTermsOf(const GateAttempt& attempt,
-                                          Duration expected) const;
   void ProbeAndAdmit(GateAttempt& attempt);
   void AdmitProbed();
   void WatchSlowPhase();
@@ -165,7 +170,6 @@
                    policy::RunResult end);
   void Fail(GateAttempt& attempt, world::Outcome outcome, world::Reason reason);
   void Finish(GateAttempt& attempt, claims::FinishedAttempt finished);
-  void Count(const claims::FinishedAttempt& finished);
   wire::ClaimHolder ClaimHolderOf(const GateAttempt& attempt) const;
   void CheckQueue();
   GateAttempt* Find(const AttemptId& id);
--- a/src/dataplane/gate_checks.cc
+++ b/src/dataplane/gate_checks.cc
@@ -8,6 +8,18 @@
 using world::Reason;
 
 constexpr uint32_t kMaxQueuedPerSlot = 4;
+// A request that may be redirected waits in the queue no longer than a redirect
+// takes: the time to ask another gate, plus the time to transfer its body there
+// for each KiB.
+constexpr Duration kRedirectTime = std::chrono::milliseconds(10);
+constexpr Duration kRedirectTimePerKib = std::chrono::milliseconds(5);
+
+Duration MaxQueueTime(const wire::OpenAttempt& open) {
+  constexpr uint64_t kBytesPerKib = 1024;
+  return kRedirectTime +
+         kRedirectTimePerKib *
+             static_cast<int64_t>(open.body_bytes / kBytesPerKib);
+}
 
 }  // namespace
 
@@ -69,4 +81,17 @@
   return settings;
 }
 
+policy::AdmissionTerms MakeAdmissionTerms(const GateAttempt& attempt,
+                                          Duration expected) {
+  policy::AdmissionTerms terms{attempt.open.id, attempt.deadline,
+                               attempt.objective};
+  terms.expected = expected;
+  terms.priority = attempt.open.priority;
+  if (attempt.open.may_redirect) {
+    terms.max_queue_wait =
+        std::max(MaxQueueTime(attempt.open), attempt.redirect_cost);
+  }
+  return terms;
+}
+
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/gate_checks.h
+++ b/src/dataplane/gate_checks.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "dataplane/fleet_view.h"
+#include "dataplane/gate_attempt.h"
 #include "dataplane/node_plane.h"
 #include "policy/policy.h"
 #include "wire/wire.h"
@@ -27,4 +28,9 @@
                                                 uint32_t slots,
                                                 bool adapts);
 
+/// Returns what admission must know of `attempt`, whose service time is
+/// expected to be `expected`.
+policy::AdmissionTerms MakeAdmissionTerms(const GateAttempt& attempt,
+                                          Duration expected);
+
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/ingress.cc
+++ b/src/dataplane/ingress.cc
@@ -22,11 +22,6 @@
 constexpr Duration kOutcomeGrace = std::chrono::milliseconds(50);
 // Time to send the last responses before this node stops.
 constexpr Duration kStopMargin = std::chrono::milliseconds(100);
-// After its deadline, a response that is being streamed is aborted when nothing
-// more has come from the target for this long.
-constexpr Duration kTargetStallTimeout = std::chrono::milliseconds(250);
-// The same while the caller has not read what was sent to it.
-constexpr Duration kCallerStallTimeout = std::chrono::seconds(10);
 // Delay before another attempt at the same gate while ingress and gate know
 // different revisions or incarnations.
 constexpr Duration kConvergenceDelay = std::chrono::milliseconds(10);
@@ -43,9 +38,6 @@
 // Number of attempts of a request in which the gate may redirect it because
 // another target may be faster.
 constexpr uint32_t kMaxAttemptsWithRedirect = 3;
-// How long to wait for a requested configuration file before it is requested
-// again, possibly from another peer.
-constexpr Duration kFetchRetryInterval = std::chrono::milliseconds(300);
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusUnavailable = 503;
 // Bounds the memory for refused callers that may return, about 100 bytes each.
@@ -86,7 +78,7 @@
                 recovery_.OnLinkFailed(peer, link, failure);
               },
               [this](const NodeId& peer, Revision seen) {
-                OnNewerRevision(peer, seen);
+                revisions_.OnSeen(peer, seen, loop_.Now());
               },
               [this](const wire::ActiveFile& file) {
                 if (handlers_.on_file) {
@@ -96,6 +88,7 @@
               [this](const NodeId& peer, const wire::CrashSyncReply& reply) {
                 crash_sync_.OnReply(peer, reply);
               }}),
+      revisions_(view, handlers, gates_),
       crash_sync_(loop, settings, view, crashes, gates_),
       quotas_(loop, handlers.ask_quota),
       recovery_(
@@ -148,13 +141,8 @@
 void Ingress::RejectMalformed(CallerExchange& exchange,
                               const net::HttpError& error) {
   if (error.status() == kStatusUnavailable) {
-    LogEvent(
-        kRequestRefused,
-        {{"request", RequestIdOf(exchange.request().headers, settings_.names)},
-         {"reason", world::ToString(Reason::kMemory)},
-         {"detail", error.what()},
-         {"service", ""},
-         {"revision", view_.revision().value}});
+    LogRefused(exchange.request(), Reason::kMemory, error.what(), "",
+               view_.revision(), settings_.names);
     SendFailureReply(
         exchange, settings_.names,
         {Outcome::kNotRun, Reason::kMemory, 0, 0, error.what(), true, {}});
@@ -170,13 +158,8 @@
 void Ingress::RejectRequest(const std::shared_ptr<CallerExchange>& exchange,
                             const CallerRefusal& refusal,
                             const ServiceName& service) {
-  LogEvent(
-      kRequestRefused,
-      {{"request", RequestIdOf(exchange->request().headers, settings_.names)},
-       {"reason", world::ToString(refusal.reason)},
-       {"detail", refusal.detail},
-       {"service", service.value},
-       {"revision", view_.revision().value}});
+  LogRefused(exchange->request(), refusal.reason, refusal.detail, service.value,
+             view_.revision(), settings_.names);
   const int status = SendFailureReply(*exchange, settings_.names,
                                       {Outcome::kNotRun,
                                        refusal.reason,
@@ -239,19 +222,15 @@
 
 void Ingress::OnQuotaDecision(const RequestPtr& request,
                               const QuotaDecision& decision) {
-  switch (decision.verdict) {
-    case QuotaDecision::Verdict::kGranted:
-      request->quota_token = decision.expires;
-      StartOrFail(request);
-      return;
-    case QuotaDecision::Verdict::kOver:
-      request->quota_retry = decision.retry;
-      FailRequest(request, Outcome::kNotRun, Reason::kQuota);
-      return;
-    case QuotaDecision::Verdict::kUnknown:
-      FailRequest(request, Outcome::kNotRun, Reason::kNoQuorum);
-      return;
+  if (decision.verdict == QuotaDecision::Verdict::kGranted) {
+    request->quota_token = decision.expires;
+    StartOrFail(request);
+    return;
   }
+  const bool over = decision.verdict == QuotaDecision::Verdict::kOver;
+  request->quota_retry = over ? std::optional(decision.retry) : std::nullopt;
+  FailRequest(request, Outcome::kNotRun,
+              over ? Reason::kQuota : Reason::kNoQuorum);
 }
 
 bool Ingress::CanEndBeforeStop(const CallerTerms& terms) const {
@@ -432,25 +411,6 @@
   }
 }
 
-// Requests the newer revision from the keepers and from `peer`, because the
-// keeper that this node is connected to may be partitioned from the others and
-// not have it.
-void Ingress::OnNewerRevision(const NodeId& peer, Revision seen) {
-  const Time now = loop_.Now();
-  if (seen <= view_.revision() || (seen == requested_revision_ &&
-                                   now < requested_at_ + kFetchRetryInterval)) {
-    return;
-  }
-  requested_revision_ = seen;
-  requested_at_ = now;
-  if (handlers_.on_newer_revision) {
-    handlers_.on_newer_revision(seen);
-  }
-  if (handlers_.on_file) {
-    gates_.FetchFile(peer);
-  }
-}
-
 void Ingress::OnReply(const NodeId& gate, GateReply reply) {
   const AttemptId id =
       std::visit([](const auto& frame) { return frame.id; }, reply);
@@ -471,7 +431,7 @@
 void Ingress::HandleReply(const AttemptIndex::Found& found,
                           wire::AnswerHead head) {
   candidates_.OnHint(found.attempt->gate, head.hint, loop_.Now());
-  OnNewerRevision(found.attempt->gate, head.hint.revision);
+  revisions_.OnSeen(found.attempt->gate, head.hint.revision, loop_.Now());
   const AttemptId id = found.attempt->id;
   found.attempt->service_time = Duration(static_cast<int64_t>(head.ran_us));
   found.attempt->slowdown = wire::FromPercent(head.slowdown_percent);
@@ -492,7 +452,7 @@
                           const wire::AttemptFailed& failed) {
   const IngressAttempt& attempt = *found.attempt;
   candidates_.OnHint(attempt.gate, failed.hint, loop_.Now());
-  OnNewerRevision(attempt.gate, failed.revision);
+  revisions_.OnSeen(attempt.gate, failed.revision, loop_.Now());
   crashes_.Learn({found.request->terms.identity.resource, failed.crashes});
   if (failed.outcome == Outcome::kUnknown &&
       failed.reason == Reason::kGateRestarted) {
@@ -649,24 +609,11 @@
 // Ends a request whose response was begun before its deadline and does not move
 // on. A response that does may end later.
 void Ingress::CheckStall(const RequestPtr& request) {
-  uint64_t bytes = 0;
-  bool waits_for_caller = false;
-  for (const auto& attempt : request->attempts) {
-    bytes += attempt->relay->received_bytes();
-    waits_for_caller |= attempt->relay->waits_for_caller();
-  }
-  const Time now = loop_.Now();
-  if (request->progress_bytes != bytes) {
-    request->progress_bytes = bytes;
-    request->progress_at = now;
-  }
-  const Duration limit =
-      waits_for_caller ? kCallerStallTimeout : kTargetStallTimeout;
-  if (now - request->progress_at >= limit) {
+  if (request->HasStalled(loop_.Now())) {
     FailRequest(request, Outcome::kUnknown, Reason::kDeadline);
-    return;
+  } else {
+    request->deadline_timer->StartOnce(kTargetStallTimeout);
   }
-  request->deadline_timer->StartOnce(kTargetStallTimeout);
 }
 
 void Ingress::OnCallerDisconnected(const RequestPtr& request) {
--- a/src/dataplane/ingress.h
+++ b/src/dataplane/ingress.h
@@ -18,6 +18,7 @@
 #include "dataplane/node_plane.h"
 #include "dataplane/quota_control.h"
 #include "dataplane/request_state.h"
+#include "dataplane/revision_fetcher.h"
 #include "dataplane/service_policies.h"
 
 namespace ibisvalve::dataplane {
@@ -99,7 +100,6 @@
                                         const AttemptId& id);
   void SendBody(const RequestState& request, IngressAttempt& attempt);
 
-  void OnNewerRevision(const NodeId& peer, Revision seen);
   void OnReply(const NodeId& gate, GateReply reply);
   void HandleReply(const AttemptIndex::Found& found, wire::AnswerHead head);
   void HandleReply(const AttemptIndex::Found& found,
@@ -143,6 +143,7 @@
   CandidateTable candidates_;
   ServicePolicies policies_;
   GateClient gates_;
+  RevisionFetcher revisions_;
   CrashSync crash_sync_;
   QuotaControl quotas_;
   std::optional<Time> stop_time_;
@@ -154,8 +155,6 @@
   IngressCounts counts_;
   // By CallerTerms::kind.
   std::map<std::string, policy::ServiceTimeEstimate> service_time_estimates_;
-  Revision requested_revision_;  // newest revision requested from a peer
-  Time requested_at_{};
 };
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/ingress_log.cc
+++ b/src/dataplane/ingress_log.cc
@@ -48,6 +48,19 @@
             {"crashes", uint64_t{known.crashes.size()}}});
 }
 
+void LogRefused(const CallerRequest& request,
+                world::Reason reason,
+                const std::string& detail,
+                const std::string& service,
+                Revision revision,
+                const HeaderNames& names) {
+  LogEvent(kRequestRefused, {{"request", RequestIdOf(request.headers, names)},
+                             {"reason", world::ToString(reason)},
+                             {"detail", detail},
+                             {"service", service},
+                             {"revision", revision.value}});
+}
+
 void LogEnd(const RequestState& request,
             const RequestRecord& record,
             const HeaderNames& names) {
--- a/src/dataplane/ingress_log.h
+++ b/src/dataplane/ingress_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <utility>
 
 #include "dataplane/header_names.h"
@@ -26,6 +27,14 @@
                  const world::CrashRecord& known,
                  const PlaneSettings& settings);
 
+/// Logs that a request was refused before any gate was contacted.
+void LogRefused(const CallerRequest& request,
+                world::Reason reason,
+                const std::string& detail,
+                const std::string& service,
+                Revision revision,
+                const HeaderNames& names);
+
 /// Logs the end of a request.
 void LogEnd(const RequestState& request,
             const RequestRecord& record,
--- a/src/dataplane/request_state.h
+++ b/src/dataplane/request_state.h
@@ -18,6 +18,10 @@
 
 namespace ibisvalve::dataplane {
 
+/// After its deadline, a response that is being streamed is aborted when
+/// nothing more has come from the target for this long.
+inline constexpr Duration kTargetStallTimeout = std::chrono::milliseconds(250);
+
 /// State that the ingress keeps of one attempt.
 struct IngressAttempt {
   AttemptId id;
@@ -85,6 +89,10 @@
   Duration ExpectedServiceTime() const {
     return service_time_estimate->ExpectedFor(terms.objective);
   }
+  /// Returns whether the response has stalled, as seen at regular checks:
+  /// nothing more has come from the target for 250 ms, or, while the caller has
+  /// not read what was sent to it, for 10 s.
+  bool HasStalled(Time now);
   bool repeatable() const {
     return terms.terms.repeat == world::Repeat::kAllowed;
   }
