--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -24,7 +24,7 @@
   group.data = data;
   group.keepers = {group.control};
   control::Keeper keeper(loop, group, [](const std::string&) {
-    return control::CheckedFile{"", std::chrono::seconds(2), true};
+    return control::CheckedFile{"", std::chrono::seconds(2), true, {}, {}};
   });
 
   config::Settings settings;
