--- a/src/policy/workspace_keys.cc
+++ b/src/policy/workspace_keys.cc
@@ -29,11 +29,10 @@
 }
 
 const world::Workspace* WorkspaceKeys::Find(std::string_view key) const {
-  static const std::string kNoKey;
   const auto found = by_digest_.find(DigestOfKey(key));
   const bool listed = found != by_digest_.end();
-  const bool equal =
-      EqualInConstantTime(key, listed ? *found->second.key : kNoKey);
+  const bool equal = EqualInConstantTime(
+      key, listed ? std::string_view(*found->second.key) : std::string_view());
   return listed && equal ? found->second.workspace : nullptr;
 }
 
--- a/tests/config/fleet_parser_test.cc
+++ b/tests/config/fleet_parser_test.cc
@@ -262,7 +262,8 @@
   std::string text;
   for (int i = 0; i < 10'000; ++i) {
     const std::string number = std::to_string(i);
-    text += "  - {name: w" + number + ", keys: [key-of-" + number + "]}\n";
+    text.append("  - {name: w").append(number);
+    text.append(", keys: [key-of-").append(number).append("]}\n");
   }
   EXPECT_THAT(ParseFleet(FileWithWorkspaces(text), "").workspaces,
               SizeIs(10'000));
