Do not refuse requests that wait for an earlier question about tokens

Cause: a question to the keepers counted all requests that wait as its own, also those of a question that was not answered yet. Its answer then seemed to grant too few tokens, so the workspace counted as over its quota for 20 ms and its next requests got 429 below the quota. Change: a question counts the requests that it asks for. Found on reading the change once more.

Measured: ARequestBesideAnUnansweredQuestionIsNotRefused fails before (429) and passes.

--- a/src/dataplane/quota_control.cc
+++ b/src/dataplane/quota_control.cc
@@ -83,7 +83,9 @@
     demands.push_back(
         {workspace, needed - in_flight,
          static_cast<uint64_t>(std::max(patience, Duration(0)).count())});
-    question.waiting[workspace] = entry.waiters.size();
+    // The other requests that wait are those of questions on their way.
+    question.waiting[workspace] =
+        std::min<size_t>(entry.waiters.size(), needed - in_flight);
     entry.asked = needed;
     entry.asked_at = now;
   }
--- a/src/dataplane/quota_control.h
+++ b/src/dataplane/quota_control.h
@@ -75,7 +75,7 @@
     Time asked_at{};     // of the latest question
   };
 
-  // A question to the keepers, and how many requests waited at the time.
+  // A question to the keepers, and how many requests wait for its answer.
   struct Question {
     Time sent{};
     std::map<std::string, size_t> waiting;  // by workspace
--- a/tests/dataplane/workspace_test.cc
+++ b/tests/dataplane/workspace_test.cc
@@ -194,6 +194,42 @@
   EXPECT_LT(loop_.Now() - start, std::chrono::milliseconds(600));
 }
 
+// Load: requests of one workspace that arrive within the time of an answer.
+// Guards against requests below the quota that are refused because the waiters
+// of an earlier question count as not served by a later one.
+TEST_F(QuotaAdmissionTest, ARequestBesideAnUnansweredQuestionIsNotRefused) {
+  std::vector<std::function<void()>> answers;
+  ask_quota_ = [&](const auto& demands, const auto& done) {
+    const wire::QuotaDemand demand = demands.at(0);
+    answers.push_back([demand, done] {
+      done({{demand.workspace, demand.tokens, demand.tokens, 0, 0}});
+    });
+  };
+  const Node& node = Start();
+  std::vector<std::shared_ptr<CallerResponse>> responses;
+  const auto send = [&] {
+    const size_t before = answers.size();
+    responses.push_back(
+        Send(node, With({{"Authorization", std::string("Token ") + kKey}})));
+    RunUntil([&] { return answers.size() > before || ended_ == sent_; });
+  };
+  send();
+  send();
+  for (size_t i = 0; i < answers.size(); ++i) {
+    answers[i]();
+  }
+  RunUntil([this] { return ended_ == sent_; });
+  const size_t answered = answers.size();
+  send();
+  for (size_t i = answered; i < answers.size(); ++i) {
+    answers[i]();
+  }
+  RunUntil([this] { return ended_ == sent_; });
+  for (const auto& response : responses) {
+    EXPECT_EQ(response->status, 200);
+  }
+}
+
 // Guards against a token that is lost with a request that did not run.
 TEST_F(QuotaAdmissionTest, ARequestThatDidNotRunGivesItsTokenBack) {
   tokens_ = 1;
