--- a/tests/dataplane/workspace_test.cc
+++ b/tests/dataplane/workspace_test.cc
@@ -200,7 +200,7 @@
 TEST_F(QuotaAdmissionTest, ARequestBesideAnUnansweredQuestionIsNotRefused) {
   std::vector<std::function<void()>> answers;
   ask_quota_ = [&](const auto& demands, const auto& done) {
-    const wire::QuotaDemand demand = demands.at(0);
+    const wire::QuotaDemand& demand = demands.at(0);
     answers.push_back([demand, done] {
       done({{demand.workspace, demand.tokens, demand.tokens, 0, 0}});
     });
