--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -328,6 +328,7 @@
         self.state = "ready"
         self.running = 0
         self.runs = []  # (time, Request-Id, service, path)
+        self.keys = []  # Request-Id of each run that came with a consumer's key
         self.server = None
         self.beats = None
         self.connections = set()
@@ -364,6 +365,10 @@
                                     f"{self.identity} of "
                                     f"{self.machine.service} beside "
                                     f"{self.machine.name}")
+                    if "authorization" in headers:
+                        self.keys.append(identity)
+                        self.record.add(f"run {identity} has the key "
+                                        f"{headers['authorization']}")
                     self.running += 1
                     try:
                         await asyncio.sleep(self.work_s)
@@ -484,14 +489,16 @@
 
 
 async def ask(record, machine, host, path, method="GET", body=b"",
-              deadline_ms=1000):
+              deadline_ms=1000, key=None):
     """Sends one request of a consumer on `machine`. Returns its id and the
     answer, or None as the answer."""
     identity = request_id()
-    answer = await call(machine.address("outbound"), method, path,
-                        {"Host": host, "Request-Id": identity,
-                         "Deadline-Ms": str(deadline_ms)}, body,
-                        deadline_ms / 1000 + 0.5)
+    headers = {"Host": host, "Request-Id": identity,
+               "Deadline-Ms": str(deadline_ms)}
+    if key is not None:
+        headers["Authorization"] = f"Token {key}"
+    answer = await call(machine.address("outbound"), method, path, headers,
+                        body, deadline_ms / 1000 + 0.5)
     record.add(f"sent {identity} {method} {host}{path} at {machine.name}: "
                f"{answer.status if answer else 'no answer'}")
     return identity, answer
