Review: end the processes of a case on SIGTERM, too

Cause: a script that is stopped from outside left its processes. Change: SIGTERM ends the case by the way that closes the deployment.

--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -524,6 +524,8 @@
 def main(case, folder):
     """Runs `case(record)` and exits: 1 broken, 0 held, 2 could not run."""
     record = Record(folder)
+    # So that the processes of the case are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         result = asyncio.run(asyncio.wait_for(case(record), 115))
     except Exception as error:  # the case could not run
