Review: nothing interrupts the end of a case

Cause: timeout sends SIGTERM to the script and to its group. The handler raised at each, so a second one could interrupt the end of the processes: in one of 30 stopped runs a folder stayed, and six processes for some seconds.

--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -21,6 +21,7 @@
 import time
 import tomllib
 
+LIMIT_S = 110
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 REGION = "viti-levu"
 ZONES = ["suva", "nadi", "lautoka"]
@@ -521,14 +522,21 @@
     return answer is not None and answer.status == 200
 
 
+async def run_case(case, record):
+    """Runs `case`. A signal cancels it, as often as signals come, so that
+    nothing interrupts the end of its processes."""
+    task = asyncio.ensure_future(case(record))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, LIMIT_S)
+
+
 def main(case, folder):
     """Runs `case(record)` and exits: 1 broken, 0 held, 2 could not run."""
     record = Record(folder)
-    # So that the processes of the case are ended, too.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        result = asyncio.run(asyncio.wait_for(case(record), 115))
-    except Exception as error:  # the case could not run
+        result = asyncio.run(run_case(case, record))
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"could not run: {error!r}", True)
         result = 2
     record.add(f"result {result}", True)
