Remember each departure of a target by its run

DELETE is answered 200.

Cause: TargetRegistry dropped a stopping announcement of any run but the current one, and NodeProcess acknowledged whatever it had done. The record in the gossip held one run, so that a second departure displaced the first, and an earlier one counted as confirmed by those who had confirmed a later.

Sets are joined in any order; of a full set, whatever started before all of it counts as departed. A departure of another run does not touch the current one, unless it is a later run of the same identity, whose requests would reach the one that leaves. A departure that cannot be told from a later run (no start, and no run known under the identity) is answered 503; a DELETE without an id 400. Of two runs with the same start the one that was replaced stays so. Events IV1514 and IV1013 tell the cases apart, which IV1510 did not.

Weighed: the latest run only, with all earlier ones ignored: one DELETE of a run that never was would shut out the target in use after a restart of its node.

--- a/src/dataplane/events.h
+++ b/src/dataplane/events.h
@@ -21,6 +21,8 @@
                                            "target_replaced"};
 inline constexpr EventCode kAnnouncementLate{1510, Severity::kInfo,
                                              "announcement_late"};
+inline constexpr EventCode kOtherRunDeparts{1514, Severity::kInfo,
+                                            "other_run_departs"};
 inline constexpr EventCode kTargetLimit{1511, Severity::kInfo, "target_limit"};
 inline constexpr EventCode kTargetLeaves{1512, Severity::kInfo,
                                          "target_leaves"};
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -40,8 +40,12 @@
     settings_.incarnation = incarnation;
   }
   void Announce(const TargetAnnouncement& announcement);
-  void RecordDeparture(const world::TargetRun& run) {
-    monitor_.RecordDeparture(run);
+  void RecordDepartures(const world::DepartedRuns& runs) {
+    monitor_.RecordDepartures(runs);
+  }
+  std::optional<world::TargetRun> FindRun(
+      const TargetAnnouncement& announcement) const {
+    return monitor_.FindRun(announcement);
   }
   std::optional<world::TargetRun> departing_run() const {
     return monitor_.departing_run();
@@ -382,8 +386,13 @@
   impl_->Announce(announcement);
 }
 
-void NodePlane::RecordDeparture(const world::TargetRun& run) {
-  impl_->RecordDeparture(run);
+void NodePlane::RecordDepartures(const world::DepartedRuns& runs) {
+  impl_->RecordDepartures(runs);
+}
+
+std::optional<world::TargetRun> NodePlane::FindRun(
+    const TargetAnnouncement& announcement) const {
+  return impl_->FindRun(announcement);
 }
 
 std::optional<world::TargetRun> NodePlane::departing_run() const {
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -111,9 +111,13 @@
 
   /// Handles an announcement of this node's target.
   void Announce(const TargetAnnouncement& announcement);
-  /// Records that `run` of this node's target has departed, as the fleet
-  /// remembers it from an earlier process of this node.
-  void RecordDeparture(const world::TargetRun& run);
+  /// Records that `runs` of this node's target have departed, as the fleet
+  /// remembers.
+  void RecordDepartures(const world::DepartedRuns& runs);
+  /// Returns the run of this node's target that an announcement belongs to, or
+  /// nothing if it names no start and its identity is unknown.
+  std::optional<world::TargetRun> FindRun(
+      const TargetAnnouncement& announcement) const;
   /// Returns the current run of this node's target if it departs and has
   /// announced its identity.
   std::optional<world::TargetRun> departing_run() const;
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -44,27 +44,33 @@
 void TargetMonitor::Announce(const TargetAnnouncement& announcement) {
   const uint64_t run = registry_.run();
   if (!registry_.Apply(announcement)) {
-    LogEvent(kAnnouncementLate, {{"identity", announcement.identity},
-                                 {"number", announcement.number}});
+    if (IsDeparture(announcement)) {
+      LogEvent(kOtherRunDeparts, {{"identity", announcement.identity},
+                                  {"started_ms", announcement.started_ms}});
+    } else {
+      LogEvent(kAnnouncementLate, {{"identity", announcement.identity},
+                                   {"number", announcement.number}});
+    }
     return;
   }
-  if (identity_ != announcement.identity) {
+  const TargetAnnouncement& current = *registry_.current();
+  if (identity_ != current.identity) {
     replaced_ = false;
-    identity_ = announcement.identity;
-    LogEvent(kTargetIdentified, {{"identity", identity_},
-                                 {"started_ms", announcement.started_ms}});
+    identity_ = current.identity;
+    LogEvent(kTargetIdentified,
+             {{"identity", identity_}, {"started_ms", current.started_ms}});
   }
   // Announcements of the run that leaves do not take its departure back.
   leaves_ = leaves_ && run == registry_.run();
-  slots_ = announcement.slots == 0 ? settings_.slots : announcement.slots;
+  slots_ = current.slots == 0 ? settings_.slots : current.slots;
   // A target that announces that it is ready is assumed to be reachable until
   // the next check.
   reachable_ |= announcement.state == world::TargetState::kReady;
   UpdateState();
 }
 
-void TargetMonitor::RecordDeparture(const world::TargetRun& run) {
-  if (registry_.RecordDeparture(run)) {
+void TargetMonitor::RecordDepartures(const world::DepartedRuns& runs) {
+  if (registry_.RecordDepartures(runs)) {
     UpdateState();
   }
 }
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -46,9 +46,13 @@
   /// Handles a response with which the target says that it leaves. It drains
   /// until another run of a target announces itself.
   void OnTargetLeaves();
-  /// Records that `run` of the target has departed, as an earlier process of
-  /// this node has learned.
-  void RecordDeparture(const world::TargetRun& run);
+  /// Records that `runs` of the target have departed, as the fleet remembers.
+  void RecordDepartures(const world::DepartedRuns& runs);
+  /// Returns the run that an announcement belongs to; see TargetRegistry.
+  std::optional<world::TargetRun> FindRun(
+      const TargetAnnouncement& announcement) const {
+    return registry_.FindRun(announcement);
+  }
   /// Returns the current run of the target if it departs and has announced its
   /// identity.
   std::optional<world::TargetRun> departing_run() const;
--- a/src/dataplane/target_registry.cc
+++ b/src/dataplane/target_registry.cc
@@ -1,14 +1,13 @@
 #include "dataplane/target_registry.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace ibisvalve::dataplane {
 namespace {
 
 // Number of earlier runs whose late announcements can be recognized by their
 // identity.
-constexpr size_t kMaxPreviousIdentities = 64;
+constexpr size_t kMaxPreviousRuns = 64;
 
 }  // namespace
 
@@ -18,92 +17,93 @@
                                        : DigestOf(announcement.identity)};
 }
 
-bool TargetRegistry::RecordDeparture(const world::TargetRun& run) {
-  departed_ = std::max(departed_, run);
-  if (!current_ || !HasDeparted(*current_) || current_->stopping) {
+bool IsDeparture(const TargetAnnouncement& announcement) {
+  return announcement.stopping ||
+         announcement.state == world::TargetState::kDraining;
+}
+
+bool TargetRegistry::Apply(const TargetAnnouncement& announcement) {
+  if (IsOfCurrentRun(announcement)) {
+    return ApplyToCurrentRun(announcement);
+  }
+  const std::optional<world::TargetRun> run = FindRun(announcement);
+  const bool ends_current = IsDeparture(announcement) && run &&
+                            RecordDepartures(world::DepartedRuns().With(*run));
+  // A deregistration alone is no evidence that its run has replaced the current
+  // one.
+  const bool replaces =
+      current_ ? !announcement.stopping && !IsOfEarlierRun(announcement)
+               : !announcement.stopping || run;
+  if (replaces) {
+    StartRun(announcement);
+  }
+  return replaces || ends_current;
+}
+
+bool TargetRegistry::RecordDepartures(const world::DepartedRuns& runs) {
+  departed_ = departed_.With(runs);
+  if (!current_ || current_->stopping || !departed_.Names(RunOf(*current_))) {
     return false;
   }
   const bool known = current_->state == world::TargetState::kDraining;
-  current_->state = world::TargetState::kDraining;
-  current_->stopping = true;
+  EndCurrentRun();
   return !known;
 }
 
-bool TargetRegistry::HasDeparted(const TargetAnnouncement& announcement) const {
-  return departed_ != world::TargetRun() && RunOf(announcement) == departed_;
+std::optional<world::TargetRun> TargetRegistry::FindRun(
+    const TargetAnnouncement& announcement) const {
+  const world::TargetRun named = RunOf(announcement);
+  if (named.started_ms != 0) {
+    return named;
+  }
+  if (IsOfCurrentRun(announcement)) {
+    return RunOf(*current_);
+  }
+  const auto found =
+      std::find_if(previous_runs_.rbegin(), previous_runs_.rend(),
+                   [&](const world::TargetRun& run) {
+                     return run.identity == named.identity;
+                   });
+  return found == previous_runs_.rend() ? std::nullopt : std::optional(*found);
 }
 
-bool TargetRegistry::IsOlderThanDeparted(
+bool TargetRegistry::IsOfCurrentRun(
     const TargetAnnouncement& announcement) const {
-  return announcement.started_ms != 0 &&
-         announcement.started_ms < departed_.started_ms;
+  return current_ && announcement.identity == current_->identity &&
+         (announcement.started_ms == current_->started_ms ||
+          announcement.started_ms == 0 || current_->started_ms == 0);
 }
 
-bool TargetRegistry::Apply(const TargetAnnouncement& announcement) {
-  if (HasDeparted(announcement) && !announcement.stopping) {
-    TargetAnnouncement departing = announcement;
-    departing.stopping = true;
-    return Apply(departing);
-  }
-  if (IsOlderThanDeparted(announcement)) {
-    return false;
-  }
-  if (!current_) {
-    ++run_;
-    current_ = announcement;
-    if (announcement.stopping) {
-      current_->state = world::TargetState::kDraining;
-    }
-    return true;
-  }
-  const bool same_identity = announcement.identity == current_->identity;
+bool TargetRegistry::IsOfEarlierRun(
+    const TargetAnnouncement& announcement) const {
   const bool both_have_start =
       announcement.started_ms != 0 && current_->started_ms != 0;
-  const bool same_run =
-      same_identity &&
-      (!both_have_start || announcement.started_ms == current_->started_ms);
-  if (same_run) {
-    return ApplyToCurrentRun(announcement);
+  if (both_have_start && announcement.started_ms != current_->started_ms) {
+    return announcement.started_ms < current_->started_ms;
   }
-  if (announcement.stopping) {
-    return false;  // belongs to an earlier run, or to one that was never seen
-  }
-  // The announcement is of another run; the run that started later is the
-  // current one.
-  const bool older = both_have_start
-                         ? announcement.started_ms < current_->started_ms
-                         : IsPreviousRun(announcement.identity);
-  if (older) {
-    return false;
-  }
-  if (!same_identity) {
-    previous_identities_.push_back(current_->identity);
-    if (previous_identities_.size() > kMaxPreviousIdentities) {
-      previous_identities_.pop_front();
-    }
-  }
-  ++run_;
-  current_ = announcement;
-  return true;
+  return IsPreviousIdentity(RunOf(announcement).identity);
+}
+
+bool TargetRegistry::IsPreviousIdentity(Digest identity) const {
+  return std::any_of(
+      previous_runs_.begin(), previous_runs_.end(),
+      [&](const world::TargetRun& run) { return run.identity == identity; });
 }
 
 bool TargetRegistry::ApplyToCurrentRun(const TargetAnnouncement& announcement) {
-  if (announcement.stopping) {
-    current_->state = world::TargetState::kDraining;
-    current_->stopping = true;
+  const bool draining = current_->state == world::TargetState::kDraining;
+  const bool departs = IsDeparture(announcement);
+  if (const auto run = FindRun(announcement); run && departs) {
+    departed_ = departed_.With(*run);
+  }
+  if (announcement.stopping ||
+      (!draining && departed_.Names(RunOf(announcement)))) {
+    EndCurrentRun();
     return true;
   }
   const bool late =
       announcement.number != 0 && announcement.number <= current_->number;
-  if (late && announcement.state == world::TargetState::kDraining &&
-      current_->state != world::TargetState::kDraining) {
-    // A run that drains does not get ready again, so this holds in any order.
-    current_->state = world::TargetState::kDraining;
-    return true;
-  }
-  const bool returns = !announcement.identity.empty() &&
-                       current_->state == world::TargetState::kDraining &&
-                       announcement.state != world::TargetState::kDraining;
+  const bool returns = !announcement.identity.empty() && draining && !departs;
   if (late || current_->stopping || returns) {
     return false;
   }
@@ -111,9 +111,23 @@
   return true;
 }
 
-bool TargetRegistry::IsPreviousRun(const std::string& identity) const {
-  return std::find(previous_identities_.begin(), previous_identities_.end(),
-                   identity) != previous_identities_.end();
+void TargetRegistry::StartRun(const TargetAnnouncement& announcement) {
+  if (current_) {
+    previous_runs_.push_back(RunOf(*current_));
+    if (previous_runs_.size() > kMaxPreviousRuns) {
+      previous_runs_.pop_front();
+    }
+  }
+  ++run_;
+  current_ = announcement;
+  if (announcement.stopping || departed_.Covers(RunOf(announcement))) {
+    EndCurrentRun();
+  }
+}
+
+void TargetRegistry::EndCurrentRun() {
+  current_->state = world::TargetState::kDraining;
+  current_->stopping = true;
 }
 
 }  // namespace ibisvalve::dataplane
--- a/src/dataplane/target_registry.h
+++ b/src/dataplane/target_registry.h
@@ -27,19 +27,28 @@
 /// Returns the run that an announcement belongs to.
 world::TargetRun RunOf(const TargetAnnouncement& announcement);
 
-/// Tracks the current run of the local target. Announcements may arrive out of
-/// order: those of earlier runs, and outdated ones of the current run, are
-/// ignored, except that the current run drains. Does no I/O and reads no clock.
+/// Returns whether the target announces that its run accepts no more work.
+bool IsDeparture(const TargetAnnouncement& announcement);
+
+/// Tracks the current run of the local target, and which runs have departed.
+/// Announcements may arrive out of order: those of earlier runs, and outdated
+/// ones of the current run, are ignored, except that a departure holds for its
+/// run whenever it arrives. Does no I/O and reads no clock.
 class TargetRegistry {
  public:
-  /// Applies an announcement. Returns false, and ignores it, if it is outdated
-  /// or belongs to an earlier run.
+  /// Applies an announcement. Returns whether it concerns the current run.
+  /// Otherwise it is outdated or belongs to another run, and only a departure
+  /// is remembered.
   bool Apply(const TargetAnnouncement& announcement);
-  /// Records that `run` has departed, as an earlier process of this node has
-  /// learned. No announcement makes it ready again, and those of runs that
-  /// started earlier are ignored. Returns whether it is the current run and was
-  /// not known to depart.
-  bool RecordDeparture(const world::TargetRun& run);
+  /// Records that `runs` have departed. No announcement makes them ready again.
+  /// Returns whether the current run is one of them and was not known to
+  /// depart.
+  bool RecordDepartures(const world::DepartedRuns& runs);
+  /// Returns the run that an announcement belongs to, with its start if that is
+  /// known. Returns nothing if the announcement names no start and its identity
+  /// is unknown, so that the run cannot be told from later ones.
+  std::optional<world::TargetRun> FindRun(
+      const TargetAnnouncement& announcement) const;
   /// Returns the number of the current run, counted from 1; 0 before the first.
   uint64_t run() const { return run_; }
   /// Returns the latest announcement of the current run; nothing before the
@@ -47,16 +56,17 @@
   const std::optional<TargetAnnouncement>& current() const { return current_; }
 
  private:
+  bool IsOfCurrentRun(const TargetAnnouncement& announcement) const;
+  bool IsOfEarlierRun(const TargetAnnouncement& announcement) const;
+  bool IsPreviousIdentity(Digest identity) const;
   bool ApplyToCurrentRun(const TargetAnnouncement& announcement);
-  bool IsPreviousRun(const std::string& identity) const;
-
-  bool HasDeparted(const TargetAnnouncement& announcement) const;
-  bool IsOlderThanDeparted(const TargetAnnouncement& announcement) const;
+  void StartRun(const TargetAnnouncement& announcement);
+  void EndCurrentRun();
 
   std::optional<TargetAnnouncement> current_;
-  world::TargetRun departed_;  // as recorded by an earlier process
+  world::DepartedRuns departed_;
   uint64_t run_ = 0;
-  std::deque<std::string> previous_identities_;  // identities of earlier runs
+  std::deque<world::TargetRun> previous_runs_;
 };
 
 }  // namespace ibisvalve::dataplane
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -134,12 +134,12 @@
 
 GossipActions Gossip::RecordDeparture(const world::TargetRun& run, Time now) {
   now_ = now;
-  if (run > self_.departed) {
-    self_.departed = run;
-    ++self_.version;
-    Announce();
+  const world::DepartedRuns recorded = recorded_departures_.With(run);
+  if (recorded != recorded_departures_) {
+    recorded_departures_ = recorded;
     departure_copies_ = {};
   }
+  AddDepartures(recorded);
   const std::set<NodeId>& asked = departure_copies_.unconfirmed();
   const bool waits =
       departure_copies_.pending() &&
@@ -155,6 +155,15 @@
   return TakeActions();
 }
 
+// Announces the departures unless they are known.
+void Gossip::AddDepartures(const world::DepartedRuns& departures) {
+  if (!self_.departed.Includes(departures)) {
+    self_.departed = self_.departed.With(departures);
+    ++self_.version;
+    Announce();
+  }
+}
+
 GossipActions Gossip::Leave(Time now) {
   now_ = now;
   if (replaced_) {
@@ -386,8 +395,8 @@
   if (probe && probe->announces_leave) {
     ++leave_acks_;
   }
-  if (probe && probe->announces_departure != world::TargetRun() &&
-      probe->announces_departure == self_.departed &&
+  if (probe && !probe->announces_departures.empty() &&
+      probe->announces_departures.Includes(recorded_departures_) &&
       departure_copies_.Confirm(ack.subject)) {
     actions_.departure_recorded = true;
   }
@@ -474,12 +483,8 @@
   if (replaced_) {
     return;
   }
-  if (announced.departed > self_.departed) {
-    // Recorded by an earlier process of this node.
-    self_.departed = announced.departed;
-    ++self_.version;
-    Announce();
-  }
+  // Others may be recorded by an earlier process of this node.
+  AddDepartures(announced.departed);
   if (announced.incarnation > self_.incarnation &&
       announced.gossip == self_.gossip) {
     // No other process can be bound to this endpoint, so the announcement comes
@@ -610,8 +615,7 @@
   if (known == nullptr) {
     batch.Add(self_, empty + room);
   } else if (known->state != MemberState::kAlive ||
-             known->incarnation != incarnation ||
-             known->departed != world::TargetRun()) {
+             known->incarnation != incarnation || !known->departed.empty()) {
     batch.Add(ToAnnouncement(*known), empty + room);
   }
   updates_.FillBatch(table_, empty + update_bytes, batch);
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -38,8 +38,8 @@
   /// Whether leaving is complete: enough peers have acknowledged it, a time-out
   /// has passed, or this node has been replaced.
   bool left = false;
-  /// Whether enough peers have acknowledged the departure of the target's run
-  /// that RecordDeparture was called with last.
+  /// Whether enough peers have acknowledged the departures of the target's runs
+  /// that RecordDeparture was called with so far.
   bool departure_recorded = false;
 };
 
@@ -72,7 +72,8 @@
   /// Announces that `run` of the target departs, and asks the keepers, or some
   /// other members if no keeper takes part, to remember it. The actions of this
   /// or a later call report `departure_recorded` once enough of them have
-  /// confirmed it.
+  /// confirmed it. self().departed covers `run` then, unless it has no start
+  /// and the set is full.
   GossipActions RecordDeparture(const world::TargetRun& run, Time now);
   /// Replaces the seeds through which this node finds the fleet.
   void SetSeeds(std::vector<world::Endpoint> seeds) {
@@ -111,6 +112,7 @@
   void SendPingRequests(const Probe& probe, uint64_t number);
   void Suspect(const Probe& probe);
   void CheckLeaving();
+  void AddDepartures(const world::DepartedRuns& departures);
   std::set<NodeId> DepartureHolders();
   void SendDeparture();
 
@@ -169,6 +171,7 @@
   Probes probes_;
   size_t leave_acks_ = 0;
   DepartureCopies departure_copies_;
+  world::DepartedRuns recorded_departures_;  // which the copies must include
   bool joined_ = false;
   uint32_t early_pings_ = 0;
   bool leaving_ = false;
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -33,10 +33,11 @@
   bytes += ':';
   bytes += std::to_string(member.version);
   bytes += member.state == MemberState::kSuspect ? 's' : 'a';
-  if (member.departed != world::TargetRun()) {
-    bytes += std::to_string(member.departed.started_ms);
+  for (const world::TargetRun& run : member.departed.runs()) {
+    bytes += std::to_string(run.started_ms);
     bytes += ':';
-    bytes += std::to_string(member.departed.identity.value);
+    bytes += std::to_string(run.identity.value);
+    bytes += ';';
   }
   return DigestOf(bytes).value;
 }
@@ -58,7 +59,7 @@
 }
 
 bool MemberTable::Merge(const Member& announced, Time now) {
-  world::TargetRun departed = announced.departed;
+  world::DepartedRuns departed = announced.departed;
   const auto found = members_.find(announced.id);
   if (found == members_.end()) {
     if (!IsLive(announced)) {
@@ -70,9 +71,9 @@
     }
     buckets_[BucketOf(announced.id)].push_back(announced.id);
   } else {
-    departed = std::max(departed, found->second.departed);
+    departed = departed.With(found->second.departed);
     if (!Overrides(announced, found->second)) {
-      return MergeDeparture(found->second, departed);
+      return MergeDepartures(found->second, departed);
     }
     RemoveFromLive(found->second);
   }
@@ -93,9 +94,9 @@
   return true;
 }
 
-// Returns whether the member's latest departure has changed.
-bool MemberTable::MergeDeparture(Member& member,
-                                 const world::TargetRun& departed) {
+// Returns whether the member's departures have changed.
+bool MemberTable::MergeDepartures(Member& member,
+                                  const world::DepartedRuns& departed) {
   if (departed == member.departed) {
     return false;
   }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -47,8 +47,8 @@
   /// Applies an announcement and returns whether it changed the table. Ignores
   /// an announcement that does not supersede the stored one, one of an unknown
   /// member that is not live, and a new member when the table is full. The
-  /// latest departure of a target is kept from either announcement, so that it
-  /// outlives the process of its node.
+  /// departures of a target are kept from both announcements, so that they
+  /// outlive the process of its node.
   bool Merge(const world::Member& announced, Time now);
   /// Marks members that have been suspect for `suspicion_time` as dead. If most
   /// of a zone or region is silent, marks its suspect and dead members as
@@ -92,7 +92,8 @@
     bool IsMostlySilent() const { return silent >= 2 && 2 * silent > members; }
   };
 
-  bool MergeDeparture(world::Member& member, const world::TargetRun& departed);
+  bool MergeDepartures(world::Member& member,
+                       const world::DepartedRuns& departed);
   void CountGroups();
   bool IsPartitioned(const world::Location& location) const;
   void SetState(world::Member& member, world::MemberState state, Time now);
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -74,7 +74,8 @@
 
   void RecordDeparture(const world::TargetRun& run,
                        std::function<void(bool)> done) {
-    departures_.push_back({std::move(done), loop_.Now() + kDepartureTimeout});
+    departures_.push_back(
+        {run, std::move(done), loop_.Now() + kDepartureTimeout});
     Perform(gossip_.RecordDeparture(run, loop_.Now()));
   }
 
@@ -149,7 +150,7 @@
     }
     if (actions.departure_recorded) {
       for (const PendingDeparture& pending : std::exchange(departures_, {})) {
-        pending.done(true);
+        pending.done(gossip_.self().departed.Covers(pending.run));
       }
     }
     if (actions.left && on_left_) {
@@ -167,6 +168,7 @@
   }
 
   struct PendingDeparture {
+    world::TargetRun run;
     std::function<void(bool)> done;
     Time deadline;
   };
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -33,7 +33,8 @@
                  uint32_t slots);
   /// Announces that `run` of this node's target departs. Calls `done(true)`
   /// once enough other members remember it to tell a later process of this
-  /// node, or `done(false)` after 800 ms. The announcement goes on in any case.
+  /// node, or `done(false)` after 800 ms, or at once if it has no start and
+  /// there is no room for it. The announcement goes on in any case.
   void RecordDeparture(const world::TargetRun& run,
                        std::function<void(bool recorded)> done);
   /// Replaces the seeds through which this node finds the fleet.
--- a/src/membership/probes.h
+++ b/src/membership/probes.h
@@ -17,7 +17,7 @@
   world::Endpoint endpoint;
   Time sent;
   bool announces_leave = false;
-  world::TargetRun announces_departure{};
+  world::DepartedRuns announces_departures{};
   bool indirect = false;  // other members were asked to ping the target
 
   auto operator<=>(const Probe&) const = default;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -18,6 +18,8 @@
                                             "revision_refused"};
 inline constexpr EventCode kLeaseGained{1007, Severity::kInfo, "lease_gained"};
 inline constexpr EventCode kLeaseLost{1008, Severity::kWarning, "lease_lost"};
+inline constexpr EventCode kDepartureRefused{1013, Severity::kWarning,
+                                             "departure_refused"};
 inline constexpr EventCode kSettingsChanged{1011, Severity::kInfo,
                                             "settings_changed"};
 inline constexpr EventCode kSettingsRefused{1012, Severity::kError,
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -158,10 +158,17 @@
     const dataplane::TargetAnnouncement& announcement,
     std::function<void(bool)> done) {
   plane_->Announce(announcement);
-  if (const auto run = plane_->departing_run()) {
+  const bool departs =
+      dataplane::IsDeparture(announcement) && !announcement.identity.empty();
+  const std::optional<world::TargetRun> run =
+      departs ? plane_->FindRun(announcement) : plane_->departing_run();
+  if (run) {
     membership_->RecordDeparture(*run, std::move(done));
   } else {
-    done(true);
+    if (departs) {
+      LogEvent(kDepartureRefused, {{"identity", announcement.identity}});
+    }
+    done(!departs);
   }
 }
 
@@ -181,8 +188,8 @@
     incarnation_ = member.incarnation;
     plane_->SetIncarnation(incarnation_);
   }
-  if (member.id == settings_.id && member.departed != world::TargetRun()) {
-    plane_->RecordDeparture(member.departed);
+  if (member.id == settings_.id && !member.departed.empty()) {
+    plane_->RecordDepartures(member.departed);
   }
   if (!member.control.ip.empty()) {
     UpdateKeepers();
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -45,11 +45,12 @@
   /// take effect.
   void Reload(const config::Settings& settings);
   /// Processes an announcement that the local target sent about itself. It
-  /// takes effect once the fleet has told this node which run of the target
-  /// departed last, or 500 ms after the start. Calls `done(true)` when it may
-  /// be acknowledged: a departure once other members remember it, any other at
-  /// once. Calls `done(false)` if they cannot be reached; the target must
-  /// announce it again.
+  /// takes effect once the fleet has told this node which runs of the target
+  /// have departed, or 500 ms after the start. Calls `done(true)` when it may
+  /// be acknowledged: a departure once other members remember its run, any
+  /// other at once. Calls `done(false)` if they cannot be reached, or if the
+  /// departure names no start and its run is unknown; the target must announce
+  /// it again.
   void Announce(const dataplane::TargetAnnouncement& announcement,
                 std::function<void(bool recorded)> done);
   /// Returns whether this node has an active configuration, knows the requests
--- a/src/wire/gossip_messages.cc
+++ b/src/wire/gossip_messages.cc
@@ -45,9 +45,7 @@
       member.state,
       member.target,
       member.slots,
-      member.departed == world::TargetRun()
-          ? std::vector<world::TargetRun>()
-          : std::vector<world::TargetRun>{member.departed},
+      member.departed.runs(),
   };
   size_t bytes = bytes_ + Encode(packed).size();
   for (size_t i = old_names; i < names_.size(); ++i) {
@@ -80,8 +78,8 @@
     member.service = ServiceName(NameAt(packed.service_name));
     member.target = CheckedTargetState(packed.target);
     member.slots = packed.slots;
-    if (!packed.departed.empty()) {
-      member.departed = packed.departed.front();
+    for (const world::TargetRun& run : packed.departed) {
+      member.departed = member.departed.With(run);
     }
     members.push_back(std::move(member));
   }
--- a/src/wire/gossip_messages.h
+++ b/src/wire/gossip_messages.h
@@ -29,7 +29,7 @@
   world::MemberState state = world::MemberState::kAlive;
   world::TargetState target = world::TargetState::kNone;
   uint32_t slots = 0;
-  std::vector<world::TargetRun> departed;  // at most one
+  std::vector<world::TargetRun> departed;
 
   auto operator<=>(const PackedMember&) const = default;
 
--- a/src/world/member.h
+++ b/src/world/member.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "world/departed_runs.h"
 #include "world/endpoint.h"
 
 namespace ibisvalve::world {
@@ -40,20 +41,6 @@
   }
 };
 
-/// Identifies a run of a target, from its start to its end. A later run has a
-/// later start.
-struct TargetRun {
-  uint64_t started_ms = 0;  // wall clock; 0: not given
-  Digest identity;          // of the identity that it announced; 0: none
-
-  auto operator<=>(const TargetRun&) const = default;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(started_ms, identity);
-  }
-};
-
 /// Announcement of a node about itself and its target.
 struct Member {
   NodeId id;
@@ -68,9 +55,9 @@
   ServiceName service;  // empty: the node has no target
   TargetState target = TargetState::kNone;
   uint32_t slots = 0;  // requests that the target can run concurrently
-  // The latest run of the target that has announced its departure. It is never
-  // used again, also after a restart of the node.
-  TargetRun departed;
+  // Runs of the target that have announced their departure. They are never used
+  // again, also after a restart of the node.
+  DepartedRuns departed;
 
   auto operator<=>(const Member&) const = default;
 
--- a/tests/dataplane/target_registry_test.cc
+++ b/tests/dataplane/target_registry_test.cc
@@ -19,13 +19,18 @@
   return announcement;
 }
 
-TargetAnnouncement StopAnnouncement(const std::string& identity) {
+TargetAnnouncement StopAnnouncement(const std::string& identity,
+                                    uint64_t started_ms = 0) {
   TargetAnnouncement announcement =
-      Announcement(identity, 0, 0, TargetState::kDraining);
+      Announcement(identity, 0, started_ms, TargetState::kDraining);
   announcement.stopping = true;
   return announcement;
 }
 
+world::DepartedRuns Departed(const TargetAnnouncement& announcement) {
+  return world::DepartedRuns().With(RunOf(announcement));
+}
+
 TEST(TargetRegistryTest, AnOlderAnnouncementOfTheSameRunIsIgnored) {
   TargetRegistry registry;
   EXPECT_TRUE(
@@ -80,7 +85,8 @@
 // had acknowledged as gone for a ready target.
 TEST(TargetRegistryTest, ARunThatDepartedBeforeARestartIsNotReadyAgain) {
   TargetRegistry registry;
-  EXPECT_FALSE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  EXPECT_FALSE(
+      registry.RecordDepartures(Departed(Announcement("i-1", 5, 1000))));
   registry.Apply(Announcement("i-1", 4, 1000));
   EXPECT_EQ(registry.current()->state, TargetState::kDraining);
   registry.Apply(Announcement("i-1", 6, 1000));
@@ -95,20 +101,77 @@
 TEST(TargetRegistryTest, ADepartureThatIsLearnedLateEndsTheCurrentRun) {
   TargetRegistry registry;
   registry.Apply(Announcement("i-1", 4, 1000));
-  EXPECT_TRUE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  EXPECT_TRUE(
+      registry.RecordDepartures(Departed(Announcement("i-1", 5, 1000))));
   EXPECT_EQ(registry.current()->state, TargetState::kDraining);
   registry.Apply(Announcement("i-2", 1, 2000));
-  EXPECT_FALSE(registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000))));
+  EXPECT_FALSE(
+      registry.RecordDepartures(Departed(Announcement("i-1", 5, 1000))));
   EXPECT_EQ(registry.current()->state, TargetState::kReady);
 }
 
 // The same id may start again; only its start tells the two runs apart.
 TEST(TargetRegistryTest, ADepartureDoesNotHoldForALaterRunOfTheSameIdentity) {
   TargetRegistry registry;
-  registry.RecordDeparture(RunOf(Announcement("i-1", 5, 1000)));
+  registry.RecordDepartures(Departed(Announcement("i-1", 5, 1000)));
   EXPECT_TRUE(registry.Apply(Announcement("i-1", 1, 2000)));
   EXPECT_EQ(registry.current()->state, TargetState::kReady);
 }
 
+// The first announcement of a run may arrive after the one of its departure.
+TEST(TargetRegistryTest, ARunThatDepartedBeforeItWasSeenIsNotReady) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  registry.Apply(StopAnnouncement("i-2", 2000));
+  EXPECT_EQ(registry.current()->identity, "i-1");
+  EXPECT_EQ(registry.current()->state, TargetState::kReady)
+      << "the departure of another run says nothing about the current one";
+  registry.Apply(Announcement("i-2", 1, 2000));
+  registry.Apply(Announcement("i-2", 2, 2000));
+  EXPECT_FALSE(registry.current()->identity == "i-2" &&
+               registry.current()->state == TargetState::kReady);
+  EXPECT_TRUE(registry.Apply(Announcement("i-3", 1, 3000)));
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+}
+
+// A target that starts again may keep its identity. The departure of its later
+// run may be known before that run is, and requests that name the identity
+// would reach it.
+TEST(TargetRegistryTest, ADepartureOfALaterRunOfTheIdentityEndsTheCurrentRun) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  registry.Apply(StopAnnouncement("i-1", 2000));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  registry.Apply(Announcement("i-1", 1, 2000));
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+  registry.Apply(Announcement("i-1", 1, 3000));
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+}
+
+// A late departure of an earlier run must not end its successor, and that of
+// the successor must not make the earlier run ready.
+TEST(TargetRegistryTest, DeparturesOfTwoRunsAreKeptApart) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  registry.Apply(Announcement("i-2", 1, 2000));
+  registry.Apply(StopAnnouncement("i-1", 1000));
+  EXPECT_EQ(registry.current()->identity, "i-2");
+  EXPECT_EQ(registry.current()->state, TargetState::kReady);
+  registry.Apply(StopAnnouncement("i-2", 2000));
+  registry.Apply(Announcement("i-1", 5, 1000));
+  registry.Apply(Announcement("i-2", 5, 2000));
+  EXPECT_EQ(registry.current()->identity, "i-2");
+  EXPECT_EQ(registry.current()->state, TargetState::kDraining);
+}
+
+// Of two runs with the same start, the one that was replaced stays so.
+TEST(TargetRegistryTest, ALateAnnouncementOfARunWithTheSameStartIsIgnored) {
+  TargetRegistry registry;
+  registry.Apply(Announcement("i-1", 4, 1000));
+  EXPECT_TRUE(registry.Apply(Announcement("i-2", 1, 1000)));
+  EXPECT_FALSE(registry.Apply(Announcement("i-1", 5, 1000)));
+  EXPECT_EQ(registry.current()->identity, "i-2");
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -140,8 +140,11 @@
   MembershipSettings settings;
   settings.seeds = {fleet.At(0).self().gossip, fleet.At(1).self().gossip};
   fleet.Start(again, settings);
-  RC_ASSERT(fleet.RunUntil([&] { return fleet.At(5).self().departed == run; },
-                           seconds(10)));
+  RC_ASSERT(fleet.RunUntil(
+      [&] {
+        return fleet.At(5).self().departed == world::DepartedRuns().With(run);
+      },
+      seconds(10)));
 }
 
 TEST(GossipTest, ADepartureIsRecordedOnceTwoOthersConfirmIt) {
@@ -156,6 +159,29 @@
       << "no other member has confirmed it";
 }
 
+// Guards against a departure that counts as recorded because a later one is.
+TEST(GossipTest, EachDepartureNeedsItsOwnConfirmation) {
+  GossipFleet fleet(1, kReliableNetwork);
+  fleet.StartMany(4, 2);
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(30)));
+  const world::TargetRun later{2000, Digest(7)};
+  const world::TargetRun earlier{1000, Digest(8)};
+  bool recorded = false;
+  ASSERT_TRUE(fleet.RunUntil(
+      [&] {
+        const auto actions = fleet.At(0).RecordDeparture(later, fleet.now());
+        recorded = recorded || actions.departure_recorded;
+        fleet.Perform(fleet.At(0).self().gossip, actions);
+        return recorded;
+      },
+      seconds(5)));
+  for (const int number : {1, 2, 3}) {
+    fleet.Kill(fleet.At(static_cast<size_t>(number)).self().gossip);
+  }
+  EXPECT_FALSE(
+      fleet.At(0).RecordDeparture(earlier, fleet.now()).departure_recorded);
+}
+
 TEST(GossipTest, SuspendedProcessSuspectsNoMemberOnResume) {
   GossipFleet fleet(1, kReliableNetwork);
   fleet.StartMany(2, 1);
--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -97,20 +98,23 @@
 
   void StartNode() { node_ = std::make_unique<NodeProcess>(loop_, settings_); }
 
-  static dataplane::TargetAnnouncement Announcement(bool stopping) {
+  static dataplane::TargetAnnouncement Announcement(
+      bool stopping,
+      const std::string& identity = "i-1",
+      uint64_t started_ms = 1000) {
     dataplane::TargetAnnouncement announcement;
-    announcement.identity = "i-1";
-    announcement.started_ms = 1000;
+    announcement.identity = identity;
+    announcement.started_ms = started_ms;
     announcement.number = stopping ? 0 : 1;
     announcement.stopping = stopping;
     return announcement;
   }
 
   // Announces and returns whether it was acknowledged.
-  bool Announce(bool stopping) {
+  bool Announce(bool stopping) { return Announce(Announcement(stopping)); }
+  bool Announce(const dataplane::TargetAnnouncement& announcement) {
     std::optional<bool> recorded;
-    node_->Announce(Announcement(stopping),
-                    [&](bool result) { recorded = result; });
+    node_->Announce(announcement, [&](bool result) { recorded = result; });
     RunUntil([&] { return recorded.has_value(); });
     return recorded.value_or(false);
   }
@@ -127,6 +131,12 @@
     loop_.Run();
   }
 
+  // Returns whether the target is seen ready within `limit`.
+  bool GetsReady(Duration limit) {
+    RunUntil([&] { return SeenState() == world::TargetState::kReady; }, limit);
+    return SeenState() == world::TargetState::kReady;
+  }
+
   world::TargetState SeenState() const {
     const auto found = keeper_->members().find(settings_.id);
     return found == keeper_->members().end() ? world::TargetState::kNone
@@ -162,6 +172,54 @@
   EXPECT_FALSE(ready);
 }
 
+// A departure that arrived before any other announcement of its run was
+// acknowledged and forgotten, so that the late announcement made the target
+// ready until it exited under its requests.
+TEST_F(DepartureTest, ADepartureIsRememberedIfItsRunWasNeverSeen) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
+  ASSERT_TRUE(Announce(Announcement(true, "i-2", 2000)));
+  Announce(Announcement(false, "i-2", 2000));
+  RunUntil([&] { return SeenState() != world::TargetState::kReady; });
+  EXPECT_EQ(SeenState(), world::TargetState::kDraining);
+  Announce(Announcement(false, "i-3", 3000));
+  EXPECT_TRUE(GetsReady(std::chrono::seconds(3)));
+}
+
+// The same across a restart of the node: the fleet knows of each departure, not
+// only of that of the run that started last.
+TEST_F(DepartureTest, EachDepartureOutlivesTheNode) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
+  ASSERT_TRUE(Announce(Announcement(true, "i-2", 2000)));
+  ASSERT_TRUE(Announce(true));
+  for (const auto& [identity, started_ms] :
+       std::map<std::string, uint64_t>{{"i-1", 1000}, {"i-2", 2000}}) {
+    node_.reset();
+    StartNode();
+    Announce(Announcement(false, identity, started_ms));
+    EXPECT_FALSE(GetsReady(std::chrono::seconds(2))) << identity;
+  }
+}
+
+// A departure of a run that nobody can tell from a later one cannot be
+// remembered.
+TEST_F(DepartureTest, ADepartureWithoutStartOfAnUnknownRunIsNotAcknowledged) {
+  StartKeeper();
+  StartNode();
+  EXPECT_FALSE(Announce(Announcement(true, "i-1", 0)));
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
+  EXPECT_FALSE(Announce(Announcement(true, "i-2", 0)));
+  EXPECT_TRUE(Announce(Announcement(true, "i-1", 0)));
+  Announce(false);
+  EXPECT_EQ(SeenState(), world::TargetState::kDraining);
+}
+
 // An acknowledged departure must outlive the node, so it is not acknowledged
 // while nobody else knows of it.
 TEST_F(DepartureTest, ADepartureThatNobodyElseKnowsIsNotAcknowledged) {
--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -375,6 +375,12 @@
                InvalidInput);
 }
 
+// A deregistration without an id names no worker that could be remembered.
+TEST(HeartbeatTest, RejectsADeregistrationWithoutAnId) {
+  EXPECT_THROW(ParseDeregistration("", R"({"born":5})", kNowMs), InvalidInput);
+  EXPECT_NO_THROW(ParseDeregistration("i-7f", R"({"born":5})", kNowMs));
+}
+
 // Guards against an entry with a number out of range that is taken, so that the
 // entries after it count as late or its duration overflows.
 TEST(HeartbeatTest, RejectsNumbersOutOfRange) {
