Ignore what an earlier run of the target says about itself

What callers saw: a target was out of use for good after it had started again.

Cause: the gate took a 421 for a sign that its target was replaced, also if the request had been sent to an earlier run and its successor had announced itself since. The same for "I leave" where the successor has the identity of the run before, and in a load probe. And a target that had been replaced did not count again when it started under the same identity.

Change: an attempt carries the number of the run that it was sent to, and only the current run is believed. A probe in progress is forgotten when a run starts. A new run ends "replaced", whatever its identity.

Seen failing before, on the gate and monitor without this change: EarlierRunTest.ALateRejectionDoesNotEndTheSuccessor, .ALateDepartureDoesNotEndTheSuccessor, .ALaterRunOfAReplacedIdentityIsUsed.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -370,10 +370,12 @@
   }
 }
 
-void Gate::SetTargetIdentity(const std::string& identity) {
-  if (identity != target_identity_) {
+void Gate::SetTargetRun(uint64_t run, const std::string& identity) {
+  if (run != target_run_ || identity != target_identity_) {
+    target_run_ = run;
     target_identity_ = identity;
     target_limit_.Reset(identity);
+    load_.ForgetProbe();
     if (client_ != nullptr) {
       client_->CloseIdleConnections();
     }
@@ -498,7 +500,7 @@
     Fail(attempt, Outcome::kNotRun, Reason::kQuarantined);
     return;
   }
-  attempt.target_identity = target_identity_;
+  attempt.target_run = target_run_;
   attempt.stored_response = std::make_shared<claims::StoredResponse>();
   attempt.slowdown = load_.slowdown();
   load_.BeginRun(attempt.open.id, attempt.open.expected_us);
@@ -581,14 +583,15 @@
   CHECK_NOTNULL(attempt);
   load_.UpdateFromHeaders(head.headers);
   unanswered_.OnResponse(attempt->dispatched);
-  if (attempt->target_identity == target_identity_) {
+  const bool of_current_run = attempt->target_run == target_run_;
+  if (of_current_run) {
     target_limit_.OnNotice(ParseTargetNotice(head.headers, settings_.names),
                            "response");
   }
   WatchSlowPhase();
   if (ProvesNotRun(head, settings_.names)) {
     attempt->declined = true;
-    if (head.status == kMisdirectedRequest) {
+    if (head.status == kMisdirectedRequest && of_current_run) {
       handlers_.on_target_replaced();
     }
     return;
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -98,9 +98,10 @@
   /// Sets the target's state and slots. Fails the attempts that hold no slot if
   /// the target is not ready.
   void SetTargetState(world::TargetState state, uint32_t slots);
-  /// Sets the identity of the target that may run requests from now on. Closes
-  /// idle connections to a previous one.
-  void SetTargetIdentity(const std::string& identity);
+  /// Sets the run of the target, by its number and identity, that may run
+  /// requests from now on. Closes idle connections to a previous one; what that
+  /// still says about itself is ignored.
+  void SetTargetRun(uint64_t run, const std::string& identity);
   /// Records that the target announced to stay cold for `left`.
   void OnAnnouncedCold(Duration left) { target_limit_.OnAnnouncedCold(left); }
   /// Returns whether the target is cold and limited for that reason.
@@ -185,6 +186,7 @@
   Handlers handlers_;
   CrashTracker& crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
+  uint64_t target_run_ = 0;
   std::string target_identity_;
   policy::UnansweredRuns unanswered_;
   policy::Admission admission_;
--- a/src/dataplane/gate_attempt.h
+++ b/src/dataplane/gate_attempt.h
@@ -41,10 +41,10 @@
   Time opened;     // when the attempt arrived, without the rest of its body
   // Time that another gate would need for the body again; 0 for small bodies.
   Duration redirect_cost{0};
-  Time dispatched;              // when the request was sent to the target
-  Time connection_opened;       // that it was sent on
-  std::string target_identity;  // of the target that it was sent to
-  double slowdown = 1;  // last reported by the target before the dispatch
+  Time dispatched;          // when the request was sent to the target
+  Time connection_opened;   // that it was sent on
+  uint64_t target_run = 0;  // of the target that it was sent to
+  double slowdown = 1;      // last reported by the target before the dispatch
   MemoryReservation memory;
   std::unique_ptr<net::Timer> deadline_timer;
   std::unique_ptr<TargetCall> call;
--- a/src/dataplane/load_tracker.h
+++ b/src/dataplane/load_tracker.h
@@ -43,6 +43,9 @@
   /// `since` or a probe is in progress. The health status in that response is
   /// ignored.
   void Probe(Time since);
+  /// Ignores the response to a probe in progress, as the target has started
+  /// again.
+  void ForgetProbe() { probe_ = nullptr; }
   /// Returns whether a probe is in progress that may still be waited for.
   bool probing() const { return probe_timer_.running(); }
   /// Returns the number of probes sent.
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -154,7 +154,7 @@
   if (run != 0 && monitor_.run() != run) {
     gate_.OnTargetEnded();
   }
-  gate_.SetTargetIdentity(monitor_.identity());
+  gate_.SetTargetRun(monitor_.run(), monitor_.identity());
   gate_.OnAnnouncedCold(monitor_.cold_left());
 }
 
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -54,7 +54,7 @@
     return;
   }
   const TargetAnnouncement& current = *registry_.current();
-  if (identity_ != current.identity) {
+  if (run != registry_.run() || identity_ != current.identity) {
     replaced_ = false;
     identity_ = current.identity;
     LogEvent(kTargetIdentified,
