Refuse an order that was sent before another one was carried out

A copy of the withdrawal lies in the socket of a frozen keeper.

Cause: an order about a zone was carried out whenever it was read, and said nothing of the state that it was given in. It can lie in a socket or wait up to 3 s for the leader, while its caller moves on after 1 s. The same holds for orders to add or remove a keeper.

Change: each order carries the index of the log that its receiver knew before the order was sent, and the log refuses one that would change a zone about which another order was carried out since (503, nothing carried out, IV1435). Orders about keepers are refused by the leader if the members changed since (IV1436). What was known is read when a connection is accepted and when a response is sent; the stamp of new connections grows only while none waits to be accepted, so that a keeper that has slept, and has caught up before it reads its sockets, does not take an old order for a new one.

Ruled out by the tests: the caller's close of its connection (the case leaves it, and it is read after the order), and the relay's time-out (3 s; the order came 4 s late and was new to the relay). Weighed and tried: the index at the tick before the last; it refused fresh orders within 40 ms of another (EvacuationTest and GroupTest failed).

--- a/src/control/events.h
+++ b/src/control/events.h
@@ -46,6 +46,10 @@
 inline constexpr EventCode kKeeperLeaves{1431, Severity::kInfo,
                                          "keeper-leaves"};
 inline constexpr EventCode kZoneOrdered{1432, Severity::kInfo, "zone-ordered"};
+inline constexpr EventCode kZoneOrderSuperseded{1435, Severity::kWarning,
+                                                "zone-order-superseded"};
+inline constexpr EventCode kKeeperOrderSuperseded{1436, Severity::kWarning,
+                                                  "keeper-order-superseded"};
 inline constexpr EventCode kZoneOrderAnswered{1433, Severity::kInfo,
                                               "zone-order-answered"};
 inline constexpr EventCode kZonesReceived{1434, Severity::kInfo,
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -10,6 +10,7 @@
 #include "control/events.h"
 #include "control/keeper_links.h"
 #include "control/keeper_pages.h"
+#include "control/known_index.h"
 #include "control/leader_relay.h"
 #include "control/member_plan.h"
 #include "control/node_coordinator.h"
@@ -40,7 +41,11 @@
   void SetDiscoveredKeepers(const std::set<world::Endpoint>& running,
                             const std::set<world::Endpoint>& departed);
   void Leave(std::function<void()> done) { departure_.Start(std::move(done)); }
-  void Serve(net::AdminServer& admin) { pages_.Serve(admin); }
+  void Serve(net::AdminServer& admin) {
+    known_.Stamp(admin);
+    pages_.Serve(admin);
+  }
+  void StampRequests(net::AdminServer& server) { known_.Stamp(server); }
   world::Endpoint control() const { return port_.local(); }
   void Collect(std::vector<MetricSample>& out) const;
 
@@ -78,6 +83,7 @@
   Revision logged_active_;
   Revision logged_withdrawn_;
   ReplicaDriver driver_;
+  KnownIndex known_;
   KeeperLinks links_;
   LeaderRelay relay_;
   Departure departure_;
@@ -106,6 +112,7 @@
           {[this](const ReplicaMessage& message) { SendToReplica(message); },
            [this](const wire::LogEntry* entry) { OnApplied(entry); },
            [this] { OnRoleChange(); }, [this] { port_.CloseNodes(); }}),
+      known_(driver_),
       links_(
           loop,
           {[this] { return Hello(); },
@@ -125,7 +132,7 @@
       file_terms_(driver_, checker),
       zone_pages_(driver_, coordinator_, file_terms_, settings.zones),
       quotas_(loop, driver_, links_, relay_, file_terms_),
-      pages_({loop, driver_, links_, relay_, coordinator_, zone_pages_},
+      pages_({loop, driver_, known_, links_, relay_, coordinator_, zone_pages_},
              std::move(checker),
              std::move(editor),
              [this](const world::Endpoint& endpoint) {
@@ -362,9 +369,14 @@
 
 // `entry` is null after a snapshot has been installed.
 void Keeper::Impl::OnApplied(const wire::LogEntry* entry) {
-  if (entry == nullptr || entry->kind == wire::EntryKind::kMembers) {
+  const bool members =
+      entry == nullptr || entry->kind == wire::EntryKind::kMembers;
+  if (members) {
     departure_.OnMembersApplied();
   }
+  if (members || driver_.state().zones().last_order() == entry->index) {
+    known_.Refresh();
+  }
   const ConfigHistory& config = driver_.state().config();
   const ConfigRecord* staged = config.staged();
   const ConfigRecord* active = config.active();
@@ -538,6 +550,10 @@
   impl_->Serve(admin);
 }
 
+void Keeper::StampRequests(net::AdminServer& server) {
+  impl_->StampRequests(server);
+}
+
 world::Endpoint Keeper::control() const {
   return impl_->control();
 }
--- a/src/control/keeper.h
+++ b/src/control/keeper.h
@@ -86,7 +86,9 @@
   /// /keepers/add?id=ID&control=IP:PORT, /keepers/remove?id=ID,
   /// /zones/evacuate?zone=ZONE and /zones/restore?zone=ZONE. Every keeper
   /// accepts these requests and forwards them to the leader, except GET
-  /// /keepers, which it answers itself.
+  /// /keepers, which it answers itself. An order about a zone or a keeper is
+  /// refused with 503, and not carried out, if it was sent before another one
+  /// that has been carried out.
   void Serve(net::AdminServer& admin);
   /// Handles one of these requests like the endpoints of Serve. With an editor,
   /// also handles POST /change?operation=KIND, which applies the body to the
@@ -101,6 +103,10 @@
   /// group can spare it. Calls `done` when the process may end, after 3 s at
   /// the latest. Must be called once. The keeper serves on meanwhile.
   void Leave(std::function<void()> done);
+  /// Stamps the requests to `server`, which hands them to HandleRequest, so
+  /// that delayed orders can be told from new ones. Serve does the same.
+  /// `server` must live as long as the loop runs.
+  void StampRequests(net::AdminServer& server);
   /// Returns the endpoint that the keeper listens on.
   world::Endpoint control() const;
   /// Appends the metrics of this keeper to `out`.
--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -1,6 +1,7 @@
 #include "control/keeper_pages.h"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
@@ -128,10 +129,11 @@
                                   forward.path,
                                   {forward.query.begin(), forward.query.end()},
                                   forward.body};
-  HandleLocal(request, [reply = std::move(reply), call = forward.call](
+  HandleLocal(request, [this, reply = std::move(reply), call = forward.call](
                            const std::optional<net::AdminResponse>& answer) {
     wire::ForwardReply result;
     result.call = call;
+    result.applied = parts_.driver.state().applied();
     if (answer) {
       result.status = answer->status;
       result.content_type = answer->content_type;
@@ -152,6 +154,9 @@
   }
   const auto answer = std::move(found->second);
   forwarded_.erase(found);
+  // The leader may have carried out an order that has not arrived here yet.
+  parts_.known.Learn(reply.applied);
+  parts_.known.Refresh();
   answer({reply.status, reply.content_type, reply.body});
 }
 
@@ -161,9 +166,11 @@
     reply(ErrorResponse(kUnavailable, "this keeper has no room on its disk"));
     return;
   }
+  const auto shared = std::make_shared<const net::AdminRequest>(
+      WithKnownIndex(request, parts_.known.present()));
   LeaderRelay::Call call;
-  call.local = [this, request, reply](uint64_t number) {
-    HandleLocal(request, [this, number, reply](
+  call.local = [this, shared, reply](uint64_t number) {
+    HandleLocal(*shared, [this, number, reply](
                              const std::optional<net::AdminResponse>& answer) {
       if (!answer) {
         parts_.relay.Retry(number);
@@ -173,15 +180,15 @@
       }
     });
   };
-  call.remote = [this, request, reply](uint64_t number,
-                                       const world::Endpoint& leader) {
+  call.remote = [this, shared, reply](uint64_t number,
+                                      const world::Endpoint& leader) {
     forwarded_[number] = reply;
     parts_.links.Send(leader, wire::ForwardRequest{
                                   number,
-                                  request.method,
-                                  request.path,
-                                  {request.query.begin(), request.query.end()},
-                                  request.body});
+                                  shared->method,
+                                  shared->path,
+                                  {shared->query.begin(), shared->query.end()},
+                                  shared->body});
   };
   call.unavailable = [this, reply](uint64_t number) {
     forwarded_.erase(number);
@@ -439,6 +446,21 @@
             {"members", members}});
 }
 
+// Refuses an order about a keeper if it may have been sent before the last
+// change of the members, so that a delayed order does not undo a newer one.
+bool KeeperPages::IsSuperseded(const net::AdminRequest& request,
+                               const Done& done) const {
+  const uint64_t known = KnownIndexOf(request);
+  if (parts_.driver.replica().log().members_index() <= known) {
+    return false;
+  }
+  LogEvent(kKeeperOrderSuperseded, {{"page", request.path}, {"known", known}});
+  done(ErrorResponse(kUnavailable,
+                     "the keepers have changed in between; nothing was carried "
+                     "out, send the order again if it still holds"));
+  return true;
+}
+
 void KeeperPages::AddKeeper(const net::AdminRequest& request,
                             const Done& done) {
   const NodeId id(QueryParameter(request, "id"));
@@ -454,6 +476,9 @@
       return;
     }
   }
+  if (IsSuperseded(request, done)) {
+    return;
+  }
   open_link_(*control);
   const wire::KeeperHello* hello = parts_.links.HelloAt(*control);
   if (hello == nullptr) {
@@ -484,6 +509,9 @@
                        "unknown keeper, or its removal would leave no voter"));
     return;
   }
+  if (IsSuperseded(request, done)) {
+    return;
+  }
   ProposeMembers(*next, done);
 }
 
--- a/src/control/keeper_pages.h
+++ b/src/control/keeper_pages.h
@@ -7,6 +7,7 @@
 
 #include "control/keeper.h"
 #include "control/keeper_links.h"
+#include "control/known_index.h"
 #include "control/leader_relay.h"
 #include "control/member_plan.h"
 #include "control/node_coordinator.h"
@@ -25,6 +26,7 @@
   struct Parts {
     net::EventLoop& loop;
     ReplicaDriver& driver;
+    KnownIndex& known;
     KeeperLinks& links;
     LeaderRelay& relay;
     NodeCoordinator& coordinator;
@@ -66,6 +68,7 @@
   net::AdminResponse History() const;
   net::AdminResponse FleetPage() const;
   net::AdminResponse KeepersPage() const;
+  bool IsSuperseded(const net::AdminRequest& request, const Done& done) const;
   void AddKeeper(const net::AdminRequest& request, const Done& done);
   void RemoveKeeper(const net::AdminRequest& request, const Done& done);
   void ProposeMembers(const wire::KeeperMembers& members, const Done& done);
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -26,8 +26,7 @@
           crashes_.Apply(command);
           return std::monostate();
         } else if constexpr (std::is_same_v<CommandType, OrderZone>) {
-          zones_.Apply(command);
-          return std::monostate();
+          return zones_.Apply(command, entry.index);
         } else {
           config_.Apply(command);
           return std::monostate();
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -22,8 +22,8 @@
                              OrderZone>;
 
 /// Result of applying a command, which is returned to its proposer.
-using CommandResult =
-    std::variant<std::monostate, ChangeAnswer, wire::ClaimReply>;
+using CommandResult = std::
+    variant<std::monostate, ChangeAnswer, wire::ClaimReply, ZoneOrderResult>;
 
 /// The state that the keepers replicate. Deterministic: replicas that apply the
 /// same log entries hold the same state.
--- a/src/control/zone_pages.cc
+++ b/src/control/zone_pages.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "control/events.h"
+#include "control/known_index.h"
 
 namespace ibisvalve::control {
 namespace {
@@ -16,6 +17,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 net::AdminResponse Respond(int status, const Json& json) {
   return {status, "application/json",
@@ -46,7 +48,9 @@
     } else if (!KnownZones().contains(ZoneName(zone->second))) {
       done(Respond(kNotFound, {{"error", "no zone is named " + zone->second}}));
     } else {
-      Order({ZoneName(zone->second), request.path == kEvacuatePath}, done);
+      Order({ZoneName(zone->second), request.path == kEvacuatePath,
+             KnownIndexOf(request)},
+            done);
     }
   });
 }
@@ -58,28 +62,42 @@
     LogEvent(kZoneOrdered, {{"zone", order.zone.value},
                             {"evacuated", order.evacuated ? "yes" : "no"}});
   }
-  driver_.Propose(
-      order, [this, order, done](const std::optional<CommandResult>& result) {
-        if (!result) {
+  driver_.Propose(order, [this, order,
+                          done](const std::optional<CommandResult>& result) {
+    if (!result) {
+      done(std::nullopt);
+    } else if (std::get<ZoneOrderResult>(*result) ==
+               ZoneOrderResult::kSuperseded) {
+      LogEvent(kZoneOrderSuperseded,
+               {{"zone", order.zone.value},
+                {"evacuated", order.evacuated ? "yes" : "no"},
+                {"known", order.known}});
+      done(Respond(kUnavailable,
+                   {{"error", "another order about zone " + order.zone.value +
+                                  " came in between; nothing was carried out, "
+                                  "send this one again if it still holds"}}));
+    } else {
+      AwaitNodes(order, done);
+    }
+  });
+}
+
+void ZonePages::AwaitNodes(const OrderZone& order, const Done& done) {
+  const uint64_t version = driver_.state().zones().version();
+  const bool all_leases = !terms_.Active().activate_immediately;
+  coordinator_.AwaitZones(
+      version, all_leases, [order, version, done](bool leads) {
+        if (!leads) {
           done(std::nullopt);
           return;
         }
-        const uint64_t version = driver_.state().zones().version();
-        const bool all_leases = !terms_.Active().activate_immediately;
-        coordinator_.AwaitZones(
-            version, all_leases, [order, version, done](bool leads) {
-              if (!leads) {
-                done(std::nullopt);
-                return;
-              }
-              LogEvent(kZoneOrderAnswered,
-                       {{"zone", order.zone.value},
-                        {"evacuated", order.evacuated ? "yes" : "no"},
-                        {"version", version}});
-              done(Respond(kOk, {{"zone", order.zone.value},
-                                 {"evacuated", order.evacuated},
-                                 {"version", version}}));
-            });
+        LogEvent(kZoneOrderAnswered,
+                 {{"zone", order.zone.value},
+                  {"evacuated", order.evacuated ? "yes" : "no"},
+                  {"version", version}});
+        done(Respond(kOk, {{"zone", order.zone.value},
+                           {"evacuated", order.evacuated},
+                           {"version", version}}));
       });
 }
 
--- a/src/control/zone_pages.h
+++ b/src/control/zone_pages.h
@@ -33,11 +33,12 @@
   /// Returns whether `path` is one of these pages.
   static bool Serves(const std::string& path);
   /// Handles a request. An order is answered once it is committed and the nodes
-  /// have it.
+  /// have it. One that has been superseded is refused with 503.
   void Handle(const net::AdminRequest& request, const Done& done);
 
  private:
   void Order(const OrderZone& order, const Done& done);
+  void AwaitNodes(const OrderZone& order, const Done& done);
   net::AdminResponse List();
   std::set<ZoneName> KnownZones();
 
--- a/src/net/admin_server.cc
+++ b/src/net/admin_server.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <poll.h>
 
 #include <cerrno>
 #include <utility>
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr ev_ssize_t kMaxAdminHeaderBytes = 16 << 10;
+constexpr size_t kMaxConnectionStamps = 4096;
+constexpr Duration kRefreshRetryInterval = std::chrono::milliseconds(2);
 
 AdminRequest Parse(evhttp_request* request) {
   AdminRequest parsed;
@@ -57,7 +60,9 @@
 AdminServer::AdminServer(EventLoop& loop,
                          const world::Endpoint& local,
                          const AdminLimits& limits)
-    : limits_(limits), http_(evhttp_new(loop.base())) {
+    : limits_(limits),
+      http_(evhttp_new(loop.base())),
+      refresh_timer_(loop, [this] { RefreshStamp(); }) {
   evhttp_set_max_headers_size(http_, kMaxAdminHeaderBytes);
   evhttp_set_max_body_size(http_, limits.body_bytes);
   evhttp_set_bevcb(
@@ -82,22 +87,49 @@
     evhttp_free(http_);
     throw SystemError("cannot listen at " + world::ToString(local), error);
   }
-  local_ = LocalEndpoint(evhttp_bound_socket_get_fd(socket));
+  listening_fd_ = evhttp_bound_socket_get_fd(socket);
+  local_ = LocalEndpoint(listening_fd_);
 }
 
 // evhttp reads on while it handles a request, so requests that are pipelined
 // without end would pile up in the input buffer. The buffer must have room for
 // one request, because evhttp takes a body only as a whole.
-bufferevent* AdminServer::MakeConnection(event_base* base) const {
+bufferevent* AdminServer::MakeConnection(event_base* base) {
   bufferevent* connection =
       bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
   if (connection != nullptr) {
     bufferevent_setwatermark(connection, EV_READ, 0,
                              size_t{limits_.body_bytes} + kMaxAdminHeaderBytes);
+    if (present_stamp_) {
+      if (connection_stamps_.size() >= kMaxConnectionStamps) {
+        connection_stamps_.clear();  // open connections then count as oldest
+      }
+      connection_stamps_[connection] = accept_stamp_;
+    }
   }
   return connection;
 }
 
+void AdminServer::SetStamps(std::function<uint64_t()> present) {
+  present_stamp_ = std::move(present);
+  RefreshStamp();
+}
+
+// A connection that waits to be accepted may have been established before the
+// stamp grew.
+void AdminServer::RefreshStamp() {
+  if (HasWaitingConnection()) {
+    refresh_timer_.StartOnce(kRefreshRetryInterval);
+  } else {
+    accept_stamp_ = present_stamp_();
+  }
+}
+
+bool AdminServer::HasWaitingConnection() const {
+  pollfd listener{listening_fd_, POLLIN, 0};
+  return poll(&listener, 1, 0) != 0;  // also if that cannot be found out
+}
+
 AdminServer::~AdminServer() {
   evhttp_free(http_);
 }
@@ -129,7 +161,13 @@
 }
 
 void AdminServer::Dispatch(evhttp_request* request) {
-  const AdminRequest parsed = Parse(request);
+  AdminRequest parsed = Parse(request);
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (present_stamp_) {
+    const auto found =
+        connection_stamps_.find(evhttp_connection_get_bufferevent(connection));
+    parsed.stamp = found == connection_stamps_.end() ? 0 : found->second;
+  }
   const Handler* handler = Find(parsed);
   if (handler == nullptr) {
     SendResponse(request,
@@ -138,7 +176,6 @@
     return;
   }
   auto pending = std::make_shared<Pending>(Pending{request});
-  evhttp_connection* connection = evhttp_request_get_connection(request);
   evhttp_connection_set_closecb(
       connection,
       [](evhttp_connection*, void* argument) {
@@ -152,8 +189,12 @@
     pending_.erase(pending);
     evhttp_request* waiting = std::exchange(pending->request, nullptr);
     if (waiting != nullptr) {
-      evhttp_connection_set_closecb(evhttp_request_get_connection(waiting),
-                                    nullptr, nullptr);
+      evhttp_connection* open = evhttp_request_get_connection(waiting);
+      evhttp_connection_set_closecb(open, nullptr, nullptr);
+      if (present_stamp_) {
+        connection_stamps_[evhttp_connection_get_bufferevent(open)] =
+            present_stamp_();
+      }
       SendResponse(waiting, response);
     }
   });
--- a/src/net/admin_server.h
+++ b/src/net/admin_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -23,6 +25,9 @@
   std::string path;                          // without the query
   std::map<std::string, std::string> query;  // decoded
   std::string body;
+  // Stamp from before the caller sent the request; nullopt: the server has no
+  // stamps.
+  std::optional<uint64_t> stamp{};
 
   auto operator<=>(const AdminRequest&) const = default;
 };
@@ -70,22 +75,40 @@
   void HandlePrefix(const std::string& method,
                     const std::string& prefix,
                     Handler handler);
+  /// Stamps requests with a number that grows with what the process knows, so
+  /// that it can tell what it knew before a request was sent: a request may be
+  /// read long after that, for example because the process was suspended.
+  /// `present` returns the number. A request gets that of the time when the
+  /// previous response on its connection was sent, or the first on a connection
+  /// one from before the connection was established.
+  void SetStamps(std::function<uint64_t()> present);
+  /// Must be called when the present stamp has grown. Connections that are
+  /// established later get it.
+  void RefreshStamp();
   /// Returns the listening address, with the actual port.
   world::Endpoint local() const { return local_; }
 
  private:
   struct Pending;
 
-  bufferevent* MakeConnection(event_base* base) const;
+  bufferevent* MakeConnection(event_base* base);
+  bool HasWaitingConnection() const;
   void Dispatch(evhttp_request* request);
   const Handler* Find(const AdminRequest& request) const;
 
   const AdminLimits limits_;
   evhttp* http_;
+  int listening_fd_ = -1;
   world::Endpoint local_;
   std::map<std::pair<std::string, std::string>, Handler> handlers_;
   std::map<std::pair<std::string, std::string>, Handler> prefix_handlers_;
   std::set<std::shared_ptr<Pending>> pending_;
+  std::function<uint64_t()> present_stamp_;  // null: no stamps
+  uint64_t accept_stamp_ = 0;                // of connections to be accepted
+  Timer refresh_timer_;
+  // Stamps of the connections. Entries of closed connections are replaced when
+  // their address is used again.
+  std::map<const bufferevent*, uint64_t> connection_stamps_;
 };
 
 }  // namespace ibisvalve::net
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -249,10 +249,11 @@
   int32_t status = 0;
   std::string content_type;
   std::string body;
+  uint64_t applied = 0;  // index of the last entry that the leader has applied
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(call, status, content_type, body);
+    archive(call, status, content_type, body, applied);
   }
 };
 
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -1,7 +1,9 @@
 #include "net/net.h"
 
+#include <event2/bufferevent.h>
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +79,43 @@
   EXPECT_EQ(got, "hello");
 }
 
+// A request that lay in its connection must not count as one that was sent when
+// it is read.
+TEST(AdminServerTest, ARequestIsStampedFromBeforeItWasSent) {
+  EventLoop loop;
+  Deadline deadline(loop);
+  AdminServer server(loop, kAnyPort);
+  uint64_t known = 7;
+  server.SetStamps([&] { return known; });
+  ++known;  // not refreshed: a connection may have been established before
+  std::vector<std::optional<uint64_t>> stamps;
+  server.Handle("GET", "/page", [&](const AdminRequest& request, auto reply) {
+    stamps.push_back(request.stamp);
+    known += 10;  // until the response is sent
+    reply({200, "text/plain", "ok"});
+    known += 10;  // before the next request is read
+  });
+  bufferevent* end =
+      bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  const SocketAddress address = ToSocketAddress(server.local());
+  bufferevent_socket_connect(end, address.get(),
+                             static_cast<int>(address.length));
+  const std::string request = "GET /page HTTP/1.1\r\nHost: x\r\n\r\n";
+  Timer check(loop, [&] {
+    if (stamps.size() == 2) {
+      loop.Stop();
+    }
+  });
+  check.StartPeriodic(std::chrono::milliseconds(2));
+  bufferevent_write(end, request.data(), request.size());
+  Timer second(loop,
+               [&] { bufferevent_write(end, request.data(), request.size()); });
+  second.StartOnce(std::chrono::milliseconds(50));
+  loop.Run();
+  bufferevent_free(end);
+  EXPECT_EQ(stamps, (std::vector<std::optional<uint64_t>>{7, 18}));
+}
+
 TEST(AdminServerTest, RepliesImmediatelyAndLater) {
   EventLoop loop;
   Deadline deadline(loop);
