Tell a list that was emptied from one that is absent

Cause: an empty list stood for a file without that section, in which requests name their service and need no key, and for one whose last entry was removed. ParseTerms and WorkspaceKeys chose the mode by counting.

Change: the routes and workspaces of a fleet are optional; the parsers say whether they are there. An emptied list allows nothing: 404, or 401 on all that is not public. The same for two more lists that can be emptied one by one, the regions of a workspace (all were allowed, now none) and the methods of a contract (it held for every method, now for none).

Seen failing before: DesiredStateTest.WithoutARouteLeftNoRequestIsAccepted, .WithoutATenantLeftNoKeyIsAccepted.

--- a/src/config/fleet_parser.cc
+++ b/src/config/fleet_parser.cc
@@ -54,8 +54,11 @@
   map_.ReadList("services", true, "services: [{name: ledger}]",
                 [this](const YamlValue& item) { ReadService(item); });
   WorkspaceParser workspaces(fleet_.regions);
+  if (map_.Find("workspaces")) {
+    fleet_.workspaces.emplace();
+  }
   map_.ReadList("workspaces", false, "", [&](const YamlValue& item) {
-    fleet_.workspaces.push_back(workspaces.Parse(item));
+    fleet_.workspaces->push_back(workspaces.Parse(item));
   });
   map_.ReadMap("control", [this](YamlMap& map) { ReadControl(map); });
   map_.ReportUnknownKeys();
--- a/src/config/service_parser.cc
+++ b/src/config/service_parser.cc
@@ -39,14 +39,13 @@
 // `later` is never used.
 bool Shadows(const world::Contract& earlier, const world::Contract& later) {
   const auto& methods = earlier.methods;
-  const bool any_method = methods.empty();
   const bool methods_covered =
-      any_method ||
-      (!later.methods.empty() &&
-       std::all_of(later.methods.begin(), later.methods.end(),
+      !methods ||
+      (later.methods && !later.methods->empty() &&
+       std::all_of(later.methods->begin(), later.methods->end(),
                    [&](const std::string& method) {
-                     return std::find(methods.begin(), methods.end(), method) !=
-                            methods.end();
+                     return std::find(methods->begin(), methods->end(),
+                                      method) != methods->end();
                    }));
   return methods_covered && later.path_prefix.starts_with(earlier.path_prefix);
 }
@@ -139,12 +138,15 @@
        {"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}) {
     words.emplace_back(method, method);
   }
+  if (map.Find("methods")) {
+    contract.methods.emplace();
+  }
   map.ReadList("methods", false, "", [&](const YamlValue& item) {
     const std::optional<std::string> method = OneOf<std::string>(words)(item);
     if (!method) {
       return;
     }
-    auto& methods = contract.methods;
+    auto& methods = *contract.methods;
     if (std::find(methods.begin(), methods.end(), *method) != methods.end()) {
       item.Report(Quoted(*method) + " is listed twice", "remove one of them");
       return;
@@ -277,7 +279,7 @@
     if (contract.repeat == world::Repeat::kAllowed) {
       return true;
     }
-    if (contract.methods.empty() && contract.path_prefix == "/") {
+    if (!contract.methods && contract.path_prefix == "/") {
       return false;
     }
   }
--- a/src/config/workspace_parser.cc
+++ b/src/config/workspace_parser.cc
@@ -84,6 +84,9 @@
 }
 
 void WorkspaceParser::ReadRegions(YamlMap& map, world::Workspace& workspace) {
+  if (map.Find("regions")) {
+    workspace.regions.emplace();
+  }
   map.ReadList("regions", false, "", [&](const YamlValue& item) {
     const std::optional<RegionName> name = Name<RegionName>()(item);
     if (!name) {
@@ -97,7 +100,7 @@
                   "write the name of one of its regions");
       return;
     }
-    workspace.regions.push_back(*name);
+    workspace.regions->push_back(*name);
   });
 }
 
--- a/src/dataplane/caller_identity.cc
+++ b/src/dataplane/caller_identity.cc
@@ -40,7 +40,7 @@
 CallerIdentity IdentifyCaller(const wire::Headers& headers,
                               const policy::WorkspaceKeys& keys,
                               bool is_public) {
-  if (keys.empty()) {
+  if (!keys.required()) {
     return {nullptr, true};
   }
   const std::string_view key = KeyOf(headers);
@@ -57,19 +57,16 @@
 
 AllowedRegions RegionsFor(const world::Route* route,
                           const world::Workspace* workspace) {
-  AllowedRegions allowed;
-  if (route != nullptr && !route->regions.empty()) {
-    allowed = route->regions;
-  }
-  if (workspace == nullptr || workspace->regions.empty()) {
+  AllowedRegions allowed = route == nullptr ? std::nullopt : route->regions;
+  if (workspace == nullptr || !workspace->regions) {
     return allowed;
   }
   if (!allowed) {
     return workspace->regions;
   }
   std::erase_if(*allowed, [&](const RegionName& region) {
-    return std::find(workspace->regions.begin(), workspace->regions.end(),
-                     region) == workspace->regions.end();
+    return std::find(workspace->regions->begin(), workspace->regions->end(),
+                     region) == workspace->regions->end();
   });
   return allowed;
 }
--- a/src/dataplane/caller_terms.cc
+++ b/src/dataplane/caller_terms.cc
@@ -104,8 +104,7 @@
     return std::nullopt;
   }
   if (!ReadNumbers() ||
-      !(fleet_.routes.empty() ? ResolveService() : ResolveRoute(pick)) ||
-      !ReadKey()) {
+      !(fleet_.routes ? ResolveRoute(pick) : ResolveService()) || !ReadKey()) {
     return std::nullopt;
   }
   parsed_.deadline = parsed_.terms.deadline;
@@ -222,8 +221,8 @@
 // Returns the identity of the request: all that its target gets each time it
 // comes again, the caller's service too, and path and body of the resource.
 world::RequestIdentity TermsParser::IdentityOfRequest() const {
-  const std::string host = fleet_.routes.empty() ? parsed_.service->name.value
-                                                 : HostOf(request_.headers);
+  const std::string host =
+      fleet_.routes ? HostOf(request_.headers) : parsed_.service->name.value;
   const std::string workspace =
       parsed_.workspace == nullptr ? "" : parsed_.workspace->name + '\n';
   return {
--- a/src/dataplane/caller_terms.h
+++ b/src/dataplane/caller_terms.h
@@ -44,10 +44,10 @@
 using PickService = std::function<ServiceName(const world::Route& route)>;
 
 /// Parses the headers of `request`, which began on a host of the service
-/// `caller`. Returns std::nullopt and sets `refusal` if
-/// the request cannot be served under `fleet`, whose workspaces have `keys`.
-/// The service is selected by the routes of `fleet` if it has any, otherwise by
-/// the Ibis-Service header or the first label of the Host header.
+/// `caller`. Returns std::nullopt and sets `refusal` if the request cannot be
+/// served under `fleet`, whose workspaces have `keys`. The service is selected
+/// by the routes of `fleet` if it has a list of them, also an empty one,
+/// otherwise by the Ibis-Service header or the first label of the Host header.
 std::optional<CallerTerms> ParseTerms(const CallerRequest& request,
                                       const world::Fleet& fleet,
                                       const policy::WorkspaceKeys& keys,
--- a/src/dataplane/request_messages.cc
+++ b/src/dataplane/request_messages.cc
@@ -35,7 +35,7 @@
   open.method = caller_request.method;
   open.uri = caller_request.uri;
   open.headers = EndToEndHeaders(caller_request.headers, names);
-  if (!request.fleet->workspaces.empty()) {
+  if (request.fleet->workspaces) {
     RemoveCredentials(open.headers, names);
   }
   if (request.terms.workspace != nullptr) {
--- a/src/node/keeper_process.cc
+++ b/src/node/keeper_process.cc
@@ -39,9 +39,11 @@
       checked.zones.insert(checked.zones.end(), region.zones.begin(),
                            region.zones.end());
     }
-    for (const world::Workspace& workspace : fleet.workspaces) {
-      if (workspace.quota) {
-        checked.quotas[workspace.name] = *workspace.quota;
+    if (fleet.workspaces) {
+      for (const world::Workspace& workspace : *fleet.workspaces) {
+        if (workspace.quota) {
+          checked.quotas[workspace.name] = *workspace.quota;
+        }
       }
     }
     return checked;
--- a/src/policy/workspace_keys.cc
+++ b/src/policy/workspace_keys.cc
@@ -21,7 +21,10 @@
 WorkspaceKeys::WorkspaceKeys(std::shared_ptr<const world::Fleet> fleet,
                              uint64_t seed)
     : fleet_(std::move(fleet)), seed_(std::to_string(seed) + '\n') {
-  for (const world::Workspace& workspace : fleet_->workspaces) {
+  if (!fleet_->workspaces) {
+    return;
+  }
+  for (const world::Workspace& workspace : *fleet_->workspaces) {
     for (const std::string& key : workspace.keys) {
       by_digest_.emplace(DigestOfKey(key), Entry{&workspace, &key});
     }
--- a/src/policy/workspace_keys.h
+++ b/src/policy/workspace_keys.h
@@ -24,8 +24,8 @@
   /// Returns the workspace that holds `key`, or null. The pointer is valid as
   /// long as this object.
   const world::Workspace* Find(std::string_view key) const;
-  /// Returns whether the fleet has workspaces.
-  bool empty() const { return fleet_->workspaces.empty(); }
+  /// Returns whether requests need a key.
+  bool required() const { return fleet_->workspaces.has_value(); }
 
  private:
   struct Entry {
--- a/src/world/fleet.cc
+++ b/src/world/fleet.cc
@@ -11,8 +11,8 @@
              const std::string& path) {
   const auto& methods = contract.methods;
   const bool method_matches =
-      methods.empty() ||
-      std::find(methods.begin(), methods.end(), method) != methods.end();
+      !methods ||
+      std::find(methods->begin(), methods->end(), method) != methods->end();
   return method_matches && path.starts_with(contract.path_prefix);
 }
 
@@ -41,8 +41,11 @@
 const Route* FindRoute(const Fleet& fleet,
                        const std::string& host,
                        const std::string& path) {
+  if (!fleet.routes) {
+    return nullptr;
+  }
   const auto host_routes = std::equal_range(
-      fleet.routes.begin(), fleet.routes.end(), host, HostOrder());
+      fleet.routes->begin(), fleet.routes->end(), host, HostOrder());
   const auto found = std::find_if(
       host_routes.first, host_routes.second,
       [&](const Route& route) { return path.starts_with(route.path_prefix); });
@@ -50,7 +53,10 @@
 }
 
 void SortRoutes(Fleet& fleet) {
-  std::sort(fleet.routes.begin(), fleet.routes.end(),
+  if (!fleet.routes) {
+    return;
+  }
+  std::sort(fleet.routes->begin(), fleet.routes->end(),
             [](const Route& a, const Route& b) {
               if (a.host != b.host) {
                 return a.host < b.host;
--- a/src/world/fleet.h
+++ b/src/world/fleet.h
@@ -24,8 +24,9 @@
 /// request applies. A request that matches no contract may be repeated only if
 /// its method is GET, HEAD or OPTIONS.
 struct Contract {
-  std::vector<std::string> methods;  // upper case; empty: any method
-  std::string path_prefix;           // starts with '/'
+  // Upper case; nullopt: any method.
+  std::optional<std::vector<std::string>> methods;
+  std::string path_prefix;  // starts with '/'
   Repeat repeat = Repeat::kNever;
   KeyRule key = KeyRule::kOptional;
   std::optional<Duration> deadline;  // overrides the service's deadline
@@ -154,9 +155,10 @@
   Duration timeout = std::chrono::seconds(1);    // maximum wait for an answer
   Duration objective = std::chrono::seconds(1);  // for the latency of answers
   uint32_t priority = 0;                         // 0 is the highest priority
-  uint32_t max_attempts = 1;        // targets that may be sent the same request
-  bool is_public = false;           // requests need no key of a workspace
-  std::vector<RegionName> regions;  // whose targets may be used; empty: all
+  uint32_t max_attempts = 1;  // targets that may be sent the same request
+  bool is_public = false;     // requests need no key of a workspace
+  // Regions whose targets may be used; nullopt: all.
+  std::optional<std::vector<RegionName>> regions;
 
   auto operator<=>(const Route&) const = default;
 };
@@ -175,7 +177,8 @@
   std::vector<std::string> keys;     // secret
   std::optional<uint32_t> priority;  // takes precedence over the route's
   std::optional<Quota> quota;        // nullopt: no limit
-  std::vector<RegionName> regions;   // whose targets may be used; empty: all
+  // Regions whose targets may be used; nullopt: all.
+  std::optional<std::vector<RegionName>> regions;
 
   auto operator<=>(const Workspace&) const = default;
 };
@@ -216,15 +219,18 @@
   auto operator<=>(const ControlRules&) const = default;
 };
 
-/// In-memory form of a complete configuration file.
+/// In-memory form of a complete configuration file. A list that is absent is
+/// not the same as one whose last entry was removed: the latter matches nothing
+/// and allows nothing.
 struct Fleet {
   std::string name;
   std::vector<Region> regions;
   std::vector<Link> links;
   std::vector<Service> services;
-  std::vector<Route> routes;  // sorted by SortRoutes; may be empty
-  // Without any, requests need no key.
-  std::vector<Workspace> workspaces;
+  // Sorted by SortRoutes; nullopt: requests name their service themselves.
+  std::optional<std::vector<Route>> routes;
+  // Nullopt: requests need no key.
+  std::optional<std::vector<Workspace>> workspaces;
   CallerRules callers;
   ControlRules control;
 
--- a/tests/config/fleet_parser_test.cc
+++ b/tests/config/fleet_parser_test.cc
@@ -15,6 +15,7 @@
 using testing::ElementsAre;
 using testing::HasSubstr;
 using testing::IsEmpty;
+using testing::Optional;
 using testing::SizeIs;
 
 std::vector<Finding> FindingsOf(const std::string& text) {
@@ -211,10 +212,33 @@
                          "    priority: 2\n"
                          "    quota: {per_second: 50, burst: 100}\n"),
       "");
-  ASSERT_THAT(fleet.workspaces, SizeIs(1));
-  EXPECT_EQ(fleet.workspaces[0].keys.size(), 2U);
-  EXPECT_EQ(fleet.workspaces[0].priority, 2U);
-  EXPECT_EQ(fleet.workspaces[0].quota, (world::Quota{50, 100}));
+  ASSERT_THAT(fleet.workspaces, Optional(SizeIs(1)));
+  const world::Workspace& workspace = fleet.workspaces->front();
+  EXPECT_EQ(workspace.keys.size(), 2U);
+  EXPECT_EQ(workspace.priority, 2U);
+  EXPECT_EQ(workspace.quota, (world::Quota{50, 100}));
+  EXPECT_FALSE(workspace.regions);
+}
+
+// Guards against a list whose last entry was removed and which then allows
+// everything, as if it were absent.
+TEST(FleetParserTest, AnEmptyListIsNotAnAbsentOne) {
+  EXPECT_FALSE(ParseFleet(FileWithService("  - name: one\n"), "").workspaces);
+  EXPECT_THAT(
+      ParseFleet(FileWithService("  - name: one\n") + "workspaces: []\n", "")
+          .workspaces,
+      Optional(IsEmpty()));
+  const world::Fleet fleet =
+      ParseFleet(FileWithWorkspaces(
+                     "  - {name: north, keys: [key-north-1], regions: []}\n"),
+                 "");
+  EXPECT_THAT(fleet.workspaces->front().regions, Optional(IsEmpty()));
+  const std::string contract =
+      "  - name: one\n"
+      "    contracts: [{methods: [], path: /, repeat: allowed}]\n";
+  const world::Fleet emptied = ParseFleet(FileWithService(contract), "");
+  EXPECT_EQ(world::TermsFor(emptied.services[0], "POST", "/").repeat,
+            world::Repeat::kNever);
 }
 
 // Guards against a file that is accepted with a workspace that cannot work.
@@ -266,7 +290,7 @@
     text.append(", keys: [key-of-").append(number).append("]}\n");
   }
   EXPECT_THAT(ParseFleet(FileWithWorkspaces(text), "").workspaces,
-              SizeIs(10'000));
+              Optional(SizeIs(10'000)));
 }
 
 TEST(FleetParserTest, LeaseIsAtMost15Seconds) {
--- a/tests/dataplane/crash_identity_test.cc
+++ b/tests/dataplane/crash_identity_test.cc
@@ -139,7 +139,7 @@
 // Guards against a request whose crashes are forgotten when the same path and
 // body from hosts of another service is answered.
 TEST_F(CrashIdentityTest, AResponseToAnotherCallerDoesNotClearARequest) {
-  service_.contracts.push_back({{"POST"},
+  service_.contracts.push_back({{{"POST"}},
                                 "/poison",
                                 world::Repeat::kNever,
                                 world::KeyRule::kOptional,
--- a/tests/dataplane/custom_headers_test.cc
+++ b/tests/dataplane/custom_headers_test.cc
@@ -37,7 +37,7 @@
     holds.name = "holds";
     holds.path_prefix = "/look/hold/";
     holds.repeat = world::Repeat::kNever;
-    routes_ = {lookups, holds};
+    routes_ = std::vector{lookups, holds};
   }
 
   static TargetRequest MakeRequest(const std::string& method,
@@ -203,7 +203,7 @@
   };
   FakeTarget one(loop_, target(0));
   FakeTarget two(loop_, target(1));
-  for (world::Route& route : routes_) {
+  for (world::Route& route : *routes_) {
     route.objective = std::chrono::microseconds(100);
   }
   Node& ingress = AddNode("suva-1", nullptr);
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -103,7 +103,7 @@
     timeout_timer_.StartOnce(std::chrono::seconds(30));
     service_.name = ServiceName("bookdesk");
     service_.deadline = std::chrono::seconds(5);
-    service_.contracts = {{{"POST"},
+    service_.contracts = {{{{"POST"}},
                            "/bookings",
                            world::Repeat::kNever,
                            world::KeyRule::kOptional,
@@ -272,8 +272,8 @@
   ClaimPort claims_;
   HeaderNames names_;
   policy::ChoiceKind choice_ = policy::ChoiceKind::kWeighed;
-  std::vector<world::Route> routes_;
-  std::vector<world::Workspace> workspaces_;
+  std::optional<std::vector<world::Route>> routes_;
+  std::optional<std::vector<world::Workspace>> workspaces_;
   AskQuota ask_quota_;  // of the nodes that are added
   world::IsolatedPolicy isolated_ = world::IsolatedPolicy::kRefuse;
   Duration link_silence_ = std::chrono::milliseconds(300);
--- a/tests/dataplane/repeated_crash_test.cc
+++ b/tests/dataplane/repeated_crash_test.cc
@@ -25,7 +25,7 @@
     // All hosts are of one service, so that a request is the very same one
     // wherever it begins.
     caller_service_ = service_.name;
-    service_.contracts.push_back({{kPoisonOnce.method},
+    service_.contracts.push_back({{{kPoisonOnce.method}},
                                   kPoisonOnce.uri,
                                   world::Repeat::kNever,
                                   world::KeyRule::kOptional,
--- a/tests/dataplane/workspace_test.cc
+++ b/tests/dataplane/workspace_test.cc
@@ -20,7 +20,7 @@
     world::Workspace south;
     south.name = "south";
     south.keys = {"south-key-1"};
-    workspaces_ = {north, south};
+    workspaces_ = std::vector{north, south};
   }
   Node& Start() {
     Node& node = AddNode("suva-1", &target_);
@@ -82,19 +82,49 @@
 
 // Guards against a fleet without workspaces that is served differently.
 TEST_F(WorkspaceTest, WithoutWorkspacesACredentialIsPassedOn) {
-  workspaces_.clear();
+  workspaces_.reset();
   const Node& node = Start();
   EXPECT_EQ(Fetch(node, With({{"Authorization", "Basic abc"}})).status, 200);
   ASSERT_NE(FindHeader(target_.headers(), "Authorization"), nullptr);
 }
 
+// A file whose last workspace was removed was taken for one without workspaces:
+// every request was accepted, and targets were shown the keys.
+TEST_F(WorkspaceTest, WithoutAWorkspaceLeftNoKeyIsAccepted) {
+  const Node& node = Start();
+  const TargetRequest request =
+      With({{"Authorization", std::string("Token ") + kKey}});
+  EXPECT_EQ(Fetch(node, request).status, 200);
+  const size_t seen = target_.seen().size();
+  workspaces_->clear();
+  PublishFleet(2);
+  EXPECT_EQ(Fetch(node, request).status, 401);
+  EXPECT_EQ(Fetch(node, With({})).status, 401);
+  EXPECT_EQ(target_.seen().size(), seen);
+  service_.is_public = true;
+  PublishFleet(3);
+  EXPECT_EQ(Fetch(node, request).status, 200);
+  EXPECT_EQ(FindHeader(target_.headers(), "Authorization"), nullptr);
+}
+
+// The same for a workspace whose last region was removed.
+TEST_F(WorkspaceTest, AWorkspaceWithoutARegionLeftGetsNoTarget) {
+  const Node& node = Start();
+  const TargetRequest request =
+      With({{"Authorization", std::string("Token ") + kKey}});
+  workspaces_->at(0).regions.emplace();
+  PublishFleet(2);
+  EXPECT_EQ(Fetch(node, request).status, 503);
+  EXPECT_TRUE(target_.seen().empty());
+}
+
 // Guards against a key that is accepted after the revision that removes it.
 TEST_F(WorkspaceTest, AKeyEndsWithItsRevision) {
   const Node& node = Start();
   const TargetRequest request =
       With({{"Authorization", std::string("Token ") + kKey}});
   EXPECT_EQ(Fetch(node, request).status, 200);
-  workspaces_[0].keys = {"north-key-2"};
+  workspaces_->at(0).keys = {"north-key-2"};
   PublishFleet(2);
   EXPECT_EQ(Fetch(node, request).status, 401);
 }
@@ -126,7 +156,7 @@
 
 // Guards against a target in a region that the workspace does not allow.
 TEST_F(WorkspaceTest, OnlyAllowedRegionsAreUsed) {
-  workspaces_[0].regions = {RegionName("north-island")};
+  workspaces_->at(0).regions = std::vector{RegionName("north-island")};
   const Node& node = Start();
   EXPECT_EQ(Fetch(node, With({{"Authorization", std::string("Token ") + kKey}}))
                 .status,
@@ -152,7 +182,7 @@
 class QuotaAdmissionTest : public WorkspaceTest {
  protected:
   QuotaAdmissionTest() {
-    workspaces_[0].quota = world::Quota{10, 10};
+    workspaces_->at(0).quota = world::Quota{10, 10};
     ask_quota_ = [this](const auto& demands, const auto& done) {
       asked_ += demands.at(0).tokens;
       if (answers_) {
--- a/tests/platform/desired_state_test.cc
+++ b/tests/platform/desired_state_test.cc
@@ -1,8 +1,11 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 
+#include "dataplane/caller_terms.h"
 #include "platform/platform.h"
 
 namespace ibisvalve::platform {
@@ -63,18 +66,18 @@
                                    {"priority", 1},
                                    {"ratePerS", 250},
                                    {"burst", 100}}));
-  ASSERT_EQ(fleet.workspaces.size(), 1U);
-  const world::Workspace& workspace = fleet.workspaces.front();
+  ASSERT_EQ(fleet.workspaces->size(), 1U);
+  const world::Workspace& workspace = fleet.workspaces->front();
   EXPECT_EQ(workspace.name, "pulo");
   EXPECT_EQ(workspace.keys, (std::vector<std::string>{"k1", "k2"}));
   EXPECT_EQ(workspace.priority, 1U);
   EXPECT_EQ(workspace.quota, (world::Quota{250, 100}));
-  EXPECT_FALSE(fleet.routes.front().is_public);
+  EXPECT_FALSE(fleet.routes->front().is_public);
   // A rate of 0, or none, is no limit.
   for (const Json& spec :
        {Json{{"apiKeys", {"k"}}, {"ratePerS", 0}, {"burst", 5}},
         Json{{"apiKeys", {"k"}}, {"burst", 5}}, Json{{"apiKeys", {"k"}}}}) {
-    EXPECT_FALSE(FleetWith(Workspace("pulo", spec)).workspaces[0].quota);
+    EXPECT_FALSE(FleetWith(Workspace("pulo", spec)).workspaces->front().quota);
   }
 }
 
@@ -116,8 +119,8 @@
   state["resources"][1]["spec"]["coldPerS"] = 13.0;
   state["resources"][1]["spec"]["coldStartS"] = 3;
   const world::Fleet fleet = ParseDesiredState(state.dump(), "state");
-  EXPECT_EQ(fleet.routes.front().repeat, world::Repeat::kAllowed);
-  EXPECT_TRUE(fleet.routes.front().is_public);
+  EXPECT_EQ(fleet.routes->front().repeat, world::Repeat::kAllowed);
+  EXPECT_TRUE(fleet.routes->front().is_public);
   EXPECT_EQ(fleet.services.front().cold,
             (world::ColdStart{13, std::chrono::seconds(3)}));
 }
@@ -125,8 +128,8 @@
 TEST(DesiredStateTest, ConvertsToFleet) {
   const world::Fleet fleet =
       ParseDesiredState(State("00000007", "00000000").dump(), "state");
-  ASSERT_EQ(fleet.routes.size(), 1U);
-  const world::Route& route = fleet.routes.front();
+  ASSERT_EQ(fleet.routes->size(), 1U);
+  const world::Route& route = fleet.routes->front();
   EXPECT_EQ(route.host, "jepu9.example");
   EXPECT_EQ(route.repeat, world::Repeat::kAllowed);
   EXPECT_EQ(route.timeout, std::chrono::milliseconds(1200));
@@ -211,6 +214,97 @@
   EXPECT_EQ(Json::parse(after.text)["resources"].size(), 3U);
 }
 
+// Returns the present state after a patch that removes `names` of `type`.
+EditedFile WithoutItems(const EditedFile& present,
+                        const std::string& version,
+                        const std::string& type,
+                        const Json& names) {
+  const Json patch = {{"version", version},
+                      {"baseVersion", Json::parse(present.text)["version"]},
+                      {"remove", {{type, names}}}};
+  return EditDesiredState(present.text, kPatch, patch.dump());
+}
+
+// Returns why a request for a path of the route "a" is refused under `state`,
+// or nothing if it is not.
+std::optional<world::Reason> RefusalOf(const EditedFile& state,
+                                       const std::string& host,
+                                       const std::string& key) {
+  const auto fleet = std::make_shared<const world::Fleet>(
+      ParseDesiredState(state.text, "state"));
+  dataplane::CallerRequest request;
+  request.method = "GET";
+  request.uri = "/a/1";
+  request.headers = {{"Host", host}, {"Authorization", "Token " + key}};
+  dataplane::CallerRefusal refusal;
+  const auto terms = dataplane::ParseTerms(
+      request, *fleet, policy::WorkspaceKeys(fleet, 7), Headers(),
+      ServiceName("huvo"),
+      [](const world::Route& route) { return route.targets.front().service; },
+      refusal);
+  return terms ? std::nullopt : std::optional(refusal.reason);
+}
+
+// After the last route had been removed, requests ran at the service that the
+// first label of their host named.
+TEST(DesiredStateTest, WithoutARouteLeftNoRequestIsAccepted) {
+  const EditedFile present =
+      EditDesiredState("", kReplace, State("00000007", "00000000").dump());
+  const EditedFile emptied = WithoutItems(present, "00000009", "routes", {"a"});
+  EXPECT_EQ(RefusalOf(present, "jepu9.example", ""), std::nullopt);
+  EXPECT_EQ(RefusalOf(emptied, "jepu9.example", ""), world::Reason::kNoRoute);
+  EXPECT_EQ(RefusalOf(emptied, "huvo.example", ""), world::Reason::kNoRoute);
+}
+
+// After the last tenant had been removed, requests with any key were accepted.
+TEST(DesiredStateTest, WithoutATenantLeftNoKeyIsAccepted) {
+  Json state = State("00000007", "00000000");
+  state["resources"].push_back(Workspace("pulo", {{"apiKeys", {"k1"}}}));
+  const EditedFile present = EditDesiredState("", kReplace, state.dump());
+  EXPECT_EQ(RefusalOf(present, "jepu9.example", "k1"), std::nullopt);
+  const EditedFile removed =
+      WithoutItems(present, "00000009", "tenants", {"pulo"});
+  // A later change of something else does not take that back.
+  const EditedFile changed =
+      WithoutItems(removed, "0000000b", "routes", {"gone"});
+  const EditedFile replaced = EditDesiredState(
+      changed.text, kReplace, State("0000000d", "0000000b").dump());
+  for (const EditedFile& emptied : {removed, changed, replaced}) {
+    for (const char* key : {"k1", "never-held"}) {
+      EXPECT_EQ(RefusalOf(emptied, "jepu9.example", key),
+                world::Reason::kUnauthorized);
+    }
+  }
+}
+
+// What is noted about emptied types is not part of what operators sent.
+TEST(DesiredStateTest, APublishedStateIsWhatWasSent) {
+  Json state = State("00000007", "00000000");
+  state["resources"].push_back(Workspace("pulo", {{"apiKeys", {"k1"}}}));
+  const EditedFile present = EditDesiredState("", kReplace, state.dump());
+  EXPECT_EQ(Json::parse(PublishedState(present.text)), state);
+  const Json next = State("00000009", "00000007");
+  const EditedFile emptied =
+      EditDesiredState(present.text, kReplace, next.dump());
+  EXPECT_EQ(Json::parse(PublishedState(emptied.text)), next);
+  // The note ends with the next tenant.
+  state["version"] = "0000000b";
+  state["baseVersion"] = "00000009";
+  const EditedFile again =
+      EditDesiredState(emptied.text, kReplace, state.dump());
+  EXPECT_EQ(Json::parse(again.text), state);
+}
+
+// A deployment that never had a tenant serves requests without keys.
+TEST(DesiredStateTest, WithoutTenantsNoKeyIsNeeded) {
+  const EditedFile present =
+      EditDesiredState("", kReplace, State("00000007", "00000000").dump());
+  const EditedFile changed =
+      WithoutItems(present, "00000009", "tenants", {"pulo"});
+  EXPECT_EQ(RefusalOf(changed, "jepu9.example", "any"), std::nullopt);
+  EXPECT_FALSE(ParseDesiredState(changed.text, "state").workspaces);
+}
+
 const LocalTarget kLocalTarget{ServiceName("huvo"), {"10.1.0.8", 8301}};
 constexpr uint64_t kNowMs = 1'700'000'000'123;
 
@@ -234,7 +328,7 @@
       EditDesiredState(state.dump(), "patch", patch.dump());
   EXPECT_LT(std::chrono::steady_clock::now() - start, kElectionTimeout);
   ASSERT_EQ(edited.result, EditedFile::Result::kEdited);
-  EXPECT_EQ(ParseDesiredState(edited.text, "state").routes.size(),
+  EXPECT_EQ(ParseDesiredState(edited.text, "state").routes->size(),
             2 * kRoutes + 1U);
 }
 
@@ -263,8 +357,8 @@
   EXPECT_EQ(fleet.callers.header_bytes, uint32_t{INT32_MAX});
   EXPECT_EQ(fleet.services.front().limits.connections_per_target,
             uint32_t{INT32_MAX});
-  EXPECT_EQ(fleet.routes.front().priority, uint32_t{INT32_MAX});
-  EXPECT_EQ(fleet.routes.front().max_attempts, uint32_t{INT32_MAX});
+  EXPECT_EQ(fleet.routes->front().priority, uint32_t{INT32_MAX});
+  EXPECT_EQ(fleet.routes->front().max_attempts, uint32_t{INT32_MAX});
 }
 
 // Guards against a change nested so deeply that storing it ends the keeper, and
--- a/tests/policy/workspace_keys_test.cc
+++ b/tests/policy/workspace_keys_test.cc
@@ -7,11 +7,12 @@
 
 std::shared_ptr<world::Fleet> FleetOf(size_t workspaces) {
   auto fleet = std::make_shared<world::Fleet>();
+  fleet->workspaces.emplace();
   for (size_t i = 0; i < workspaces; ++i) {
     world::Workspace workspace;
     workspace.name = "w" + std::to_string(i);
     workspace.keys = {"first-" + workspace.name, "second-" + workspace.name};
-    fleet->workspaces.push_back(workspace);
+    fleet->workspaces->push_back(workspace);
   }
   return fleet;
 }
@@ -22,7 +23,7 @@
   constexpr size_t kWorkspaces = 10'000;
   const auto fleet = FleetOf(kWorkspaces);
   const WorkspaceKeys keys(fleet, 7);
-  for (const world::Workspace& workspace : fleet->workspaces) {
+  for (const world::Workspace& workspace : *fleet->workspaces) {
     for (const std::string& key : workspace.keys) {
       ASSERT_EQ(keys.Find(key), &workspace);
     }
--- a/tests/world/world_test.cc
+++ b/tests/world/world_test.cc
@@ -23,7 +23,7 @@
   Service service;
   service.deadline = std::chrono::milliseconds(300);
   service.contracts = {
-      {{"POST"}, "/bookings", Repeat::kNever, KeyRule::kRequired, {}},
+      {{{"POST"}}, "/bookings", Repeat::kNever, KeyRule::kRequired, {}},
       {{}, "/", Repeat::kAllowed, KeyRule::kOptional, Duration(5)}};
   EXPECT_EQ(TermsFor(service, "POST", "/bookings/7"),
             (Terms{Repeat::kNever, KeyRule::kRequired, service.deadline}));
