--- a/src/control/keeper_pages.cc
+++ b/src/control/keeper_pages.cc
@@ -166,12 +166,12 @@
     reply(ErrorResponse(kUnavailable, "this keeper has no room on its disk"));
     return;
   }
-  const auto shared = std::make_shared<const net::AdminRequest>(
+  const auto stamped = std::make_shared<const net::AdminRequest>(
       WithKnownIndex(request, parts_.known.present()));
   LeaderRelay::Call call;
-  call.local = [this, shared, reply](uint64_t number) {
-    HandleLocal(*shared, [this, number, reply](
-                             const std::optional<net::AdminResponse>& answer) {
+  call.local = [this, stamped, reply](uint64_t number) {
+    HandleLocal(*stamped, [this, number, reply](
+                              const std::optional<net::AdminResponse>& answer) {
       if (!answer) {
         parts_.relay.Retry(number);
       } else if (parts_.relay.Finish(number)) {
@@ -180,15 +180,15 @@
       }
     });
   };
-  call.remote = [this, shared, reply](uint64_t number,
-                                      const world::Endpoint& leader) {
+  call.remote = [this, stamped, reply](uint64_t number,
+                                       const world::Endpoint& leader) {
     forwarded_[number] = reply;
-    parts_.links.Send(leader, wire::ForwardRequest{
-                                  number,
-                                  shared->method,
-                                  shared->path,
-                                  {shared->query.begin(), shared->query.end()},
-                                  shared->body});
+    parts_.links.Send(leader, wire::ForwardRequest{number,
+                                                   stamped->method,
+                                                   stamped->path,
+                                                   {stamped->query.begin(),
+                                                    stamped->query.end()},
+                                                   stamped->body});
   };
   call.unavailable = [this, reply](uint64_t number) {
     forwarded_.erase(number);
--- a/src/control/known_index.h
+++ b/src/control/known_index.h
@@ -9,9 +9,9 @@
 
 namespace ibisvalve::control {
 
-/// Tracks how far the log of the group is known to reach, and stamps requests
-/// with it. An order that changes what a later one than its stamp has set was
-/// delayed on its way, and may have been sent before that.
+/// Tracks how far the group's log is known to reach, and stamps requests with
+/// that index. If an entry after the stamp of an order has set what the order
+/// would change, the order may have been sent before that entry.
 class KnownIndex {
  public:
   explicit KnownIndex(const ReplicaDriver& driver) : driver_(driver) {}
