--- a/tests/control/delayed_order_test.cc
+++ b/tests/control/delayed_order_test.cc
@@ -141,6 +141,21 @@
   EXPECT_TRUE(Evacuated());
 }
 
+// The same for the leader, which has been replaced when it wakes.
+TEST_F(DelayedOrderTest, AnOrderReadByASuspendedLeaderDoesNotUndoANewerOne) {
+  const size_t leader = std::stoul(leader_.substr(leader_.find('-') + 1)) - 1;
+  Order(follower_, "evacuate");
+  keepers_[leader].suspended = true;
+  Answer late;
+  Send(leader, "POST", "/zones/restore?zone=suva", late);
+  Order(follower_, "restore");
+  Order(follower_, "evacuate");
+  keepers_[leader].suspended = false;
+  EXPECT_TRUE(RunUntil([&] { return late.has_value(); }));
+  EXPECT_EQ(late.value_or(net::HttpResult()).status, 503);
+  EXPECT_TRUE(Evacuated());
+}
+
 // The same for an order that changed nothing and was acknowledged.
 TEST_F(DelayedOrderTest, ADelayedOrderDoesNotUndoOneThatWasConfirmedSince) {
   Order(other_, "evacuate");
