Keep the term of a replica that learns late of the founding

Cause: the leader's entries reach the replica before the founding entry. They are rejected, as its log is empty, but the leader's term is taken and stored. Founding then set the term to 1.

Change: founding keeps a higher term. No vote was given in it, as a replica with an empty log does not vote. The simulated cluster can now found replicas late, beside its other faults.

--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -69,7 +69,9 @@
   if (log_.last_index() != 0) {
     return;
   }
-  SetTerm(1);
+  // A leader of the group may have raised the term before the founding entry
+  // arrived.
+  SetTerm(std::max<uint64_t>(1, hard_state_.term));
   log_.TruncateAndAppend(
       wire::LogEntry{1, 1, wire::EntryKind::kMembers, wire::Encode(members)});
   ResetElectionTimer(now);
--- a/tests/control/replica_cluster.h
+++ b/tests/control/replica_cluster.h
@@ -22,7 +22,10 @@
 /// drawn from a seed and checks the safety properties at every step.
 class ReplicaCluster {
  public:
-  explicit ReplicaCluster(uint64_t seed, size_t size) : random_(seed) {
+  /// With `founded_late`, some replicas learn of the founding of the group only
+  /// after others have begun to work.
+  explicit ReplicaCluster(uint64_t seed, size_t size, bool founded_late = false)
+      : random_(seed) {
     // Each seed has its own fault rates, so that rare interleavings occur.
     fault_rates_.crash = 0.03 * UniformUnit() * UniformUnit();
     fault_rates_.crash_in_sync = 0.02 * UniformUnit() * UniformUnit();
@@ -33,20 +36,23 @@
     fault_rates_.delay = 0.8 * UniformUnit();
     fault_rates_.lose_disk = 0.006 * UniformUnit();
     fault_rates_.skip_tick = 0.5 * UniformUnit();
-    wire::KeeperMembers founding{wire::GroupId(1), {}};
+    founding_.group = wire::GroupId(1);
     for (size_t slot = 0; slot < size; ++slot) {
       hosts_.push_back(std::make_unique<Host>());
       hosts_[slot]->disk.id = NewId();
       hosts_[slot]->clock_rate = 0.4 + 1.2 * UniformUnit();
-      founding.members.push_back(MemberAt(slot, true));
+      founding_.members.push_back(MemberAt(slot, true));
     }
     for (size_t slot = 0; slot < size; ++slot) {
       Start(slot);
-      hosts_[slot]->replica->FoundNewGroup(founding, TimeAt(slot));
+      if (founded_late && slot > 0 && Draw(0.5)) {
+        continue;
+      }
+      hosts_[slot]->replica->FoundNewGroup(founding_, TimeAt(slot));
       Persist(*hosts_[slot], hosts_[slot]->replica->TakeActions(TimeAt(slot)));
       hosts_[slot]->replica->OnSynced();
     }
-    committed_members_ = founding;
+    committed_members_ = founding_;
   }
 
   /// Advances the simulation by 10 ms, with the faults drawn from the seed.
@@ -57,6 +63,11 @@
     }
     for (size_t slot = 0; slot < hosts_.size(); ++slot) {
       InjectFault(slot);
+      if (IsRunning(slot) && IsUnfounded(slot) &&
+          (faults_ended_ || Draw(0.01))) {
+        hosts_[slot]->replica->FoundNewGroup(founding_, TimeAt(slot));
+        Perform(slot);
+      }
       if (IsRunning(slot) && (faults_ended_ || !Draw(fault_rates_.skip_tick))) {
         hosts_[slot]->replica->Tick(TimeAt(slot));
         Perform(slot);
@@ -164,6 +175,16 @@
     return hosts_[slot]->replica && now_ >= hosts_[slot]->paused_until;
   }
 
+  // Returns whether the replica is a founding member and does not know it.
+  bool IsUnfounded(size_t slot) const {
+    const auto& all = founding_.members;
+    return hosts_[slot]->replica->log().last_index() == 0 &&
+           std::any_of(all.begin(), all.end(),
+                       [&](const wire::KeeperMember& member) {
+                         return member.replica == hosts_[slot]->disk.id;
+                       });
+  }
+
   void Start(size_t slot) {
     Host& host = *hosts_[slot];
     host.machine = StateMachine();
@@ -472,6 +493,7 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<ReplicaMessage> in_flight_;
   wire::KeeperMembers committed_members_;
+  wire::KeeperMembers founding_;
   size_t lost_disks_ = 0;
   std::map<uint64_t, wire::ReplicaId> leader_of_term_;
   std::map<uint64_t, wire::LogEntry> committed_;
--- a/tests/control/replica_rules_test.cc
+++ b/tests/control/replica_rules_test.cc
@@ -107,6 +107,29 @@
   EXPECT_FALSE(Granted(VoteFor(kSecond, 2)));
 }
 
+// A keeper that was suspended while its group was founded first heard from the
+// leader, whose term it took, and then ended at every start.
+TEST_F(ReplicaRulesTest, IsFoundedAfterALeaderHasRaisedItsTerm) {
+  const wire::AppendRequest heartbeat{kSecond, kSelf, 2, 1, 1, 1, 0, {}};
+  RecoveredLog disk;
+  Start(disk);
+  replica_->Receive(heartbeat, now_);
+  disk.hard_state = TakeActions().hard_state.value_or(HardState());
+  EXPECT_EQ(disk.hard_state.term, 2U);
+  for (const bool restarts : {false, true}) {
+    if (restarts) {
+      Start(disk);
+    }
+    replica_->FoundNewGroup(Members(), now_);
+    EXPECT_EQ(replica_->term(), 2U);
+    TakeActions();
+    replica_->Receive(heartbeat, now_);
+    EXPECT_EQ(TakeActions().committed.size(), 1U);
+    EXPECT_FALSE(Granted({kThird, kSelf, 1, 1, 1, false}))
+        << "a vote of an earlier term";
+  }
+}
+
 TEST_F(ReplicaRulesTest, RejectsVoteRequestsWhileTheLeaderIsAlive) {
   Start(LogOf({}));
   replica_->Receive(wire::AppendRequest{kSecond, kSelf, 2, 1, 1, 1, 0, {}},
--- a/tests/control/replica_test.cc
+++ b/tests/control/replica_test.cc
@@ -52,6 +52,21 @@
   EXPECT_TRUE(GetParam() < 3 || lost_disks > 60) << lost_disks;
 }
 
+// A replica that learned of the founding of its group after it had heard from a
+// leader ended, and ended again at every start.
+TEST_P(ReplicaPropertyTest, PreservesSafetyPropertiesWhileFoundedLate) {
+  size_t granted = 0;
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    ReplicaCluster cluster(seed, GetParam(), true);
+    if (!RunSeed(seed, GetParam(), cluster) || HasFailure()) {
+      return;
+    }
+    granted += cluster.granted();
+  }
+  EXPECT_GT(granted, 100U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes,
                          ReplicaPropertyTest,
                          testing::Values(1, 2, 3, 5));
