--- a/tests/control/delayed_order_test.cc
+++ b/tests/control/delayed_order_test.cc
@@ -114,6 +114,22 @@
     RunFor(milliseconds(300));  // until all keepers know of it
   }
 
+  // Sends an order to restore the zone to `keeper` while it is suspended, and
+  // has `asked` carry out `between`. Returns the answer to the delayed order.
+  int DelayRestore(size_t keeper,
+                   size_t asked,
+                   const std::vector<std::string>& between) {
+    keepers_[keeper].suspended = true;
+    Answer late;
+    Send(keeper, "POST", "/zones/restore?zone=suva", late);
+    for (const std::string& order : between) {
+      Order(asked, order);
+    }
+    keepers_[keeper].suspended = false;
+    EXPECT_TRUE(RunUntil([&] { return late.has_value(); }));
+    return late.value_or(net::HttpResult()).status;
+  }
+
   bool Evacuated() {
     return Json(other_, "/fleet")["evacuated"] == nlohmann::json({"suva"});
   }
@@ -130,14 +146,7 @@
 // undid a newer one that had been acknowledged.
 TEST_F(DelayedOrderTest, AnOrderReadAfterASuspensionDoesNotUndoANewerOne) {
   Order(other_, "evacuate");
-  keepers_[follower_].suspended = true;
-  Answer late;
-  Send(follower_, "POST", "/zones/restore?zone=suva", late);
-  Order(other_, "restore");
-  Order(other_, "evacuate");
-  keepers_[follower_].suspended = false;
-  EXPECT_TRUE(RunUntil([&] { return late.has_value(); }));
-  EXPECT_EQ(late.value_or(net::HttpResult()).status, 503);
+  EXPECT_EQ(DelayRestore(follower_, other_, {"restore", "evacuate"}), 503);
   EXPECT_TRUE(Evacuated());
 }
 
@@ -145,26 +154,14 @@
 TEST_F(DelayedOrderTest, AnOrderReadByASuspendedLeaderDoesNotUndoANewerOne) {
   const size_t leader = std::stoul(leader_.substr(leader_.find('-') + 1)) - 1;
   Order(follower_, "evacuate");
-  keepers_[leader].suspended = true;
-  Answer late;
-  Send(leader, "POST", "/zones/restore?zone=suva", late);
-  Order(follower_, "restore");
-  Order(follower_, "evacuate");
-  keepers_[leader].suspended = false;
-  EXPECT_TRUE(RunUntil([&] { return late.has_value(); }));
-  EXPECT_EQ(late.value_or(net::HttpResult()).status, 503);
+  EXPECT_EQ(DelayRestore(leader, follower_, {"restore", "evacuate"}), 503);
   EXPECT_TRUE(Evacuated());
 }
 
 // The same for an order that changed nothing and was acknowledged.
 TEST_F(DelayedOrderTest, ADelayedOrderDoesNotUndoOneThatWasConfirmedSince) {
   Order(other_, "evacuate");
-  keepers_[follower_].suspended = true;
-  Answer late;
-  Send(follower_, "POST", "/zones/restore?zone=suva", late);
-  Order(other_, "evacuate");
-  keepers_[follower_].suspended = false;
-  EXPECT_TRUE(RunUntil([&] { return late.has_value(); }));
+  DelayRestore(follower_, other_, {"evacuate"});
   EXPECT_TRUE(Evacuated());
 }
 
