--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <initializer_list>
 #include <utility>
 
 namespace ibisvalve::control {
@@ -17,6 +18,44 @@
 constexpr uint64_t kMaxUnacknowledgedEntries = 16 << 10;
 constexpr uint64_t kMaxUnacknowledgedBytes = 8 << 20;
 constexpr Duration kSnapshotRetryInterval = std::chrono::seconds(10);
+// Terms and indexes that a group cannot reach; sums of them do not overflow.
+constexpr uint64_t kMaxNumber = uint64_t{1} << 62;
+
+void CheckNumbers(std::initializer_list<uint64_t> numbers) {
+  if (std::max(numbers) > kMaxNumber) {
+    throw wire::WireError("a term or an index is out of range");
+  }
+}
+
+void Check(const wire::VoteRequest& request) {
+  CheckNumbers({request.term, request.last_term, request.last_index});
+}
+
+void Check(const wire::VoteReply& reply) {
+  CheckNumbers({reply.term});
+}
+
+void Check(const wire::AppendRequest& request) {
+  CheckNumbers({request.term, request.prev_index, request.prev_term,
+                request.commit, request.round});
+  uint64_t index = request.prev_index;
+  for (const wire::LogEntry& entry : request.entries) {
+    if (entry.index != ++index || entry.term > request.term) {
+      throw wire::WireError("entries are not in order");
+    }
+  }
+}
+
+void Check(const wire::AppendReply& reply) {
+  CheckNumbers({reply.term, reply.match, reply.round});
+}
+
+void Check(const wire::InstallSnapshot& snapshot) {
+  CheckNumbers({snapshot.term, snapshot.index});
+  if (snapshot.index == 0 || snapshot.index_term > snapshot.term) {
+    throw wire::WireError("a snapshot does not name an entry of its leader");
+  }
+}
 
 }  // namespace
 
@@ -59,6 +98,7 @@
   std::visit(
       [&](const auto& typed) {
         if (typed.to == settings_.self) {
+          Check(typed);
           Handle(typed, now);
         }
       },
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -82,10 +82,25 @@
   if (paused()) {
     return;
   }
+  if (const auto* snapshot = std::get_if<wire::InstallSnapshot>(&message)) {
+    ReadSnapshot(*snapshot);
+  }
   replica_->Receive(message, loop_.Now());
   ScheduleFlush();
 }
 
+// Reads the state before the replica replaces its log by the snapshot.
+void ReplicaDriver::ReadSnapshot(const wire::InstallSnapshot& snapshot) {
+  if (snapshot.index <= state_.applied()) {
+    return;  // it will not be installed
+  }
+  received_state_.emplace();
+  received_state_->Load(snapshot.data);
+  if (received_state_->applied() != snapshot.index) {
+    throw wire::WireError("a snapshot has not the index of its message");
+  }
+}
+
 void ReplicaDriver::FoundNewGroup(const wire::KeeperMembers& members) {
   if (paused() || replica_->log().last_index() != 0) {
     return;
@@ -263,11 +278,14 @@
 
 void ReplicaDriver::InstallReceivedSnapshot(const ReplicaActions& actions) {
   const SnapshotToInstall& snapshot = *actions.install;
-  StateMachine loaded;
-  loaded.Load(snapshot.data);
-  CHECK_EQ(loaded.applied(), snapshot.meta.index);
+  // A later snapshot, of an earlier leader, may have been read since.
+  if (!received_state_ || received_state_->applied() != snapshot.meta.index) {
+    received_state_.emplace();
+    received_state_->Load(snapshot.data);
+  }
   store_.Compact(snapshot.meta, snapshot.data, hard_state_, actions.entries);
-  state_ = std::move(loaded);
+  state_ = std::move(*received_state_);
+  received_state_.reset();
   snapshot_bytes_ = snapshot.data.size();
   LogEvent(kSnapshotInstalled,
            {{"index", snapshot.meta.index}, {"bytes", snapshot.data.size()}});
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -55,7 +55,8 @@
   ReplicaDriver(const ReplicaDriver&) = delete;
   ReplicaDriver& operator=(const ReplicaDriver&) = delete;
 
-  /// Handles a message from another replica.
+  /// Handles a message from another replica. Throws WireError if it is
+  /// malformed, or conflicts with committed entries.
   void Receive(const ReplicaMessage& message);
   /// Founds a group with these members. Has no effect unless the log is empty.
   void FoundNewGroup(const wire::KeeperMembers& members);
@@ -87,6 +88,7 @@
     ProposalCallback done;
   };
 
+  void ReadSnapshot(const wire::InstallSnapshot& snapshot);
   void ScheduleFlush();
   void Flush();
   void PerformActions(ReplicaActions actions);
@@ -108,7 +110,8 @@
   LogStore store_;
   StateMachine state_;
   std::unique_ptr<Replica> replica_;
-  std::map<uint64_t, Proposal> proposals_;  // by index
+  std::optional<StateMachine> received_state_;  // of the last snapshot received
+  std::map<uint64_t, Proposal> proposals_;      // by index
   std::map<uint64_t, std::function<void(bool)>> reads_;
   HardState hard_state_;         // last one written to disk
   uint64_t snapshot_bytes_ = 0;  // size of the state in the newest snapshot
