--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -379,17 +379,38 @@
                 await self.heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def heartbeat(self):
+    def next_beat(self):
+        """Returns the body of the next heartbeat."""
         self.sequence += 1
-        body = {"address": self.machine.text("app"), "born": self.born_ms,
+        return {"address": self.machine.text("app"), "born": self.born_ms,
                 "info": {"service": self.machine.service, "version": "v1",
                          "zone": self.machine.zone, "slots": self.slots},
                 "status": {"state": self.state, "sequence": self.sequence, "coldLeftS": 0}}
-        answer = await call(self.machine.address("control"), "PUT",
+
+    async def heartbeat(self, body=None):
+        return await self._say("PUT", body or self.next_beat())
+
+    async def _say(self, method, body):
+        answer = await call(self.machine.address("control"), method,
                             "/api/instances/" + self.identity,
                             [("Content-Type", "application/json")], json.dumps(body).encode(), 1.0)
         return answer.status
 
+    async def deregister(self, limit=5.0):
+        """Says that it is gone until that is acknowledged, and no more after it.
+        Returns the time of the ack."""
+        self._beats.cancel()
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            with contextlib.suppress(Exception):
+                status = await self._say("DELETE", {"born": self.born_ms})
+                if 200 <= status < 300:
+                    self.record.write("worker %s: DELETE acknowledged (%d)" % (
+                        self.identity, status))
+                    return self.record.now()
+            await asyncio.sleep(0.1)
+        return None
+
     async def leave(self, limit=5.0):
         """Says `draining` until it is acknowledged. Returns the time of the ack."""
         self.state = "draining"
