--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,5 +1,6 @@
-"""A worker restarts under its id while the clock of its machine is set back,
-and leaves later: its draining is acknowledged, and it still gets requests."""
+"""Three nodes are killed at once; a frequent lookup that was on its way to their
+workers is refused for minutes, though no worker ended: CONFIG, routes that were
+added later."""
 
 import os
 import sys
@@ -7,77 +8,97 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand-ins-3"))
 from fleet import *  # noqa: E402,F403
 
-STEP_MS = int(os.environ.get("STEP_MS", "2400"))  # largest dose of `clock_step` in the site files
-UP_S = 0.7
-DOWN_S = 1.3  # as `srv_flap` of the site files: down and up, 1.3 to 1.4 s
-CALM_S = 6.0  # after the restart and the step, until the worker leaves (stableWindowS is 3)
-STAY_S = 8.0  # how long the worker still serves after the ack
-MARGIN_S = 0.1
-SLOTS = 2
-WORK_S = 0.05
-EACH_S = 0.05  # pause between the requests of one machine; one worker alone would be too busy
-HOST = "lookup.example"
+BEFORE_S = 5.0
+DOWN_S = 2.0  # as `herd_kill` of the site files
+CALM_S = 5.0  # after that, before requests are counted (stableWindowS is 3)
+COUNTED_S = 25.0
+WORK_S = 0.4
+LIMIT_S = 2.0
+EACH_S = 0.04  # pause between the requests of one machine on the later route
+FIRST_HOST, LATER_HOST = "first.example", "later.example"
 
 
 async def case(record, trouble):
     fleet = Fleet(record)
+    results = []  # (time, host, status)
     tasks = set()
-    flow = None
 
-    async def consume(node):
-        request, status = new_id(), None
+    async def consume(node, host, path):
+        at, request, status = record.now(), new_id(), None
         try:
-            status = (await call(node.address("outbound"), "GET", "/lookup/" + request, [
-                ("Host", HOST), ("Request-Id", request), ("Deadline-Ms", "1000")],
-                limit=1.3)).status
+            status = (await call(node.address("outbound"), "GET", path, [
+                ("Host", host), ("Request-Id", request),
+                ("Deadline-Ms", str(int(LIMIT_S * 1000)))], limit=LIMIT_S + 0.3)).status
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
-        record.write("request %s sent to %s: %s" % (request, node.name, status))
+        results.append((at, host, status))
+        record.write("request %s (%s) sent to %s at %.3f: %s" % (
+            request, host, node.name, at, status))
 
     async def traffic():
+        turn = 0
         while True:
-            for node in fleet.nodes:
-                task = asyncio.ensure_future(consume(node))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
+            for node in fleet.nodes[3:]:
+                pairs = [(LATER_HOST, "/later/timetable")]
+                pairs += [(FIRST_HOST, "/first/%d" % turn)] * (turn % 4 == 0)
+                for host, path in pairs:
+                    task = asyncio.ensure_future(consume(node, host, path))
+                    tasks.add(task)
+                    task.add_done_callback(tasks.discard)
+            turn += 1
             await asyncio.sleep(EACH_S)
 
+    def share(host, start, end):
+        asked = [status for at, to, status in results if to == host and start <= at < end]
+        return len(asked), sum(status == 200 for status in asked)
+
+    flow = None
     try:
-        for name in ("vitrina", "vitrina", "taller"):
+        for name in ("vitrina",) * 3 + ("bodega",) * 3:
             fleet.add_node(name)
         fleet.start()
-        for machine in fleet.nodes[1:]:
-            await Worker(machine, slots=SLOTS, work_s=WORK_S).start()
+        workers = [await Worker(machine, work_s=WORK_S).start() for machine in fleet.nodes]
         operator = Operator(fleet)
-        await operator.put([route("r-lookup", HOST, "/lookup/", "vitrina"),
-                            service("vitrina"), service("taller"), LIMITS])
+        await operator.put([route("r-first", FIRST_HOST, "/first/", "bodega", timeout_s=LIMIT_S),
+                            service("vitrina"), service("bodega"), LIMITS])
+        await operator.patch([route("r-later", LATER_HOST, "/later/", "vitrina",
+                                    timeout_s=LIMIT_S)])
         await all_ready(fleet)
-        await first_answer(fleet, fleet.nodes[2], HOST, "/lookup/first")
+        await asyncio.sleep(1)
+        start = record.now()
         flow = asyncio.ensure_future(traffic())
-        await asyncio.sleep(3)
-        leaving = fleet.nodes[0]
-        worker = await Worker(leaving, "i-7f3a91c2", slots=SLOTS, work_s=WORK_S).start()
+        await asyncio.sleep(BEFORE_S)
+        killed_at = record.now()
         if trouble:
-            await asyncio.sleep(UP_S)
-            await worker.stop(crash=True)
-            record.write("the clock of %s is set back by %d ms" % (leaving.name, STEP_MS))
+            for node in fleet.nodes[:3]:
+                node.signal(signal.SIGKILL)
             await asyncio.sleep(DOWN_S)
-            worker = await Worker(leaving, worker.identity, slots=SLOTS, work_s=WORK_S,
-                                  born_ms=int(time.time() * 1000) - STEP_MS).start()
+            for node in fleet.nodes[:3]:
+                node.process.wait()
+                node.start()
         await asyncio.sleep(CALM_S)
-        ack = await worker.leave()
-        if ack is None:
-            raise CannotRun("the draining was not acknowledged")
-        await asyncio.sleep(STAY_S)
-        late = [at for at, _ in worker.runs if at > ack + DRAIN_S + MARGIN_S]
+        counted = record.now()
+        await asyncio.sleep(COUNTED_S)
+        end = record.now()
         flow.cancel()
+        await asyncio.sleep(LIMIT_S + 0.5)
         if fleet.ended_by_itself():
             raise CannotRun("ended: %s" % fleet.ended_by_itself())
-        record.write("%d runs at the leaving worker before the ack, %d later than %.1f s after it" % (
-            sum(at < ack for at, _ in worker.runs), len(late), DRAIN_S))
-        print("runs before the ack: %d, later than drainS after it: %d" % (
-            sum(at < ack for at, _ in worker.runs), len(late)))
-        return bool(late)
+        await all_ready(fleet, 1)
+        asked_before, served_before = share(LATER_HOST, start, killed_at)
+        first, first_served = share(FIRST_HOST, counted, end)
+        later, later_served = share(LATER_HOST, counted, end)
+        runs = sum(at >= counted for worker in workers[:3] for at, _ in worker.runs)
+        record.write("before: later route, %d asked, %d served" % (asked_before, served_before))
+        record.write("steady state: first routes, %d asked, %d served" % (first, first_served))
+        record.write("steady state: later routes, %d asked, %d served, %d runs at their workers"
+                     % (later, later_served, runs))
+        print("first routes: %d of %d served; later routes: %d of %d served, %d runs; "
+              "before: %d of %d" % (first_served, first, later_served, later, runs,
+                                    served_before, asked_before))
+        if served_before * 2 < asked_before or first_served * 2 < first or first == 0:
+            raise CannotRun("the traffic was not served in calm")
+        return later >= 20 and later_served / later < first_served / first / 4
     finally:
         if flow:
             flow.cancel()
--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -23,6 +23,7 @@
 DRAIN_S = 2
 GRACE_S = 6
 CONFIG_S = 2
+TIME_LIMIT_S = 110
 
 
 class CannotRun(Exception):
@@ -574,14 +575,25 @@
     raise CannotRun("no request is answered with 200 through %s: %s" % (node.name, status))
 
 
+async def _play(case, record, trouble):
+    """Plays the case; a signal or the time limit only cancels it, so that its
+    processes and folder are gone in the end."""
+    task = asyncio.ensure_future(case(record, trouble))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, TIME_LIMIT_S)
+
+
 def main(case):
-    """Runs `case(record, trouble)`, which returns True if the rule was broken."""
+    """Runs `case(record, trouble)`, which returns True if the rule was broken.
+    Exits with 1 then, with 0 if it held, and with 2 if it could not run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+        broken = asyncio.run(_play(case, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:  # any other fault is the script's
         record.write("could not run: %r" % error)
         print("could not run: %r" % error, file=sys.stderr)
         sys.exit(2)
