--- a/src/dataplane/crash_tracker.cc
+++ b/src/dataplane/crash_tracker.cc
@@ -10,9 +10,19 @@
 // A connection that breaks within this time of the previous one is attributed
 // to the same crash.
 constexpr Duration kSameCrashInterval = std::chrono::milliseconds(100);
+// A single announcement may have been sent before the crash and arrive late.
+constexpr uint32_t kAnnouncementsToRefute = 2;
+// Crashes of the local target that its announcements may still refute.
+constexpr size_t kMaxOpenCrashes = 64;
 // Records in one exchange with a peer, about 150 bytes each.
 constexpr size_t kMaxSyncRecords = 256;
 
+// Returns whether `crash` is the end of the process of `gate`, which may have
+// ended with its target.
+bool IsEndOf(const world::CrashId& crash, const NodeId& gate) {
+  return crash.number == 0 && crash.gate == gate;
+}
+
 // Logs what a report of `crashes` crashes changed, the last of which is `last`.
 void LogEffect(const policy::CrashEffect& effect,
                const world::CrashId& last,
@@ -37,8 +47,12 @@
 
 CrashTracker::CrashTracker(net::EventLoop& loop,
                            const PlaneSettings& settings,
+                           const FleetView& view,
                            SendNotice send_notice)
-    : loop_(loop), settings_(settings), send_notice_(std::move(send_notice)) {}
+    : loop_(loop),
+      settings_(settings),
+      view_(view),
+      send_notice_(std::move(send_notice)) {}
 
 void CrashTracker::OnCrashDuringRun(const world::RequestIdentity& request,
                                     std::optional<Time> connection_opened) {
@@ -52,6 +66,10 @@
     crash.number = ++crash_number_;
   }
   last_crash_ = now;
+  announced_since_[crash.number] = 0;
+  if (announced_since_.size() > kMaxOpenCrashes) {
+    announced_since_.erase(announced_since_.begin());
+  }
   const policy::CrashEffect effect = quarantine_.OnCrash(crash, {request}, now);
   if (effect.already_known) {
     LogEvent(policy::kCrashAlreadyKnown,
@@ -66,15 +84,79 @@
 void CrashTracker::OnGateEnded(const GateRun& gate_run,
                                const ServiceName& service,
                                const world::RequestIdentity& request) {
+  const Time now = loop_.Now();
+  if (answers_.Contains(request.request, now)) {
+    LogEvent(policy::kHarmlessInFlight,
+             {{"fingerprint", ToHex(request.request)},
+              {"gate", gate_run.gate.value}});
+    return;
+  }
   const world::CrashId crash{gate_run.gate, gate_run.incarnation, 0};
-  const policy::CrashEffect effect =
-      quarantine_.OnCrash(crash, {request}, loop_.Now());
+  const policy::CrashEffect effect = quarantine_.OnCrash(crash, {request}, now);
   if (!effect.already_known) {
     LogEffect(effect, crash, 1);
+    RefuteOutlivedGates(Find(request.resource));
     send_notice_(service, {{Find(request.resource)}});
   }
 }
 
+void CrashTracker::OnTargetHeard() {
+  std::set<uint64_t> refuted;
+  for (auto& [number, announcements] : announced_since_) {
+    if (++announcements >= kAnnouncementsToRefute) {
+      refuted.insert(number);
+    }
+  }
+  if (refuted.empty()) {
+    return;
+  }
+  std::erase_if(announced_since_, [&](const auto& entry) {
+    return refuted.contains(entry.first);
+  });
+  const std::vector<Digest> resources =
+      Refute([&](const world::CrashId& crash) {
+        return crash.gate == settings_.id &&
+               crash.incarnation == settings_.incarnation &&
+               refuted.contains(crash.number);
+      });
+  wire::CrashNotice notice;
+  for (const Digest& resource : resources) {
+    notice.records.push_back(Find(resource));
+  }
+  if (!notice.records.empty()) {
+    send_notice_(settings_.service, notice);
+  }
+}
+
+void CrashTracker::OnMember(const world::Member& member) {
+  Refute([&](const world::CrashId& crash) {
+    return IsEndOf(crash, member.id) &&
+           world::TargetOutlived(member, crash.incarnation);
+  });
+}
+
+// Ends the suspicion that rests on ends of gates, as far as their targets are
+// known to have outlived them.
+void CrashTracker::RefuteOutlivedGates(const world::CrashRecord& record) {
+  for (const world::KnownCrash& crash : record.crashes) {
+    const world::Member* member = view_.Find(crash.id.gate);
+    if (member != nullptr && crash.id.number == 0) {
+      OnMember(*member);
+    }
+  }
+}
+
+// Clears all requests of the crashes that `refutes` names. Returns the
+// resources for which this changed anything.
+std::vector<Digest> CrashTracker::Refute(
+    const std::function<bool(const world::CrashId&)>& refutes) {
+  std::vector<Digest> resources = quarantine_.Refute(refutes);
+  for (const Digest& resource : resources) {
+    LogEvent(policy::kCrashRefuted, {{"resource", ToHex(resource)}});
+  }
+  return resources;
+}
+
 void CrashTracker::OnResponse(const world::RequestIdentity& request,
                               uint16_t status) {
   if (Clear(request, status)) {
@@ -92,8 +174,11 @@
 bool CrashTracker::Clear(const world::RequestIdentity& request,
                          uint16_t status) {
   constexpr uint16_t kFirstServerError = 500;
-  if (status >= kFirstServerError ||
-      !quarantine_.OnAnswer(request, loop_.Now())) {
+  if (status >= kFirstServerError) {
+    return false;
+  }
+  answers_.Add(request.request, loop_.Now());
+  if (!quarantine_.OnAnswer(request, loop_.Now())) {
     return false;
   }
   LogEvent(policy::kSuspectCleared, {{"fingerprint", ToHex(request.request)},
@@ -106,6 +191,7 @@
   if (!record.crashes.empty()) {
     LogEffect(quarantine_.Merge(record, loop_.Now()), record.crashes.back().id,
               record.crashes.size());
+    RefuteOutlivedGates(record);
   }
 }
 
--- a/src/dataplane/crash_tracker.h
+++ b/src/dataplane/crash_tracker.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "dataplane/fleet_view.h"
 #include "dataplane/node_plane.h"
 #include "net/net.h"
 #include "policy/policy.h"
@@ -32,6 +34,7 @@
   /// other gates of a service.
   CrashTracker(net::EventLoop& loop,
                const PlaneSettings& settings,
+               const FleetView& view,
                SendNotice send_notice);
 
   /// Records that the local target broke the connection, which was opened at
@@ -42,10 +45,21 @@
                         std::optional<Time> connection_opened);
   /// Records that a gate of `service` has ended while it had the request.
   /// `gate_run` names the gate and its incarnation; all reports of its end
-  /// count as one crash.
+  /// count as one crash, unless the target turns out to have outlived the gate
+  /// (OnMember). A request that has just been answered elsewhere is not
+  /// suspected.
   void OnGateEnded(const GateRun& gate_run,
                    const ServiceName& service,
                    const world::RequestIdentity& request);
+  /// Handles an announcement of the local target's current run. Once the run
+  /// has announced itself repeatedly since a crash that this node reported, it
+  /// has not ended then, and the other gates are told so.
+  void OnTargetHeard();
+  /// Handles that another run of the local target has replaced the current one.
+  void OnTargetReplaced() { announced_since_.clear(); }
+  /// Handles a new or changed record of a member. Clears all requests of the
+  /// ends of its gate that its target has outlived.
+  void OnMember(const world::Member& member);
   /// Records that the local target has answered the request completely, and
   /// tells the other gates if that clears it. An error of the target (5xx) does
   /// not, as a run that failed may have done so because of a crash.
@@ -84,11 +98,19 @@
 
  private:
   bool Clear(const world::RequestIdentity& request, uint16_t status);
+  std::vector<Digest> Refute(
+      const std::function<bool(const world::CrashId&)>& refutes);
+  void RefuteOutlivedGates(const world::CrashRecord& record);
 
   net::EventLoop& loop_;
   const PlaneSettings& settings_;
+  const FleetView& view_;
   SendNotice send_notice_;
   policy::Quarantine quarantine_;
+  policy::RecentAnswers answers_;
+  // Announcements of the target's run since each crash that this node counted,
+  // by number, while that run may still refute it.
+  std::map<uint64_t, uint32_t> announced_since_;
   uint64_t crash_number_ = 0;
   Time last_crash_{};
 };
--- a/src/dataplane/fleet_view.cc
+++ b/src/dataplane/fleet_view.cc
@@ -22,6 +22,11 @@
   on_fleet_ = std::move(on_fleet);
 }
 
+void FleetView::SetOnMemberChanged(
+    std::function<void(const world::Member&)> on_member) {
+  on_member_ = std::move(on_member);
+}
+
 void FleetView::SetLeaseCheck(std::function<bool()> is_held) {
   lease_held_ = std::move(is_held);
 }
@@ -36,6 +41,9 @@
     ids.push_back(member.id);
   }
   members_[member.id] = member;
+  if (on_member_) {
+    on_member_(member);
+  }
 }
 
 bool FleetView::MayServe(world::Repeat repeat) const {
--- a/src/dataplane/fleet_view.h
+++ b/src/dataplane/fleet_view.h
@@ -20,6 +20,8 @@
   void SetFleet(std::shared_ptr<const world::Fleet> fleet, Revision revision);
   /// Sets a function that is called whenever SetFleet has been called.
   void SetOnFleetChanged(std::function<void()> on_fleet);
+  /// Sets a function that is called whenever SetMember has been called.
+  void SetOnMemberChanged(std::function<void(const world::Member&)> on_member);
   /// Sets the function that returns whether the revision is confirmed by a
   /// valid lease. It is called for each request, because a process that was
   /// suspended may handle a request before the lease's timer fires. Without
@@ -66,6 +68,7 @@
   Revision revision_;
   std::function<bool()> lease_held_;
   std::function<void()> on_fleet_;
+  std::function<void(const world::Member&)> on_member_;
   std::set<ZoneName> evacuated_;
   std::map<NodeId, world::Member> members_;
   std::map<ServiceName, std::vector<NodeId>> by_service_;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -50,6 +50,8 @@
   std::optional<world::TargetRun> departing_run() const {
     return monitor_.departing_run();
   }
+  std::optional<HeardRun> heard_run() const { return monitor_.heard_run(); }
+  void ApplyMember(const world::Member& member) { crashes_.OnMember(member); }
   void SetDraining(bool draining);
   void Stop(Duration limit, std::function<void()> done);
   void Serve(net::AdminServer& admin);
@@ -104,6 +106,7 @@
       crashes_(
           loop,
           settings_,
+          view,
           [this](const ServiceName& service, const wire::CrashNotice& notice) {
             const size_t told = ingress_.gates().Broadcast(service, notice);
             LogEvent(kCrashesTold,
@@ -150,9 +153,13 @@
 
 void NodePlane::Impl::Announce(const TargetAnnouncement& announcement) {
   const uint64_t run = monitor_.run();
+  const std::optional<HeardRun> before = monitor_.heard_run();
   monitor_.Announce(announcement);
   if (run != 0 && monitor_.run() != run) {
     gate_.OnTargetEnded();
+    crashes_.OnTargetReplaced();
+  } else if (before && before < monitor_.heard_run()) {
+    crashes_.OnTargetHeard();
   }
   gate_.SetTargetRun(monitor_.run(), monitor_.identity());
   gate_.OnAnnouncedCold(monitor_.cold_left());
@@ -399,6 +406,14 @@
   return impl_->departing_run();
 }
 
+std::optional<HeardRun> NodePlane::heard_run() const {
+  return impl_->heard_run();
+}
+
+void NodePlane::ApplyMember(const world::Member& member) {
+  impl_->ApplyMember(member);
+}
+
 void NodePlane::SetIncarnation(Incarnation incarnation) {
   impl_->SetIncarnation(incarnation);
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -121,6 +121,11 @@
   /// Returns the current run of this node's target if it departs and has
   /// announced its identity.
   std::optional<world::TargetRun> departing_run() const;
+  /// Returns the current run of this node's target if it has announced its
+  /// identity.
+  std::optional<HeardRun> heard_run() const;
+  /// Handles a new or changed record of a member, which the view holds already.
+  void ApplyMember(const world::Member& member);
   /// Requests the active configuration file of `peer`. PlaneHandlers::on_file
   /// receives it.
   void FetchFile(const NodeId& peer);
--- a/src/dataplane/target_monitor.cc
+++ b/src/dataplane/target_monitor.cc
@@ -85,6 +85,14 @@
   return departs ? std::optional(RunOf(*announced)) : std::nullopt;
 }
 
+std::optional<HeardRun> TargetMonitor::heard_run() const {
+  const std::optional<TargetAnnouncement>& announced = registry_.current();
+  if (!announced || announced->identity.empty()) {
+    return std::nullopt;
+  }
+  return HeardRun{RunOf(*announced), registry_.announcements()};
+}
+
 void TargetMonitor::OnTargetReplaced() {
   if (!replaced_) {
     replaced_ = true;
--- a/src/dataplane/target_monitor.h
+++ b/src/dataplane/target_monitor.h
@@ -56,6 +56,8 @@
   /// Returns the current run of the target if it departs and has announced its
   /// identity.
   std::optional<world::TargetRun> departing_run() const;
+  /// Returns the current run of the target if it has announced its identity.
+  std::optional<HeardRun> heard_run() const;
   /// Returns the identity that the target announced; empty: none yet.
   const std::string& identity() const { return identity_; }
   /// Returns how long the target stays cold by its latest announcement.
--- a/src/dataplane/target_registry.cc
+++ b/src/dataplane/target_registry.cc
@@ -112,6 +112,7 @@
   if (late || current_->stopping || returns) {
     return false;
   }
+  ++announcements_;
   current_ = announcement;
   return true;
 }
@@ -124,6 +125,7 @@
     }
   }
   ++run_;
+  announcements_ = 1;
   current_ = announcement;
   if (announcement.stopping || departed_.Covers(RunOf(announcement))) {
     EndCurrentRun();
--- a/src/dataplane/target_registry.h
+++ b/src/dataplane/target_registry.h
@@ -30,6 +30,14 @@
 /// Returns whether the target announces that its run accepts no more work.
 bool IsDeparture(const TargetAnnouncement& announcement);
 
+/// A run of the local target and how often it has announced itself.
+struct HeardRun {
+  world::TargetRun run;
+  uint64_t announcements = 0;
+
+  auto operator<=>(const HeardRun&) const = default;
+};
+
 /// Tracks the current run of the local target, and which runs have departed.
 /// Announcements may arrive out of order: those of earlier runs, and outdated
 /// ones of the current run, are ignored, except that a departure holds for its
@@ -51,6 +59,9 @@
       const TargetAnnouncement& announcement) const;
   /// Returns the number of the current run, counted from 1; 0 before the first.
   uint64_t run() const { return run_; }
+  /// Returns how many announcements of the current run have been applied, each
+  /// newer than the one before it if they are numbered; 0 before the first.
+  uint64_t announcements() const { return announcements_; }
   /// Returns the latest announcement of the current run; nothing before the
   /// first.
   const std::optional<TargetAnnouncement>& current() const { return current_; }
@@ -73,6 +84,7 @@
   std::optional<TargetAnnouncement> current_;
   world::DepartedRuns departed_;
   uint64_t run_ = 0;
+  uint64_t announcements_ = 0;  // of the current run
   std::deque<PreviousRun> previous_runs_;
 };
 
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -139,7 +139,7 @@
     recorded_departures_ = recorded;
     departure_copies_ = {};
   }
-  AddDepartures(recorded);
+  AddTargetHistory(recorded, self_.hosted);
   const std::set<NodeId>& asked = departure_copies_.unconfirmed();
   const bool waits =
       departure_copies_.pending() &&
@@ -155,10 +155,25 @@
   return TakeActions();
 }
 
-// Announces the departures unless they are known.
-void Gossip::AddDepartures(const world::DepartedRuns& departures) {
-  if (!self_.departed.Includes(departures)) {
+GossipActions Gossip::SetHostedRun(Digest run, Time now) {
+  now_ = now;
+  world::HostedRun hosted = self_.hosted;
+  if (hosted.run != run) {
+    const bool further = hosted.since == self_.incarnation;
+    hosted = {self_.incarnation, further ? hosted.number + 1 : 1, run, {}};
+  }
+  hosted.confirmed = self_.incarnation;
+  AddTargetHistory({}, hosted);
+  return TakeActions();
+}
+
+// Announces what the fleet does not know yet of this node's target.
+void Gossip::AddTargetHistory(const world::DepartedRuns& departures,
+                              const world::HostedRun& hosted) {
+  const world::HostedRun latest = world::Latest(self_.hosted, hosted);
+  if (!self_.departed.Includes(departures) || latest != self_.hosted) {
     self_.departed = self_.departed.With(departures);
+    self_.hosted = latest;
     ++self_.version;
     Announce();
   }
@@ -484,7 +499,7 @@
     return;
   }
   // Others may be recorded by an earlier process of this node.
-  AddDepartures(announced.departed);
+  AddTargetHistory(announced.departed, announced.hosted);
   if (announced.incarnation > self_.incarnation &&
       announced.gossip == self_.gossip) {
     // No other process can be bound to this endpoint, so the announcement comes
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -75,6 +75,9 @@
   /// confirmed it. self().departed covers `run` then, unless it has no start
   /// and the set is full.
   GossipActions RecordDeparture(const world::TargetRun& run, Time now);
+  /// Announces the current run of the target, by its digest, after it has been
+  /// heard from more than once.
+  GossipActions SetHostedRun(Digest run, Time now);
   /// Replaces the seeds through which this node finds the fleet.
   void SetSeeds(std::vector<world::Endpoint> seeds) {
     seeds_.SetSeeds(std::move(seeds));
@@ -112,7 +115,8 @@
   void SendPingRequests(const Probe& probe, uint64_t number);
   void Suspect(const Probe& probe);
   void CheckLeaving();
-  void AddDepartures(const world::DepartedRuns& departures);
+  void AddTargetHistory(const world::DepartedRuns& departures,
+                        const world::HostedRun& hosted);
   std::set<NodeId> DepartureHolders();
   void SendDeparture();
 
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -39,6 +39,14 @@
     bytes += std::to_string(run.identity.value);
     bytes += ';';
   }
+  const world::HostedRun& hosted = member.hosted;
+  if (hosted != world::HostedRun()) {
+    for (const uint64_t part : {hosted.since.value, uint64_t{hosted.number},
+                                hosted.run.value, hosted.confirmed.value}) {
+      bytes += '/';
+      bytes += std::to_string(part);
+    }
+  }
   return DigestOf(bytes).value;
 }
 
@@ -60,6 +68,7 @@
 
 bool MemberTable::Merge(const Member& announced, Time now) {
   world::DepartedRuns departed = announced.departed;
+  world::HostedRun hosted = announced.hosted;
   const auto found = members_.find(announced.id);
   if (found == members_.end()) {
     if (!IsLive(announced)) {
@@ -72,14 +81,16 @@
     buckets_[BucketOf(announced.id)].push_back(announced.id);
   } else {
     departed = departed.With(found->second.departed);
+    hosted = world::Latest(hosted, found->second.hosted);
     if (!Overrides(announced, found->second)) {
-      return MergeDepartures(found->second, departed);
+      return MergeTargetHistory(found->second, departed, hosted);
     }
     RemoveFromLive(found->second);
   }
   Member& member = members_[announced.id];
   member = announced;
   member.departed = departed;
+  member.hosted = hosted;
   AddToLive(member);
   const bool dead = announced.state == MemberState::kDead ||
                     announced.state == MemberState::kUnreachable;
@@ -94,14 +105,16 @@
   return true;
 }
 
-// Returns whether the member's departures have changed.
-bool MemberTable::MergeDepartures(Member& member,
-                                  const world::DepartedRuns& departed) {
-  if (departed == member.departed) {
+// Returns whether anything has changed.
+bool MemberTable::MergeTargetHistory(Member& member,
+                                     const world::DepartedRuns& departed,
+                                     const world::HostedRun& hosted) {
+  if (departed == member.departed && hosted == member.hosted) {
     return false;
   }
   RemoveFromLive(member);
   member.departed = departed;
+  member.hosted = hosted;
   AddToLive(member);
   return true;
 }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -47,8 +47,8 @@
   /// Applies an announcement and returns whether it changed the table. Ignores
   /// an announcement that does not supersede the stored one, one of an unknown
   /// member that is not live, and a new member when the table is full. The
-  /// departures of a target are kept from both announcements, so that they
-  /// outlive the process of its node.
+  /// departures of a target and its latest run are kept from both
+  /// announcements, so that they outlive the process of its node.
   bool Merge(const world::Member& announced, Time now);
   /// Marks members that have been suspect for `suspicion_time` as dead. If most
   /// of a zone or region is silent, marks its suspect and dead members as
@@ -92,8 +92,9 @@
     bool IsMostlySilent() const { return silent >= 2 && 2 * silent > members; }
   };
 
-  bool MergeDepartures(world::Member& member,
-                       const world::DepartedRuns& departed);
+  bool MergeTargetHistory(world::Member& member,
+                          const world::DepartedRuns& departed,
+                          const world::HostedRun& hosted);
   void CountGroups();
   bool IsPartitioned(const world::Location& location) const;
   void SetState(world::Member& member, world::MemberState state, Time now);
--- a/src/membership/membership_service.cc
+++ b/src/membership/membership_service.cc
@@ -68,6 +68,10 @@
     Perform(gossip_.SetTarget(service, state, slots, loop_.Now()));
   }
 
+  void SetHostedRun(Digest run) {
+    Perform(gossip_.SetHostedRun(run, loop_.Now()));
+  }
+
   void SetSeeds(const std::vector<world::Endpoint>& seeds) {
     gossip_.SetSeeds(seeds);
   }
@@ -206,6 +210,10 @@
   impl_->RecordDeparture(run, std::move(done));
 }
 
+void MembershipService::SetHostedRun(Digest run) {
+  impl_->SetHostedRun(run);
+}
+
 bool MembershipService::joined() const {
   return impl_->gossip().joined();
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -37,6 +37,9 @@
   /// there is no room for it. The announcement goes on in any case.
   void RecordDeparture(const world::TargetRun& run,
                        std::function<void(bool recorded)> done);
+  /// Announces the current run of this node's target, by its digest, after it
+  /// has been heard from more than once.
+  void SetHostedRun(Digest run);
   /// Replaces the seeds through which this node finds the fleet.
   void SetSeeds(const std::vector<world::Endpoint>& seeds);
   /// Announces that this node leaves. Calls `done` once enough peers have
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "node/admin_pages.h"
@@ -84,6 +85,8 @@
       loop_, settings_.keepers, membership_->self(), MakeAgentHandlers());
   view_.SetLeaseCheck([this] { return agent_->lease_held(); });
   view_.SetOnFleetChanged([this] { plane_->ApplyFleet(); });
+  view_.SetOnMemberChanged(
+      [this](const world::Member& member) { plane_->ApplyMember(member); });
   peer_fetch_timer_.StartPeriodic(kPeerFetchInterval);
   crash_report_timer_.StartPeriodic(kCrashReportInterval);
   ServePages();
@@ -158,6 +161,7 @@
     const dataplane::TargetAnnouncement& announcement,
     std::function<void(bool)> done) {
   plane_->Announce(announcement);
+  PublishHostedRun();
   const bool departs =
       dataplane::IsDeparture(announcement) && !announcement.identity.empty();
   const std::optional<world::TargetRun> run =
@@ -172,6 +176,18 @@
   }
 }
 
+// Announces the run of the target once it is confirmed. What other members
+// remember of it from an earlier process of this node is known by then, so that
+// the same run is recognized.
+void NodeProcess::PublishHostedRun() {
+  const std::optional<dataplane::HeardRun> heard = plane_->heard_run();
+  if (heard && heard->announcements > 1 && membership_->joined()) {
+    const std::string run = std::to_string(heard->run.started_ms) + '/' +
+                            ToHex(heard->run.identity);
+    membership_->SetHostedRun(DigestOf(run));
+  }
+}
+
 void NodeProcess::Reload(const config::Settings& settings) {
   configured_keepers_ = settings.keepers;
   membership_->SetSeeds(settings.seeds);
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -64,6 +64,7 @@
   };
 
   bool MayTrustAnnouncements() const;
+  void PublishHostedRun();
   void ApplyAnnouncement(const dataplane::TargetAnnouncement& announcement,
                          std::function<void(bool)> done);
   void ApplyWaitingAnnouncements();
--- a/src/policy/events.h
+++ b/src/policy/events.h
@@ -18,6 +18,10 @@
                                            "suspect-cleared"};
 inline constexpr EventCode kResourceQuarantined{1710, Severity::kError,
                                                 "resource-quarantined"};
+inline constexpr EventCode kCrashRefuted{1711, Severity::kInfo,
+                                         "crash-refuted"};
+inline constexpr EventCode kHarmlessInFlight{1712, Severity::kInfo,
+                                             "harmless-in-flight"};
 inline constexpr EventCode kLimitLowered{1705, Severity::kWarning,
                                          "limit-lowered"};
 inline constexpr EventCode kLimitRestored{1706, Severity::kInfo,
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -18,6 +18,7 @@
 #include "policy/quarantine.h"             // IWYU pragma: export
 #include "policy/quota_balance.h"          // IWYU pragma: export
 #include "policy/rate_limit.h"             // IWYU pragma: export
+#include "policy/recent_answers.h"         // IWYU pragma: export
 #include "policy/refused_callers.h"        // IWYU pragma: export
 #include "policy/retry_after.h"            // IWYU pragma: export
 #include "policy/retry_budget.h"           // IWYU pragma: export
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -156,6 +156,23 @@
   return found != record->second.end() && found->second.cleared;
 }
 
+std::vector<Digest> Quarantine::Refute(
+    const std::function<bool(const CrashId&)>& refutes) {
+  std::vector<Digest> changed;
+  for (auto& [resource, record] : records_) {
+    bool counted = false;
+    for (auto& [key, crash] : record) {
+      if ((!crash.cleared || !crash.resource_cleared) && refutes(key.first)) {
+        counted = crash.cleared = crash.resource_cleared = true;
+      }
+    }
+    if (counted) {
+      changed.push_back(resource);
+    }
+  }
+  return changed;
+}
+
 bool Quarantine::Lift(Digest fingerprint, Time now) {
   bool lifted = false;
   for (auto& [resource, record] : records_) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -103,6 +104,11 @@
   /// of it.
   bool IsCleared(const world::RequestIdentity& request,
                  const world::CrashId& crash) const;
+  /// Clears all requests, and their resources, of the crashes for which
+  /// `refutes` returns true, because their targets have not ended. Returns the
+  /// resources for which this changed anything.
+  std::vector<Digest> Refute(
+      const std::function<bool(const world::CrashId&)>& refutes);
   /// Ends the quarantine of the request or resource with this fingerprint and
   /// clears it of its crashes. Returns false if it is not quarantined.
   bool Lift(Digest fingerprint, Time now);
--- a/src/wire/gossip_messages.cc
+++ b/src/wire/gossip_messages.cc
@@ -46,6 +46,7 @@
       member.target,
       member.slots,
       member.departed.runs(),
+      member.hosted,
   };
   size_t bytes = bytes_ + Encode(packed).size();
   for (size_t i = old_names; i < names_.size(); ++i) {
@@ -81,6 +82,7 @@
     for (const world::TargetRun& run : packed.departed) {
       member.departed = member.departed.With(run);
     }
+    member.hosted = packed.hosted;
     members.push_back(std::move(member));
   }
   return members;
--- a/src/wire/gossip_messages.h
+++ b/src/wire/gossip_messages.h
@@ -30,6 +30,7 @@
   world::TargetState target = world::TargetState::kNone;
   uint32_t slots = 0;
   std::vector<world::TargetRun> departed;
+  world::HostedRun hosted;
 
   auto operator<=>(const PackedMember&) const = default;
 
@@ -37,8 +38,8 @@
   void serialize(Archive& archive) {
     archive(id, incarnation, version, region_name, zone_name, gossip_name,
             mesh_name, admin_name, control_name, service_name, gossip_port,
-            mesh_port, admin_port, control_port, state, target, slots,
-            departed);
+            mesh_port, admin_port, control_port, state, target, slots, departed,
+            hosted);
   }
 };
 
--- a/src/world/member.cc
+++ b/src/world/member.cc
@@ -43,6 +43,12 @@
   return !member.control.ip.empty() && IsRunning(member);
 }
 
+bool TargetOutlived(const Member& member, Incarnation ended) {
+  const bool left =
+      member.state == MemberState::kLeft && member.incarnation == ended;
+  return left || Outlived(member.hosted, ended);
+}
+
 bool IsServing(const Member& member) {
   return IsRunning(member) && member.target == TargetState::kReady;
 }
--- a/src/world/member.h
+++ b/src/world/member.h
@@ -7,6 +7,7 @@
 #include "base/base.h"
 #include "world/departed_runs.h"
 #include "world/endpoint.h"
+#include "world/hosted_run.h"
 
 namespace ibisvalve::world {
 
@@ -58,13 +59,14 @@
   // Runs of the target that have announced their departure. They are never used
   // again, also after a restart of the node.
   DepartedRuns departed;
+  HostedRun hosted;  // the latest run of the target
 
   auto operator<=>(const Member&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(id, incarnation, version, location, gossip, mesh, admin, control,
-            state, service, target, slots, departed);
+            state, service, target, slots, departed, hosted);
   }
 };
 
@@ -79,6 +81,11 @@
 /// alive or suspect.
 bool IsRunning(const Member& member);
 
+/// Returns whether the end of the process `ended` of the node that `member` is
+/// a record of was not the end of its target: the process left in an orderly
+/// way, or the target runs on beside a later one.
+bool TargetOutlived(const Member& member, Incarnation ended);
+
 /// Returns whether `member` is alive or suspect and its target is ready for new
 /// requests.
 bool IsServing(const Member& member);
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -7,5 +7,6 @@
 #include "world/departed_runs.h"  // IWYU pragma: export
 #include "world/endpoint.h"       // IWYU pragma: export
 #include "world/fleet.h"          // IWYU pragma: export
+#include "world/hosted_run.h"     // IWYU pragma: export
 #include "world/member.h"         // IWYU pragma: export
 #include "world/outcome.h"        // IWYU pragma: export
--- a/tests/dataplane/crash_identity_test.cc
+++ b/tests/dataplane/crash_identity_test.cc
@@ -202,7 +202,8 @@
 TEST_F(CrashIdentityTest, ACrashSoonAfterAResponseIsANewOne) {
   PlaneSettings settings;
   settings.id = NodeId("suva-1");
-  CrashTracker crashes(loop_, settings,
+  const FleetView view;
+  CrashTracker crashes(loop_, settings, view,
                        [](const ServiceName&, const wire::CrashNotice&) {});
   const world::RequestIdentity request{Digest(1), Digest(2)};
   crashes.OnCrashDuringRun(request, loop_.Now());
--- a/tests/dataplane/plane_fixture.h
+++ b/tests/dataplane/plane_fixture.h
@@ -134,7 +134,8 @@
     PlaneSettings settings;
     settings.id = NodeId(id);
     settings.incarnation =
-        same_incarnation_ ? Incarnation(100) : Incarnation(nodes_.size() + 100);
+        same_incarnation_ ? Incarnation(100) : next_incarnation_;
+    next_incarnation_ = Incarnation(next_incarnation_.value + 1);
     settings.callers = settings.mesh = kAnyPort;
     settings.link_silence = link_silence_;
     settings.body_memory = body_memory_;
@@ -174,6 +175,9 @@
                                              claims_, handlers);
     node.member.mesh = node.plane->mesh();
     node.view.SetOnFleetChanged([raw] { raw->plane->ApplyFleet(); });
+    node.view.SetOnMemberChanged([raw](const world::Member& member) {
+      raw->plane->ApplyMember(member);
+    });
     PublishFleet();
     for (const auto& other : nodes_) {
       UpdateMember(other->member);
@@ -277,6 +281,7 @@
   AskQuota ask_quota_;  // of the nodes that are added
   world::IsolatedPolicy isolated_ = world::IsolatedPolicy::kRefuse;
   Duration link_silence_ = std::chrono::milliseconds(300);
+  Incarnation next_incarnation_ = Incarnation(100);
   bool same_incarnation_ = false;  // all nodes get the same incarnation
   uint64_t body_memory_ = 24 << 20;
   uint32_t slots_ = 4;
--- a/tests/membership/gossip_test.cc
+++ b/tests/membership/gossip_test.cc
@@ -147,6 +147,47 @@
       seconds(10)));
 }
 
+// Guards against a restarted node that takes the run of its target for a new
+// one, so that the others believe the target to have ended with the node.
+RC_GTEST_PROP(GossipTest, ARunOfATargetOutlivesTheProcessOfItsNode, ()) {
+  GossipFleet fleet(Seed(), kUnreliableNetwork);
+  fleet.StartMany(9, 3);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.Converged(); }, seconds(60)));
+  const world::Member before = fleet.At(5).self();
+  const Digest run(7);
+  fleet.Perform(before.gossip, fleet.At(5).SetHostedRun(run, fleet.now()));
+  const auto known_to_all = [&](Incarnation confirmed) {
+    return fleet.RunUntil(
+        [&] {
+          for (const auto& [endpoint, node] : fleet.nodes()) {
+            const world::Member* seen = node->table().Find(before.id);
+            if (seen == nullptr || seen->hosted.run != run ||
+                seen->hosted.confirmed != confirmed) {
+              return false;
+            }
+          }
+          return true;
+        },
+        seconds(20));
+  };
+  RC_ASSERT(known_to_all(before.incarnation));
+  fleet.Kill(before.gossip);
+  world::Member again = before;
+  again.incarnation = Incarnation(before.incarnation.value + 1000);
+  MembershipSettings settings;
+  settings.seeds = {fleet.At(0).self().gossip, fleet.At(1).self().gossip};
+  fleet.Start(again, settings);
+  RC_ASSERT(fleet.RunUntil([&] { return fleet.At(5).self().hosted.run == run; },
+                           seconds(10)));
+  RC_ASSERT(!world::Outlived(fleet.At(5).self().hosted, before.incarnation));
+  fleet.Perform(before.gossip, fleet.At(5).SetHostedRun(run, fleet.now()));
+  RC_ASSERT(known_to_all(again.incarnation));
+  for (const auto& [endpoint, node] : fleet.nodes()) {
+    RC_ASSERT(world::TargetOutlived(*node->table().Find(before.id),
+                                    before.incarnation));
+  }
+}
+
 TEST(GossipTest, ADepartureIsRecordedOnceTwoOthersConfirmIt) {
   GossipFleet fleet(1, kReliableNetwork);
   fleet.StartMany(4, 2);
--- a/tests/world/world_test.cc
+++ b/tests/world/world_test.cc
@@ -80,6 +80,17 @@
   EXPECT_FALSE(departed.Covers({4000, Digest(2)})) << "a later run of it";
 }
 
+// Guards against a run that is said to have outlived a process which it did not
+// see end, or which ended before it.
+TEST(HostedRunTest, OutlivesOnlyProcessesBetweenItsStartAndItsConfirmation) {
+  const HostedRun hosted{Incarnation(10), 1, Digest(7), Incarnation(30)};
+  EXPECT_FALSE(Outlived(hosted, Incarnation(9)));
+  EXPECT_TRUE(Outlived(hosted, Incarnation(10)));
+  EXPECT_TRUE(Outlived(hosted, Incarnation(20)));
+  EXPECT_FALSE(Outlived(hosted, Incarnation(30)));
+  EXPECT_FALSE(Outlived({}, Incarnation(0)));
+}
+
 // Without a start, a run that finds no room cannot be told from others.
 TEST(DepartedRunsTest, AFullSetHasNoRoomForARunWithoutStart) {
   DepartedRuns departed;
