--- a/src/control/events.h
+++ b/src/control/events.h
@@ -50,6 +50,8 @@
                                                 "zone-order-superseded"};
 inline constexpr EventCode kKeeperOrderSuperseded{1436, Severity::kWarning,
                                                   "keeper-order-superseded"};
+inline constexpr EventCode kTargetDeparted{1437, Severity::kInfo,
+                                           "target-departed"};
 inline constexpr EventCode kZoneOrderAnswered{1433, Severity::kInfo,
                                               "zone-order-answered"};
 inline constexpr EventCode kZonesReceived{1434, Severity::kInfo,
--- a/src/control/keeper.cc
+++ b/src/control/keeper.cc
@@ -7,6 +7,7 @@
 #include "control/claim_relay.h"
 #include "control/control_port.h"
 #include "control/departure.h"
+#include "control/departure_relay.h"
 #include "control/events.h"
 #include "control/keeper_links.h"
 #include "control/keeper_pages.h"
@@ -88,6 +89,7 @@
   LeaderRelay relay_;
   Departure departure_;
   ClaimRelay claims_;
+  DepartureRelay target_departures_;
   NodeSessions sessions_;
   NodeCoordinator coordinator_;
   FileTerms file_terms_;
@@ -124,6 +126,7 @@
       relay_(loop, driver_, links_),
       departure_(driver_, links_, relay_, [this] { return View(); }),
       claims_(driver_, links_, relay_),
+      target_departures_(driver_, links_, relay_),
       sessions_(
           loop,
           driver_,
@@ -233,6 +236,14 @@
     OnCrashReport(wire::Decode<wire::CrashReport>(payload));
     return true;
   }
+  if (type == wire::DepartureRequest::kType) {
+    auto request = wire::Decode<wire::DepartureRequest>(payload);
+    request.node = peer->node->node;
+    target_departures_.OnRequest(
+        request,
+        [weak](const wire::DepartureReply& reply) { SendTo(weak, reply); });
+    return true;
+  }
   if (type == wire::ClaimSettle::kType) {
     claims_.OnSettle(
         wire::Decode<wire::ClaimSettle>(payload),
@@ -282,6 +293,11 @@
           wire::Decode<wire::SessionReports>(payload),
           [weak](const wire::SessionGrants& grants) { SendTo(weak, grants); });
       return;
+    case wire::DepartureRequest::kType:
+      target_departures_.OnForwarded(
+          wire::Decode<wire::DepartureRequest>(payload),
+          [weak](const wire::DepartureReply& reply) { SendTo(weak, reply); });
+      return;
     case wire::ClaimRequest::kType:
       claims_.OnForwarded(
           wire::Decode<wire::ClaimRequest>(payload),
@@ -332,6 +348,9 @@
     case wire::SettleReply::kType:
       claims_.OnReply(wire::Decode<wire::SettleReply>(payload));
       return;
+    case wire::DepartureReply::kType:
+      target_departures_.OnReply(wire::Decode<wire::DepartureReply>(payload));
+      return;
     default:
       throw wire::WireError("unexpected frame type from a keeper");
   }
@@ -514,6 +533,7 @@
   gauge("ibis_keeper_log_memory_bytes", replica.log().bytes());
   gauge("ibis_keeper_claims", driver_.state().claims().size());
   gauge("ibis_keeper_nodes", sessions_.size());
+  gauge("ibis_keeper_departure_hosts", driver_.state().departures().size());
   gauge("ibis_config_active",
         config.active() == nullptr ? 0 : config.active()->revision.value);
   counter("ibis_keeper_syncs_total", driver_.store().syncs());
--- a/src/control/node_agent.cc
+++ b/src/control/node_agent.cc
@@ -22,6 +22,8 @@
 // heartbeat intervals and an allowance for a slow heartbeat.
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kLeaveTimeout = std::chrono::seconds(1);
+// A target takes a reply that comes within a second.
+constexpr Duration kDepartureTimeout = std::chrono::milliseconds(800);
 
 }  // namespace
 
@@ -43,6 +45,8 @@
              Duration timeout,
              std::function<void(const wire::ClaimReply&)> done);
   void Settle(const wire::ClaimSettle& settle);
+  void RecordDeparture(const world::TargetRun& run,
+                       std::function<void(bool)> done);
   void ReportCrashes(const std::vector<world::CrashRecord>& records);
   void AskQuota(
       const std::vector<wire::QuotaDemand>& demands,
@@ -58,6 +62,12 @@
     std::unique_ptr<net::Timer> timeout;
   };
 
+  struct PendingDeparture {
+    wire::DepartureRequest request;
+    std::function<void(bool)> done;
+    std::unique_ptr<net::Timer> timeout;
+  };
+
   const world::Endpoint& NextKeeper() const;
   void Connect();
   void DropLink(const std::string& reason);
@@ -69,6 +79,8 @@
   void OnZones(const wire::ZoneOrdersUpdate& update);
   void OnQuota(const wire::QuotaReply& reply);
   void OnClaimReply(wire::ClaimReply reply);
+  void OnDepartureReply(uint64_t call, bool stored);
+  void SendDepartures();
   void OnLeft();
   std::string Check(const ConfigFile& file) const;
   void Heartbeat();
@@ -100,6 +112,7 @@
   std::map<uint64_t, PendingClaim> pending_claims_;
   std::map<std::pair<wire::RequestKey, wire::ClaimHolder>, wire::ClaimSettle>
       pending_settles_;
+  std::map<uint64_t, PendingDeparture> pending_departures_;  // by call number
   // By call number; answered by the keeper of the present link, or never.
   std::map<uint64_t, std::function<void(const std::vector<wire::QuotaTokens>&)>>
       pending_quotas_;
@@ -194,6 +207,39 @@
   }
 }
 
+void NodeAgent::Impl::RecordDeparture(const world::TargetRun& run,
+                                      std::function<void(bool)> done) {
+  const uint64_t call = next_call_++;
+  PendingDeparture& pending = pending_departures_[call];
+  pending.request = {call, follow_.node, run};
+  pending.done = std::move(done);
+  pending.timeout = std::make_unique<net::Timer>(
+      loop_, [this, call] { OnDepartureReply(call, false); });
+  pending.timeout->StartOnce(kDepartureTimeout);
+  if (connected()) {
+    link_->Send(pending.request);
+  }
+}
+
+void NodeAgent::Impl::OnDepartureReply(uint64_t call, bool stored) {
+  const auto found = pending_departures_.find(call);
+  if (found == pending_departures_.end()) {
+    return;
+  }
+  // Its timer may be on the stack.
+  const auto pending =
+      std::make_shared<PendingDeparture>(std::move(found->second));
+  pending_departures_.erase(found);
+  loop_.Post([pending] {});
+  pending->done(stored);
+}
+
+void NodeAgent::Impl::SendDepartures() {
+  for (const auto& [call, pending] : pending_departures_) {
+    link_->Send(pending.request);
+  }
+}
+
 void NodeAgent::Impl::ReportCrashes(
     const std::vector<world::CrashRecord>& records) {
   if (connected()) {
@@ -286,6 +332,7 @@
   for (const auto& [key, settle] : pending_settles_) {
     link_->Send(settle);
   }
+  SendDepartures();
   if (leaving_) {
     link_->Send(wire::LeaveKeeper{follow_.node, follow_.incarnation});
   }
@@ -312,6 +359,9 @@
         handlers_.on_crashes(wire::Decode<wire::CrashReport>(payload).records);
       }
       return;
+    case wire::DepartureReply::kType:
+      OnDepartureReply(wire::Decode<wire::DepartureReply>(payload).call, true);
+      return;
     case wire::QuotaReply::kType:
       OnQuota(wire::Decode<wire::QuotaReply>(payload));
       return;
@@ -331,6 +381,9 @@
     return;
   }
   granted_at_ = loop_.Now();
+  if (handlers_.on_departures) {
+    handlers_.on_departures(grant.departed);
+  }
   lease_.RecordGrant(grant.number, grant.active,
                      Duration(static_cast<Duration::rep>(grant.lease_us)));
   UpdateLeaseState();
@@ -588,6 +641,11 @@
   impl_->Settle(settle);
 }
 
+void NodeAgent::RecordDeparture(const world::TargetRun& run,
+                                std::function<void(bool)> done) {
+  impl_->RecordDeparture(run, std::move(done));
+}
+
 void NodeAgent::ReportCrashes(const std::vector<world::CrashRecord>& records) {
   impl_->ReportCrashes(records);
 }
--- a/src/control/node_agent.h
+++ b/src/control/node_agent.h
@@ -42,6 +42,9 @@
     std::function<void(const std::vector<world::CrashRecord>&)> on_crashes = {};
     /// Called with the evacuated zones when they have changed. May be null.
     std::function<void(const std::set<ZoneName>&)> on_zones = {};
+    /// Called with each lease grant: the departed runs of this node's target
+    /// that the keepers remember, as a majority has confirmed. May be null.
+    std::function<void(const world::DepartedRuns&)> on_departures = {};
   };
 
   /// Starts to follow one of `keepers`, given by their control endpoints.
@@ -80,6 +83,11 @@
   /// Releases a claim or records its result. Resent until a keeper acknowledges
   /// it.
   void Settle(const wire::ClaimSettle& settle);
+  /// Asks the keepers to remember that `run` of this node's target has
+  /// departed. Calls `done(true)` once a majority has stored it, or
+  /// `done(false)` after 800 ms.
+  void RecordDeparture(const world::TargetRun& run,
+                       std::function<void(bool stored)> done);
   /// Asks the keepers to remember these crashes of targets. Dropped if no
   /// keeper is connected, so it must be repeated.
   void ReportCrashes(const std::vector<world::CrashRecord>& records);
--- a/src/control/node_coordinator.cc
+++ b/src/control/node_coordinator.cc
@@ -132,8 +132,9 @@
   for (const wire::SessionReport& report : request.sessions) {
     const wire::FollowKeeper& node = report.node;
     tracker_.RecordGrant({node.node, node.incarnation}, lease, loop_.Now());
-    grants.grants.push_back(wire::SessionGrant{node.node, node.incarnation,
-                                               report.heartbeat.report.number});
+    grants.grants.push_back(wire::SessionGrant{
+        node.node, node.incarnation, report.heartbeat.report.number,
+        driver_.state().departures().Of(node.node)});
   }
   request.reply(grants);
 }
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -72,16 +72,17 @@
 }
 
 void NodeSessions::SendGrants(const wire::SessionGrants& grants) {
-  std::map<std::pair<NodeId, Incarnation>, uint64_t> numbers;
+  std::map<std::pair<NodeId, Incarnation>, const wire::SessionGrant*> by_node;
   for (const wire::SessionGrant& grant : grants.grants) {
-    numbers[{grant.node, grant.incarnation}] = grant.number;
+    by_node[{grant.node, grant.incarnation}] = &grant;
   }
   for (const ControlPort::Peer& peer : node_peers_) {
     const auto found =
-        numbers.find({peer->node->node, peer->node->incarnation});
-    if (found != numbers.end()) {
-      peer->link->Send(
-          wire::LeaseGrant{found->second, grants.active, grants.lease_us});
+        by_node.find({peer->node->node, peer->node->incarnation});
+    if (found != by_node.end()) {
+      peer->link->Send(wire::LeaseGrant{found->second->number, grants.active,
+                                        grants.lease_us,
+                                        found->second->departed});
     }
   }
 }
--- a/src/control/state_machine.cc
+++ b/src/control/state_machine.cc
@@ -25,6 +25,9 @@
         } else if constexpr (std::is_same_v<CommandType, AddCrashes>) {
           crashes_.Apply(command);
           return std::monostate();
+        } else if constexpr (std::is_same_v<CommandType, AddDeparture>) {
+          departures_.Apply(command);
+          return std::monostate();
         } else if constexpr (std::is_same_v<CommandType, OrderZone>) {
           return zones_.Apply(command, entry.index);
         } else {
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -7,6 +7,7 @@
 #include "control/claim_table.h"
 #include "control/config_history.h"
 #include "control/crash_ledger.h"
+#include "control/departure_ledger.h"
 #include "control/zone_orders.h"
 #include "wire/wire.h"
 
@@ -19,7 +20,8 @@
                              ClaimKey,
                              SettleKey,
                              AddCrashes,
-                             OrderZone>;
+                             OrderZone,
+                             AddDeparture>;
 
 /// Result of applying a command, which is returned to its proposer.
 using CommandResult = std::
@@ -43,21 +45,25 @@
   const ClaimTable& claims() const { return claims_; }
   const CrashLedger& crashes() const { return crashes_; }
   const ZoneOrders& zones() const { return zones_; }
+  const DepartureLedger& departures() const { return departures_; }
 
   template <typename Archive>
   void save(Archive& archive) const {
-    archive(applied_, config_, claims_, crashes_, zones_);
+    archive(applied_, config_, claims_, crashes_, zones_, departures_);
   }
   template <typename Archive>
   void load(Archive& archive) {
     archive(applied_, config_, claims_);
-    // Snapshots of earlier releases end here or after the crashes.
+    // Snapshots of earlier releases end here or after one of the parts below.
     if (archive.remaining_bytes() > 0) {
       archive(crashes_);
     }
     if (archive.remaining_bytes() > 0) {
       archive(zones_);
     }
+    if (archive.remaining_bytes() > 0) {
+      archive(departures_);
+    }
   }
 
  private:
@@ -66,6 +72,7 @@
   ClaimTable claims_;
   CrashLedger crashes_;
   ZoneOrders zones_;
+  DepartureLedger departures_;
 };
 
 }  // namespace ibisvalve::control
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -1,6 +1,7 @@
 #include "node/node_process.h"
 
 #include <algorithm>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -22,6 +23,10 @@
 constexpr Duration kJoinCheckInterval = std::chrono::milliseconds(20);
 // A node that no other member answers for this long is on its own.
 constexpr Duration kJoinTimeout = std::chrono::milliseconds(500);
+// A node that has joined the fleet, but gets no lease from a keeper for this
+// long, goes by what the other members remember. Keepers that were all ended
+// have elected a leader by then.
+constexpr Duration kLeaseTimeout = std::chrono::seconds(2);
 constexpr size_t kMaxWaitingAnnouncements = 64;
 
 dataplane::PlaneSettings ToPlaneSettings(const config::Settings& settings,
@@ -52,6 +57,19 @@
   return plane;
 }
 
+// Returns a function that calls `done` when it has been called twice, with
+// whether both calls were passed true.
+std::function<void(bool)> AfterBoth(std::function<void(bool)> done) {
+  const auto first = std::make_shared<std::optional<bool>>();
+  return [first, done = std::move(done)](bool result) {
+    if (first->has_value()) {
+      done(**first && result);
+    } else {
+      *first = result;
+    }
+  };
+}
+
 observe::RequestSample ToSample(const dataplane::RequestRecord& record) {
   return {record.service, record.gate,     record.gate_zone,
           record.outcome, record.reason,   record.status,
@@ -140,10 +158,22 @@
   }
 }
 
-// Before this node has heard from the fleet, it cannot tell a late announcement
-// of a run that departed from one of a run that is ready.
-bool NodeProcess::MayTrustAnnouncements() const {
-  return membership_->joined() || loop_.Now() - started_ >= kJoinTimeout;
+// Before this node has heard from the keepers, it cannot tell a late
+// announcement of a run that departed from one of a run that is ready. The
+// other members may have started together with it, and know of no departure.
+bool NodeProcess::MayTrustAnnouncements() {
+  const Duration limit = membership_->joined() ? kLeaseTimeout : kJoinTimeout;
+  knows_departures_ |= loop_.Now() - started_ >= limit;
+  return knows_departures_;
+}
+
+void NodeProcess::LearnDepartures(const world::DepartedRuns& runs) {
+  if (!runs.empty()) {
+    plane_->RecordDepartures(runs);
+  }
+  if (!std::exchange(knows_departures_, true)) {
+    ApplyWaitingAnnouncements();
+  }
 }
 
 void NodeProcess::ApplyWaitingAnnouncements() {
@@ -167,7 +197,7 @@
   const std::optional<world::TargetRun> run =
       departs ? plane_->FindRun(announcement) : plane_->departing_run();
   if (run) {
-    membership_->RecordDeparture(*run, std::move(done));
+    RecordDeparture(*run, std::move(done));
   } else {
     if (departs) {
       LogEvent(kDepartureRefused, {{"identity", announcement.identity}});
@@ -176,6 +206,15 @@
   }
 }
 
+// Keepers remember a departure beyond all processes, the other members also
+// while no keeper answers.
+void NodeProcess::RecordDeparture(const world::TargetRun& run,
+                                  std::function<void(bool)> done) {
+  const std::function<void(bool)> confirm = AfterBoth(std::move(done));
+  membership_->RecordDeparture(run, confirm);
+  agent_->RecordDeparture(run, confirm);
+}
+
 // Announces the run of the target once it is confirmed. What other members
 // remember of it from an earlier process of this node is known by then, so that
 // the same run is recognized.
@@ -356,6 +395,9 @@
       agent_->ReportCrashes(corrections);
     }
   };
+  handlers.on_departures = [this](const world::DepartedRuns& runs) {
+    LearnDepartures(runs);
+  };
   handlers.on_zones = [this](const std::set<ZoneName>& evacuated) {
     view_.SetEvacuatedZones(evacuated);
     plane_->ApplyZones();
@@ -422,8 +464,8 @@
     membership_->SetTarget(settings_.target->service, target_state_,
                            slots > 0 ? slots : settings_.target->slots);
     // A target may also announce its departure with a response.
-    if (const auto run = plane_->departing_run()) {
-      membership_->RecordDeparture(*run, [](bool) {});
+    if (const auto run = plane_->departing_run(); run && agent_ != nullptr) {
+      RecordDeparture(*run, [](bool) {});
     }
   }
 }
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -45,12 +45,13 @@
   /// take effect.
   void Reload(const config::Settings& settings);
   /// Processes an announcement that the local target sent about itself. It
-  /// takes effect once the fleet has told this node which runs of the target
-  /// have departed, or 500 ms after the start. Calls `done(true)` when it may
-  /// be acknowledged: a departure once other members remember its run, any
-  /// other at once. Calls `done(false)` if they cannot be reached, or if the
-  /// departure names no start and its run is unknown; the target must announce
-  /// it again.
+  /// takes effect once the keepers have told this node which runs of the target
+  /// have departed, or 2 s after the start, or 500 ms if no other member has
+  /// answered by then. Calls `done(true)` when it may be acknowledged: a
+  /// departure once a majority of the keepers has stored its run and other
+  /// members remember it, any other at once. Calls `done(false)` if they cannot
+  /// be reached, or if the departure names no start and its run is unknown; the
+  /// target must announce it again.
   void Announce(const dataplane::TargetAnnouncement& announcement,
                 std::function<void(bool recorded)> done);
   /// Returns whether this node has an active configuration, knows the requests
@@ -63,7 +64,10 @@
     std::function<void(bool)> done;
   };
 
-  bool MayTrustAnnouncements() const;
+  bool MayTrustAnnouncements();
+  void LearnDepartures(const world::DepartedRuns& runs);
+  void RecordDeparture(const world::TargetRun& run,
+                       std::function<void(bool)> done);
   void PublishHostedRun();
   void ApplyAnnouncement(const dataplane::TargetAnnouncement& announcement,
                          std::function<void(bool)> done);
@@ -108,6 +112,7 @@
   // Announcements that arrived before this node had joined the fleet.
   std::vector<WaitingAnnouncement> waiting_announcements_;
   const Time started_;
+  bool knows_departures_ = false;
   net::Timer join_timer_;
 };
 
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -227,6 +227,33 @@
   }
 };
 
+/// Asks the keepers to remember that a run of a node's target has departed:
+/// from the node to its keeper, and from there to the leader. Repeated until it
+/// is answered; what is remembered already is confirmed again.
+struct DepartureRequest {
+  static constexpr FrameType kType = 92;
+  uint64_t call = 0;  // echoed in the reply
+  NodeId node;
+  world::TargetRun run;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call, node, run);
+  }
+};
+
+/// Reply to DepartureRequest, sent once a majority of the keepers has stored
+/// it.
+struct DepartureReply {
+  static constexpr FrameType kType = 93;
+  uint64_t call = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(call);
+  }
+};
+
 /// Operator request forwarded to the leader.
 struct ForwardRequest {
   static constexpr FrameType kType = 71;
@@ -316,12 +343,13 @@
   uint64_t number = 0;
   Revision active;
   uint64_t lease_us = 0;
+  world::DepartedRuns departed;  // of the node's target, confirmed likewise
 
   auto operator<=>(const LeaseGrant&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(number, active, lease_us);
+    archive(number, active, lease_us, departed);
   }
 };
 
@@ -481,12 +509,13 @@
   NodeId node;
   Incarnation incarnation;
   uint64_t number = 0;
+  world::DepartedRuns departed;  // of the node's target
 
   auto operator<=>(const SessionGrant&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(node, incarnation, number);
+    archive(node, incarnation, number, departed);
   }
 };
 
--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,8 +47,9 @@
     std::vector<uint64_t> activated;  // revisions, in order of activation
     bool lease = false;
     std::string refusal;  // reason to refuse every file; empty: accept
-    std::vector<world::CrashRecord> crashes;  // last told by a keeper
-    std::set<ZoneName> evacuated;             // last told by a keeper
+    std::vector<world::CrashRecord> crashes;      // last told by a keeper
+    std::set<ZoneName> evacuated;                 // last told by a keeper
+    std::optional<world::DepartedRuns> departed;  // last told with a lease
   };
 
   /// Chooses free endpoints for `count` keepers.
@@ -106,7 +108,8 @@
             },
             [raw](bool held) { raw->lease = held; }, [] { return "{}"; },
             [raw](const auto& records) { raw->crashes = records; },
-            [raw](const auto& zones) { raw->evacuated = zones; }});
+            [raw](const auto& zones) { raw->evacuated = zones; },
+            [raw](const auto& departed) { raw->departed = departed; }});
     return node;
   }
 
--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -81,9 +81,29 @@
     settings_.target->announces = true;
   }
 
+  ~DepartureTest() override { std::filesystem::remove_all(data_); }
+
   const world::Endpoint& node_gossip() const { return settings_.gossip; }
 
   void StartKeeper(const std::vector<world::Endpoint>& seeds = {}) {
+    StartGroup();
+    StartGossip(seeds);
+  }
+
+  // Starts the keeper's replica, which is a group of its own.
+  void StartGroup() {
+    control::KeeperSettings group;
+    group.id = NodeId("keeper-1");
+    group.control = settings_.keepers.front();
+    group.data = data_;
+    group.keepers = {group.control};
+    group_ = std::make_unique<
+        control::Keeper>(loop_, group, [](const std::string&) {
+      return control::CheckedFile{"", std::chrono::seconds(2), true, {}, {}};
+    });
+  }
+
+  void StartGossip(const std::vector<world::Endpoint>& seeds = {}) {
     membership::MembershipSettings gossip;
     gossip.seeds = seeds;
     world::Member self;
@@ -143,8 +163,16 @@
                                              : found->second.target;
   }
 
+  static std::string NewFolder() {
+    std::string data = testing::TempDir() + "ibis-departure-XXXXXX";
+    EXPECT_NE(mkdtemp(data.data()), nullptr);
+    return data;
+  }
+
+  const std::string data_ = NewFolder();
   net::EventLoop loop_;
   config::Settings settings_;
+  std::unique_ptr<control::Keeper> group_;
   std::unique_ptr<membership::MembershipService> keeper_;
   std::unique_ptr<NodeProcess> node_;
 };
@@ -231,6 +259,67 @@
   EXPECT_FALSE(Announce(true));
 }
 
+// Guards against an acknowledged departure that is forgotten when all processes
+// are killed at once, so that a late announcement makes the target ready again.
+TEST_F(DepartureTest, ADepartureOutlivesAllProcesses) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
+  ASSERT_TRUE(Announce(true));
+  node_.reset();
+  keeper_.reset();
+  group_.reset();
+  // The members that answer first know of nothing.
+  StartGossip();
+  StartNode();
+  Announce(false);
+  EXPECT_FALSE(GetsReady(std::chrono::seconds(1)));
+  StartGroup();
+  EXPECT_FALSE(GetsReady(std::chrono::seconds(4)));
+  Announce(Announcement(false, "i-2", 2000));
+  EXPECT_TRUE(GetsReady(std::chrono::seconds(3)));
+}
+
+// The same for a departure that the keepers tell a node only after it went by
+// what the other members remember.
+TEST_F(DepartureTest, ADepartureThatIsLearnedLateEndsTheRun) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(Announce(true));
+  node_.reset();
+  keeper_.reset();
+  group_.reset();
+  StartGossip();
+  StartNode();
+  Announce(false);
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(4))) << "no keeper answers";
+  StartGroup();
+  RunUntil([&] { return SeenState() == world::TargetState::kDraining; });
+  EXPECT_EQ(SeenState(), world::TargetState::kDraining);
+}
+
+// An acknowledged departure must outlive all processes, so it is not
+// acknowledged while no keeper has stored it.
+TEST_F(DepartureTest, ADepartureThatNoKeeperStoredIsNotAcknowledged) {
+  StartKeeper();
+  StartNode();
+  ASSERT_TRUE(Announce(false));
+  ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
+  group_.reset();
+  const Time begin = loop_.Now();
+  EXPECT_FALSE(Announce(true));
+  EXPECT_LT(loop_.Now() - begin, std::chrono::seconds(1))
+      << "the target waits no longer";
+  StartGroup();
+  bool recorded = false;
+  for (int i = 0; i < 10 && !recorded; ++i) {
+    recorded = Announce(true);
+  }
+  EXPECT_TRUE(recorded);
+}
+
 // A node that no other member answers still uses its own target, and does not
 // let it wait for an answer: a target takes one that comes within a second.
 TEST_F(DepartureTest, ANodeOnItsOwnUsesItsTargetSoon) {
