Count no crash when a run ends that has announced its departure

At a release each target ends a while after it has announced its departure. A request that is on its way to two of them and is not asked for elsewhere in between was refused for ten minutes.

Cause: a gate counts each end of its target as a crash of what was running. Change: not after the run's own announcement that it departs.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -355,18 +355,20 @@
   }
 }
 
-void Gate::OnTargetEnded() {
+void Gate::OnTargetEnded(bool departed) {
   for (const auto& [id, attempt] : in_flight_) {
     if (attempt->stage == AttemptStage::kRunning &&
         attempt->response == nullptr && !attempt->declined &&
-        !std::exchange(attempt->crash_counted, true)) {
+        !std::exchange(attempt->crash_counted, true) && !departed) {
       crashes_.OnCrashDuringRun(attempt->open.identity,
                                 attempt->connection_opened);
     }
   }
   // Runs that were given up; their connections are closed.
   for (const world::RequestIdentity& request : unanswered_.Take(loop_.Now())) {
-    crashes_.OnCrashDuringRun(request, std::nullopt);
+    if (!departed) {
+      crashes_.OnCrashDuringRun(request, std::nullopt);
+    }
   }
 }
 
@@ -717,7 +719,7 @@
     Fail(*attempt, Outcome::kNotRun, Reason::kTargetRefused);
     return;
   }
-  if (reached && !attempt->crash_counted) {
+  if (reached && !attempt->crash_counted && !handlers_.target_departs()) {
     crashes_.OnCrashDuringRun(attempt->open.identity,
                               attempt->connection_opened);
   }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -62,6 +62,9 @@
     std::function<void()> on_target_replaced;
     /// Called when the target says that it leaves.
     std::function<void()> on_target_leaves;
+    /// Returns whether the current run of the target has announced its
+    /// departure, so that it ends by itself.
+    std::function<bool()> target_departs;
   };
 
   /// Creates the gate. All references must outlive it.
@@ -109,9 +112,10 @@
   /// Refuses the attempts that hold no slot of the target yet.
   void RefuseWaiting(world::Reason reason);
   /// Handles that the target has ended, though its connections may still look
-  /// open: what it was running, or had not answered before, may have ended it.
-  /// Each run counts once, however often this is called.
-  void OnTargetEnded();
+  /// open: what it was running, or had not answered before, may have ended it,
+  /// unless it had announced its departure (`departed`). Each run counts once,
+  /// however often this is called.
+  void OnTargetEnded(bool departed);
   /// Returns the load hint that is attached to responses.
   wire::LoadHint Hint() const;
   /// Sets the path at which the target reports its load; empty: none.
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -127,7 +127,8 @@
              [this] { monitor_.OnRequestFailure(); },
              [this] { mesh_.Broadcast(wire::LoadNotice{gate_.Hint()}); },
              [this] { monitor_.OnTargetReplaced(); },
-             [this] { monitor_.OnTargetLeaves(); }}),
+             [this] { monitor_.OnTargetLeaves(); },
+             [this] { return monitor_.departing_run().has_value(); }}),
       ingress_(loop, settings_, view, gate_, crashes_, handlers_),
       mesh_(loop, settings_, view, gate_, handlers_.present_file),
       callers_(loop,
@@ -154,9 +155,10 @@
 void NodePlane::Impl::Announce(const TargetAnnouncement& announcement) {
   const uint64_t run = monitor_.run();
   const std::optional<HeardRun> before = monitor_.heard_run();
+  const bool departed = monitor_.departing_run().has_value();
   monitor_.Announce(announcement);
   if (run != 0 && monitor_.run() != run) {
-    gate_.OnTargetEnded();
+    gate_.OnTargetEnded(departed);
     crashes_.OnTargetReplaced();
   } else if (before && before < monitor_.heard_run()) {
     crashes_.OnTargetHeard();
@@ -302,7 +304,7 @@
 
 void NodePlane::Impl::OnTargetState(world::TargetState state, uint32_t slots) {
   if (!monitor_.answers_checks()) {
-    gate_.OnTargetEnded();
+    gate_.OnTargetEnded(monitor_.departing_run().has_value());
   }
   gate_.SetTargetState(state, slots);
   if (reported_state_ == state && reported_slots_ == slots) {
--- a/tests/dataplane/crashing_target.h
+++ b/tests/dataplane/crashing_target.h
@@ -54,6 +54,8 @@
   void SetCrashesAt(Predicate crashes_at) {
     crashes_at_ = std::move(crashes_at);
   }
+  /// Ends the server as at a crash, without a request that causes it.
+  void End() { Crash(); }
   /// Keeps the connections of later crashes open without a response, as if the
   /// host dropped all their packets.
   void FallSilentWhenCrashing() { silent_ = true; }
--- a/tests/dataplane/outlived_gate_test.cc
+++ b/tests/dataplane/outlived_gate_test.cc
@@ -178,6 +178,37 @@
   RunUntil([this] { return Quarantined() == 0; });
 }
 
+// Guards against the refusal of a frequent request after a release, at which it
+// was on its way to targets that ended as announced.
+TEST_F(OutlivedGateTest, ATargetThatEndsAfterItsDepartureHasNotCrashed) {
+  Start(2);
+  const auto announce = [this](uint64_t run, bool stopping) {
+    for (const auto& node : nodes_) {
+      TargetAnnouncement announcement;
+      announcement.identity = node->member.id.value;
+      announcement.started_ms = run;
+      announcement.stopping = stopping;
+      node->plane->Announce(announcement);
+    }
+  };
+  announce(1, false);
+  while (Waiting() < hosts_.size()) {
+    Send(*ingress_, kSlow);
+    RunUntil([this, before = Waiting()] { return Waiting() > before; });
+  }
+  announce(1, true);
+  for (Host& host : hosts_) {
+    host.target->End();
+  }
+  RunUntil([this] { return ended_ == sent_; });
+  announce(2, false);
+  RunUntil([this] { return AllRunning(); });
+  for (const auto& node : nodes_) {
+    EXPECT_EQ(Metric(*node, "ibis_suspected_requests"), 0);
+    EXPECT_EQ(Metric(*node, "ibis_quarantined_requests"), 0);
+  }
+}
+
 // Guards against a crash that its target's next run takes for refuted.
 TEST_F(OutlivedGateTest, AnnouncementsOfTheNextRunDoNotRefuteACrash) {
   Start(2);
