Announce a target before its gate may use it

Cause: since departures are stored by the keepers, a node that starts let its target's announcements wait for the first lease grant. After the loss of all power the other members then heard of the target after the keepers had a leader, and ingresses had their file before they knew of any target.

Change: announcements count as soon as before; the gate refuses attempts as not run until the departures are known.

--- a/src/dataplane/gate.cc
+++ b/src/dataplane/gate.cc
@@ -113,8 +113,9 @@
   if (open.revision > view_.revision()) {
     handlers_.on_newer_revision(open.revision);
   }
-  if (const std::optional<Reason> reason =
-          FindRefusalReason(open, settings_, view_, target_state_)) {
+  if (const std::optional<Reason> reason = FindRefusalReason(
+          open, settings_, view_,
+          held_ ? world::TargetState::kStarting : target_state_)) {
     Refuse(open, port, *reason);
     return;
   }
--- a/src/dataplane/gate.h
+++ b/src/dataplane/gate.h
@@ -101,6 +101,10 @@
   /// Sets the target's state and slots. Fails the attempts that hold no slot if
   /// the target is not ready.
   void SetTargetState(world::TargetState state, uint32_t slots);
+  /// Sets whether nothing may run yet, as it is not known which runs of the
+  /// target have departed. Attempts are refused as if the target were down.
+  void SetHeld(bool held) { held_ = held; }
+  bool held() const { return held_; }
   /// Sets the run of the target, by its number and identity, that may run
   /// requests from now on. Closes idle connections to a previous one; what that
   /// still says about itself is ignored.
@@ -190,6 +194,7 @@
   Handlers handlers_;
   CrashTracker& crashes_;
   world::TargetState target_state_ = world::TargetState::kNone;
+  bool held_ = false;
   uint64_t target_run_ = 0;
   std::string target_identity_;
   policy::UnansweredRuns unanswered_;
--- a/src/dataplane/node_plane.cc
+++ b/src/dataplane/node_plane.cc
@@ -51,6 +51,7 @@
     return monitor_.departing_run();
   }
   std::optional<HeardRun> heard_run() const { return monitor_.heard_run(); }
+  void SetTargetHeld(bool held) { gate_.SetHeld(held); }
   void ApplyMember(const world::Member& member) { crashes_.OnMember(member); }
   void SetDraining(bool draining);
   void Stop(Duration limit, std::function<void()> done);
@@ -250,6 +251,7 @@
   Add(out, "ibis_gate_in_flight", static_cast<double>(gate_.in_flight()),
       false);
   Add(out, "ibis_gate_running", gate_.running(), false);
+  Add(out, "ibis_gate_target_held", gate_.held() ? 1 : 0, false);
   Add(out, "ibis_gate_target_cold", gate_.cold() ? 1 : 0, false);
   Add(out, "ibis_gate_zone_evacuated",
       view_.IsEvacuated(settings_.location.zone) ? 1 : 0, false);
@@ -412,6 +414,10 @@
   return impl_->heard_run();
 }
 
+void NodePlane::SetTargetHeld(bool held) {
+  impl_->SetTargetHeld(held);
+}
+
 void NodePlane::ApplyMember(const world::Member& member) {
   impl_->ApplyMember(member);
 }
--- a/src/dataplane/node_plane.h
+++ b/src/dataplane/node_plane.h
@@ -124,6 +124,10 @@
   /// Returns the current run of this node's target if it has announced its
   /// identity.
   std::optional<HeardRun> heard_run() const;
+  /// Sets whether the gate must not run anything yet, as it is not known which
+  /// runs of the target have departed. Peers see the target's state in any
+  /// case.
+  void SetTargetHeld(bool held);
   /// Handles a new or changed record of a member, which the view holds already.
   void ApplyMember(const world::Member& member);
   /// Requests the active configuration file of `peer`. PlaneHandlers::on_file
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -90,7 +90,8 @@
       peer_fetch_timer_(loop, [this] { FetchFileFromPeer(); }),
       crash_report_timer_(loop, [this] { ReportCrashes(); }),
       started_(loop.Now()),
-      join_timer_(loop, [this] { ApplyWaitingAnnouncements(); }) {
+      join_timer_(loop, [this] { ApplyWaitingAnnouncements(); }),
+      hold_timer_(loop, [this] { CheckTargetHold(); }) {
   plane_ = std::make_unique<dataplane::NodePlane>(
       loop_, ToPlaneSettings(settings_, options_, incarnation_), view_,
       MakeClaimPort(), MakePlaneHandlers());
@@ -105,6 +106,10 @@
   view_.SetOnFleetChanged([this] { plane_->ApplyFleet(); });
   view_.SetOnMemberChanged(
       [this](const world::Member& member) { plane_->ApplyMember(member); });
+  if (settings_.target && settings_.target->announces) {
+    plane_->SetTargetHeld(true);
+    hold_timer_.StartPeriodic(kJoinCheckInterval);
+  }
   peer_fetch_timer_.StartPeriodic(kPeerFetchInterval);
   crash_report_timer_.StartPeriodic(kCrashReportInterval);
   ServePages();
@@ -158,13 +163,21 @@
   }
 }
 
-// Before this node has heard from the keepers, it cannot tell a late
-// announcement of a run that departed from one of a run that is ready. The
-// other members may have started together with it, and know of no departure.
-bool NodeProcess::MayTrustAnnouncements() {
+// Before this node has heard from the fleet, it cannot tell a late announcement
+// of a run that departed from one of a run that is ready.
+bool NodeProcess::MayTrustAnnouncements() const {
+  return membership_->joined() || loop_.Now() - started_ >= kJoinTimeout;
+}
+
+// Lets the gate use the target once the keepers have told which of its runs
+// have departed: the other members may have started together with this node,
+// and know of none. They hear of the target before, which takes them some time.
+void NodeProcess::CheckTargetHold() {
   const Duration limit = membership_->joined() ? kLeaseTimeout : kJoinTimeout;
-  knows_departures_ |= loop_.Now() - started_ >= limit;
-  return knows_departures_;
+  if (knows_departures_ || loop_.Now() - started_ >= limit) {
+    hold_timer_.Stop();
+    plane_->SetTargetHeld(false);
+  }
 }
 
 void NodeProcess::LearnDepartures(const world::DepartedRuns& runs) {
@@ -172,7 +185,7 @@
     plane_->RecordDepartures(runs);
   }
   if (!std::exchange(knows_departures_, true)) {
-    ApplyWaitingAnnouncements();
+    CheckTargetHold();
   }
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -45,7 +45,8 @@
   /// take effect.
   void Reload(const config::Settings& settings);
   /// Processes an announcement that the local target sent about itself. It
-  /// takes effect once the keepers have told this node which runs of the target
+  /// takes effect once another member has answered this node, or 500 ms after
+  /// the start. The target is used once the keepers have told which of its runs
   /// have departed, or 2 s after the start, or 500 ms if no other member has
   /// answered by then. Calls `done(true)` when it may be acknowledged: a
   /// departure once a majority of the keepers has stored its run and other
@@ -64,7 +65,8 @@
     std::function<void(bool)> done;
   };
 
-  bool MayTrustAnnouncements();
+  bool MayTrustAnnouncements() const;
+  void CheckTargetHold();
   void LearnDepartures(const world::DepartedRuns& runs);
   void RecordDeparture(const world::TargetRun& run,
                        std::function<void(bool)> done);
@@ -114,6 +116,7 @@
   const Time started_;
   bool knows_departures_ = false;
   net::Timer join_timer_;
+  net::Timer hold_timer_;
 };
 
 }  // namespace ibisvalve::node
--- a/tests/dataplane/node_plane_test.cc
+++ b/tests/dataplane/node_plane_test.cc
@@ -170,5 +170,21 @@
   EXPECT_EQ(response->body, "done");
 }
 
+// Guards against requests that run at a target of which it is not known yet
+// whether it has departed.
+TEST_F(PlaneTest, AHeldTargetRunsNothing) {
+  FakeTarget target(
+      loop_, [](evhttp_request* request) { RespondOk(request, "fine"); });
+  Node& node = AddNode("suva-1", &target);
+  WaitReady(node);
+  node.plane->SetTargetHeld(true);
+  const CallerResponse refused = Fetch(node, {"GET", "/rooms", {}, ""});
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_EQ(refused.Get("Ibis-Outcome"), "not-run");
+  EXPECT_TRUE(target.seen().empty());
+  node.plane->SetTargetHeld(false);
+  EXPECT_EQ(Fetch(node, {"GET", "/rooms", {}, ""}).status, 200);
+}
+
 }  // namespace
 }  // namespace ibisvalve::dataplane
