Tell nodes of remembered crashes only once all committed entries are applied

What callers saw: after the loss of all power they were refused 0.15 to 0.26 s longer than needed, while the keepers had a leader and the file.

Cause: a keeper that applies its log anew after a restart sent its nodes each state that the record of crashes had ever had, in front of the file, and nodes put hundreds of requests into quarantine for a moment.

Change: the same condition as for zone orders and files; which version of the record was sent is kept for each connection.

--- a/src/control/control_port.h
+++ b/src/control/control_port.h
@@ -22,7 +22,8 @@
   wire::NodeHeartbeat heartbeat;  // the node's latest
   Revision sent_staged;           // last revisions sent on this connection
   Revision sent_active;
-  uint64_t sent_zones = 0;  // version of the zone orders last sent
+  uint64_t sent_zones = 0;            // version of the zone orders last sent
+  uint64_t sent_crashes_version = 0;  // of the ledger when it was last sent
   // Digests of the crash records sent on this connection, by resource.
   std::map<Digest, Digest> sent_crashes;
 };
--- a/src/control/node_sessions.cc
+++ b/src/control/node_sessions.cc
@@ -47,14 +47,9 @@
 }
 
 void NodeSessions::OnApplied() {
-  // Before a file, with which a node may start to serve.
-  const uint64_t version = driver_.state().crashes().version();
-  if (std::exchange(crashes_sent_, version) != version) {
-    for (const ControlPort::Peer& peer : node_peers_) {
-      SendCrashes(*peer);
-    }
-  }
   for (const ControlPort::Peer& peer : node_peers_) {
+    // Before a file, with which a node may start to serve.
+    SendCrashes(*peer);
     SendZones(*peer);
     SendFiles(*peer);
   }
@@ -107,10 +102,21 @@
   SendZones(*peer);
 }
 
+// Returns whether all committed entries have been applied. A keeper that was
+// restarted or lags still applies old entries, which have been replaced since.
+bool NodeSessions::IsCaughtUp() const {
+  return driver_.state().applied() >= driver_.replica().commit();
+}
+
 // Sends the records that quarantine something, without which the node must not
 // serve, and what became of those that it was sent before. The others only
 // inform, and the node's file would wait behind them.
 void NodeSessions::SendCrashes(InboundPeer& peer) {
+  const uint64_t version = driver_.state().crashes().version();
+  if (!IsCaughtUp() || peer.sent_crashes_version == version) {
+    return;
+  }
+  peer.sent_crashes_version = version;
   wire::CrashReport report;
   for (const world::CrashRecord& record :
        driver_.state().crashes().Records(WallMicros())) {
@@ -133,9 +139,7 @@
 // Zone orders go before the file, with which a node may start to serve.
 void NodeSessions::SendZones(InboundPeer& peer) {
   const ZoneOrders& zones = driver_.state().zones();
-  // A keeper that still applies old entries may not know the newest orders.
-  if (driver_.state().applied() < driver_.replica().commit() ||
-      zones.version() <= peer.sent_zones) {
+  if (!IsCaughtUp() || zones.version() <= peer.sent_zones) {
     return;
   }
   peer.sent_zones = zones.version();
@@ -169,9 +173,7 @@
 }
 
 void NodeSessions::SendFiles(InboundPeer& peer) {
-  // A restarted or lagging keeper still applies old entries. It must not send
-  // nodes files that have been replaced since.
-  if (driver_.state().applied() < driver_.replica().commit()) {
+  if (!IsCaughtUp()) {
     return;
   }
   const ConfigHistory& config = driver_.state().config();
--- a/src/control/node_sessions.h
+++ b/src/control/node_sessions.h
@@ -48,6 +48,7 @@
   void Heartbeat(const ControlPort::Peer& peer,
                  const wire::NodeHeartbeat& heartbeat);
   void Leave(const ControlPort::Peer& peer, const wire::LeaveKeeper& leave);
+  bool IsCaughtUp() const;
   void SendCrashes(InboundPeer& peer);
   void SendZones(InboundPeer& peer);
   void SendFiles(InboundPeer& peer);
@@ -63,7 +64,6 @@
   std::set<ControlPort::Peer> node_peers_;
   std::set<ControlPort::Peer> unreported_;  // to report in the next batch
   std::vector<wire::LeaveKeeper> left_;
-  uint64_t crashes_sent_ = 0;  // version of the ledger last sent to all
   // Encoded texts of the newest revisions, by revision and base.
   std::map<std::pair<Revision, Revision>, std::string> encoded_;
   net::Timer batch_timer_;
--- a/tests/control/crash_ledger_test.cc
+++ b/tests/control/crash_ledger_test.cc
@@ -104,5 +104,40 @@
   EXPECT_EQ(node->crashes[0].crashes.size(), 2U);
 }
 
+// Guards against keepers that, while they apply their log anew after a restart,
+// tell nodes of each quarantine that it once held.
+TEST_F(RememberedCrashesTest, AClearedQuarantineIsNotToldAfterARestart) {
+  Reserve(3);
+  for (size_t number = 0; number < 3; ++number) {
+    StartKeeper(number);
+  }
+  ASSERT_TRUE(RunUntil([&] { return LeaderOf(0) >= 0; }));
+  world::CrashRecord record = RecordOf(7, 2);
+  {
+    const auto node = StartNode("a");
+    const auto other = StartNode("b");
+    ASSERT_TRUE(RunUntil([&] {
+      node->agent->ReportCrashes({record});
+      return other->told_of_quarantine;
+    }));
+    for (world::KnownCrash& crash : record.crashes) {
+      crash.cleared = crash.resource_cleared = true;
+    }
+    ASSERT_TRUE(RunUntil([&] {
+      node->agent->ReportCrashes({record});
+      return world::WeightOf(other->crashes.at(0)) == world::CrashWeight::kNone;
+    }));
+  }
+  for (size_t number = 0; number < 3; ++number) {
+    StopKeeper(number);
+  }
+  const auto node = StartNode("a");
+  for (size_t number = 0; number < 3; ++number) {
+    StartKeeper(number);
+  }
+  ASSERT_TRUE(RunUntil([&] { return node->departed.has_value(); }));
+  EXPECT_FALSE(node->told_of_quarantine);
+}
+
 }  // namespace
 }  // namespace ibisvalve::control
--- a/tests/control/keeper_fixture.h
+++ b/tests/control/keeper_fixture.h
@@ -48,6 +48,7 @@
     bool lease = false;
     std::string refusal;  // reason to refuse every file; empty: accept
     std::vector<world::CrashRecord> crashes;      // last told by a keeper
+    bool told_of_quarantine = false;              // ever
     std::set<ZoneName> evacuated;                 // last told by a keeper
     std::optional<world::DepartedRuns> departed;  // last told with a lease
   };
@@ -107,7 +108,13 @@
               raw->activated.push_back(file.revision.value);
             },
             [raw](bool held) { raw->lease = held; }, [] { return "{}"; },
-            [raw](const auto& records) { raw->crashes = records; },
+            [raw](const auto& records) {
+              raw->crashes = records;
+              for (const world::CrashRecord& record : records) {
+                raw->told_of_quarantine |=
+                    world::WeightOf(record) == world::CrashWeight::kQuarantines;
+              }
+            },
             [raw](const auto& zones) { raw->evacuated = zones; },
             [raw](const auto& departed) { raw->departed = departed; }});
     return node;
