--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -228,8 +228,8 @@
 };
 
 /// Asks the keepers to remember that a run of a node's target has departed:
-/// from the node to its keeper, and from there to the leader. Repeated until it
-/// is answered; what is remembered already is confirmed again.
+/// from the node to its keeper, and from there to the leader. What is
+/// remembered already is confirmed again.
 struct DepartureRequest {
   static constexpr FrameType kType = 92;
   uint64_t call = 0;  // echoed in the reply
