--- a/tests/dataplane/outlived_gate_test.cc
+++ b/tests/dataplane/outlived_gate_test.cc
@@ -61,6 +61,18 @@
     }
   }
 
+  // Has the targets of all nodes announce their run that started at `started`.
+  void AnnounceRuns(uint64_t started, uint64_t number, bool stopping = false) {
+    for (const auto& node : nodes_) {
+      TargetAnnouncement announcement;
+      announcement.identity = node->member.id.value;
+      announcement.started_ms = started;
+      announcement.number = number;
+      announcement.stopping = stopping;
+      node->plane->Announce(announcement);
+    }
+  }
+
   double Quarantined() const {
     return Metric(*ingress_, "ibis_quarantined_requests");
   }
@@ -155,16 +167,7 @@
 TEST_F(OutlivedGateTest, AResetConnectionToARunningTargetIsNoCrash) {
   Start(2);
   uint64_t number = 0;
-  const auto announce = [&] {
-    ++number;
-    for (const auto& node : nodes_) {
-      TargetAnnouncement announcement;
-      announcement.identity = node->member.id.value;
-      announcement.started_ms = 1;
-      announcement.number = number;
-      node->plane->Announce(announcement);
-    }
-  };
+  const auto announce = [&] { AnnounceRuns(1, ++number); };
   announce();
   for (int i = 0; i < 2; ++i) {
     RunUntil([this] { return AllRunning(); });
@@ -182,26 +185,17 @@
 // was on its way to targets that ended as announced.
 TEST_F(OutlivedGateTest, ATargetThatEndsAfterItsDepartureHasNotCrashed) {
   Start(2);
-  const auto announce = [this](uint64_t run, bool stopping) {
-    for (const auto& node : nodes_) {
-      TargetAnnouncement announcement;
-      announcement.identity = node->member.id.value;
-      announcement.started_ms = run;
-      announcement.stopping = stopping;
-      node->plane->Announce(announcement);
-    }
-  };
-  announce(1, false);
+  AnnounceRuns(1, 0);
   while (Waiting() < hosts_.size()) {
     Send(*ingress_, kSlow);
     RunUntil([this, before = Waiting()] { return Waiting() > before; });
   }
-  announce(1, true);
+  AnnounceRuns(1, 0, true);
   for (Host& host : hosts_) {
     host.target->End();
   }
   RunUntil([this] { return ended_ == sent_; });
-  announce(2, false);
+  AnnounceRuns(2, 0);
   RunUntil([this] { return AllRunning(); });
   for (const auto& node : nodes_) {
     EXPECT_EQ(Metric(*node, "ibis_suspected_requests"), 0);
@@ -212,23 +206,14 @@
 // Guards against a crash that its target's next run takes for refuted.
 TEST_F(OutlivedGateTest, AnnouncementsOfTheNextRunDoNotRefuteACrash) {
   Start(2);
-  const auto announce = [&](uint64_t run, uint64_t number) {
-    for (const auto& node : nodes_) {
-      TargetAnnouncement announcement;
-      announcement.identity = node->member.id.value;
-      announcement.started_ms = run;
-      announcement.number = number;
-      node->plane->Announce(announcement);
-    }
-  };
-  announce(1, 1);
+  AnnounceRuns(1, 1);
   for (int i = 0; i < 2; ++i) {
     RunUntil([this] { return AllRunning(); });
     Fetch(*ingress_, kPoisonOnce);
   }
   ASSERT_EQ(Quarantined(), 1);
   for (uint64_t i = 1; i <= 3; ++i) {
-    announce(2, i);
+    AnnounceRuns(2, i);
   }
   RunUntil([this, start = loop_.Now()] {
     return loop_.Now() - start > milliseconds(50);
--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -116,6 +116,16 @@
     settings_.seeds = {keeper_->self().gossip};
   }
 
+  // Ends all processes and starts them again but for the keeper's replica. The
+  // member that answers first knows of nothing then.
+  void RestartWithoutGroup() {
+    node_.reset();
+    keeper_.reset();
+    group_.reset();
+    StartGossip();
+    StartNode();
+  }
+
   void StartNode() { node_ = std::make_unique<NodeProcess>(loop_, settings_); }
 
   static dataplane::TargetAnnouncement Announcement(
@@ -297,12 +307,7 @@
   ASSERT_TRUE(Announce(false));
   ASSERT_TRUE(GetsReady(std::chrono::seconds(3)));
   ASSERT_TRUE(Announce(true));
-  node_.reset();
-  keeper_.reset();
-  group_.reset();
-  // The members that answer first know of nothing.
-  StartGossip();
-  StartNode();
+  RestartWithoutGroup();
   Announce(false);
   EXPECT_FALSE(GetsUsed(std::chrono::seconds(1)));
   StartGroup();
@@ -318,11 +323,7 @@
   StartNode();
   ASSERT_TRUE(Announce(false));
   ASSERT_TRUE(Announce(true));
-  node_.reset();
-  keeper_.reset();
-  group_.reset();
-  StartGossip();
-  StartNode();
+  RestartWithoutGroup();
   Announce(false);
   ASSERT_TRUE(GetsUsed(std::chrono::seconds(4))) << "no keeper answers";
   StartGroup();
